Agree the modules, ids, error codes, messages, log records and ports

Cause: several people build the parts side by side, so what passes between them has to stand first. Ruled out: hand-made codecs (Jackson writes records over MessagePack as they are); one module (the core must not see sockets or clocks).

--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/package-info.java
@@ -0,0 +1,2 @@
+/** TODO package. */
+package org.tamaracktrack.cli;
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry role of the daemon. */
+package org.tamaracktrack.daemon.entry;
--- /dev/null
+++ b/link/src/main/java/org/tamaracktrack/link/hosts/package-info.java
@@ -0,0 +1,2 @@
+/** The client of the platform's lagging list of hosts. */
+package org.tamaracktrack.link.hosts;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/Main.java
@@ -0,0 +1,15 @@
+package org.tamaracktrack.standins;
+
+/** Entry point of the program. */
+public final class Main {
+    private Main() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(2);
+    }
+}
