--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
@@ -0,0 +1,58 @@
+package org.tamaracktrack.daemon.settings;
+
+import java.util.Objects;
+import org.tamaracktrack.core.routing.RoutingKind;
+
+/**
+ * Everything that a command line and an environment say.
+ *
+ * @param settings the settings
+ * @param routing how an entry daemon chooses targets
+ * @param checkOnly whether to stop after the check
+ */
+public record DaemonSettings(Settings settings, RoutingKind routing, boolean checkOnly) {
+
+    /** Checks the arguments. */
+    public DaemonSettings {
+        Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(routing, "routing is null");
+    }
+
+    /**
+     * Returns the settings on one line for the log; the shared secret is left out.
+     *
+     * @return key=value fields
+     */
+    public String describe() {
+        return "role="
+                + settings.role()
+                + " host="
+                + settings.host()
+                + " data_centre="
+                + settings.dataCentre()
+                + " target="
+                + settings.target().map(Object::toString).orElse("none")
+                + " http="
+                + settings.httpAddress()
+                + " peer="
+                + settings.peerAddress()
+                + " log="
+                + settings.logAddress()
+                + " host_list="
+                + settings.hostListAddress().map(Object::toString).orElse("none")
+                + " peers="
+                + settings.peers()
+                + " drain_millis="
+                + settings.drainMillis()
+                + " balancer_lag_millis="
+                + settings.balancerLagMillis()
+                + " report_millis="
+                + settings.reportMillis()
+                + " maximum_body_bytes="
+                + settings.maximumBodyBytes()
+                + " maximum_connections="
+                + settings.maximumConnections()
+                + " routing="
+                + routing.text();
+    }
+}
