Add the transports and the clients of the outside systems

Cause: every role needs connections to peers and calls to outside systems. Ruled out: a thread for each connection (320 entry daemons before a target would be 640 threads); a pause that waits for its turn on the read thread (it let a fast server's whole answer into memory: a test with 3 MB showed it).

--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/package-info.java
@@ -0,0 +1,2 @@
+/** The target role of the daemon. */
+package org.tamaracktrack.daemon.target;
--- /dev/null
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -0,0 +1,274 @@
+package org.tamaracktrack.link.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One call: opens or takes a connection, sends, reads. Its state belongs to one thread. */
+final class Exchange implements HttpStream {
+    private final HttpCall call;
+    private final HttpListener listener;
+    private final ConnectionPool pool;
+    private final XnioIoThread firstThread;
+    private final ByteBufferPool buffers;
+    private volatile XnioIoThread thread;
+    private Optional<ClientConnection> connection = Optional.empty();
+    private Optional<StreamSourceChannel> source = Optional.empty();
+    private Optional<XnioExecutor.Key> timer = Optional.empty();
+    private HttpFailure failureNow = HttpFailure.NOT_SENT;
+    private boolean ended;
+    private volatile boolean paused;
+
+    private Exchange(
+            HttpCall call,
+            HttpListener listener,
+            ConnectionPool pool,
+            XnioIoThread firstThread,
+            ByteBufferPool buffers) {
+        this.call = call;
+        this.listener = listener;
+        this.pool = pool;
+        this.firstThread = firstThread;
+        this.thread = firstThread;
+        this.buffers = buffers;
+    }
+
+    static Exchange start(
+            HttpCall call,
+            HttpListener listener,
+            ConnectionPool pool,
+            XnioIoThread ioThread,
+            ByteBufferPool buffers) {
+        Exchange exchange = new Exchange(call, listener, pool, ioThread, buffers);
+        exchange.connect();
+        return exchange;
+    }
+
+    private void connect() {
+        Optional<ClientConnection> idle = pool.take(call.address());
+        if (idle.isPresent()) {
+            adopt(idle.get());
+            return;
+        }
+        pool.open(
+                call.address(),
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection opened) {
+                        adopt(opened);
+                    }
+
+                    @Override
+                    public void failed(IOException failure) {
+                        firstThread.execute(() -> fail(HttpFailure.NOT_SENT));
+                    }
+                });
+        // The connection attempt has no time limit of its own.
+        firstThread.executeAfter(
+                () -> {
+                    if (connection.isEmpty()) {
+                        fail(HttpFailure.NOT_SENT);
+                    }
+                },
+                call.timeoutMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void adopt(ClientConnection opened) {
+        thread = opened.getIoThread();
+        thread.execute(() -> send(opened));
+    }
+
+    private void send(ClientConnection opened) {
+        if (ended) {
+            pool.giveBack(call.address(), opened);
+            return;
+        }
+        connection = Optional.of(opened);
+        timer =
+                Optional.of(
+                        thread.executeAfter(
+                                () -> fail(HttpFailure.TIMED_OUT),
+                                call.timeoutMillis(),
+                                TimeUnit.MILLISECONDS));
+        // From here on bytes may reach the server, so the call is no longer "not sent".
+        failureNow = HttpFailure.NO_ANSWER;
+        opened.sendRequest(request(), callback(this::sendBody));
+    }
+
+    private ClientRequest request() {
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
+        HeaderMap headers = request.getRequestHeaders();
+        call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
+        headers.put(Headers.HOST, call.address().getHostString() + ":" + call.address().getPort());
+        headers.put(Headers.CONTENT_LENGTH, call.body().length);
+        return request;
+    }
+
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> action) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange result) {
+                action.accept(result);
+            }
+
+            @Override
+            public void failed(IOException failure) {
+                fail(failureNow);
+            }
+        };
+    }
+
+    private void sendBody(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::receiveHead));
+        StreamSinkChannel sink = exchange.getRequestChannel();
+        write(sink, ByteBuffer.wrap(call.body()));
+    }
+
+    private void write(StreamSinkChannel sink, ByteBuffer body) {
+        try {
+            while (body.hasRemaining()) {
+                if (sink.write(body) == 0) {
+                    sink.getWriteSetter().set(channel -> write(sink, body));
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, null));
+                sink.resumeWrites();
+            }
+        } catch (IOException failure) {
+            fail(failureNow);
+        }
+    }
+
+    private void receiveHead(ClientExchange exchange) {
+        if (ended) {
+            return;
+        }
+        failureNow = HttpFailure.ANSWER_CUT;
+        ClientResponse response = exchange.getResponse();
+        listener.onHead(response.getResponseCode(), headers(response));
+        StreamSourceChannel channel = exchange.getResponseChannel();
+        source = Optional.of(channel);
+        channel.getReadSetter().set(ignored -> read(channel));
+        if (!paused) {
+            read(channel);
+            if (!ended && !paused) {
+                channel.resumeReads();
+            }
+        }
+    }
+
+    private static Map<String, String> headers(ClientResponse response) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        response.getResponseHeaders()
+                .forEach(
+                        values ->
+                                headers.put(
+                                        values.getHeaderName().toString().toLowerCase(Locale.ROOT),
+                                        values.getFirst()));
+        return headers;
+    }
+
+    private void read(StreamSourceChannel channel) {
+        try (PooledByteBuffer pooled = buffers.allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (!ended && !paused) {
+                buffer.clear();
+                int count = channel.read(buffer);
+                if (count < 0) {
+                    complete();
+                    return;
+                }
+                if (count == 0) {
+                    return;
+                }
+                buffer.flip();
+                byte[] bytes = new byte[buffer.remaining()];
+                buffer.get(bytes);
+                listener.onBytes(bytes);
+            }
+        } catch (IOException failure) {
+            fail(failureNow);
+        }
+    }
+
+    private void complete() {
+        if (end()) {
+            connection.ifPresent(open -> pool.giveBack(call.address(), open));
+            listener.onEnd();
+        }
+    }
+
+    private void fail(HttpFailure failure) {
+        if (end()) {
+            connection.ifPresent(IoUtils::safeClose);
+            listener.onFailure(failure);
+        }
+    }
+
+    private boolean end() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        timer.ifPresent(XnioExecutor.Key::remove);
+        return true;
+    }
+
+    @Override
+    public void pause() {
+        // Set at once, not on the exchange's thread: that thread may be inside the read loop, which
+        // would go on reading a fast server's answer into memory before it came to the task.
+        paused = true;
+        thread.execute(
+                () -> {
+                    if (!paused) {
+                        return;
+                    }
+                    source.filter(channel -> !ended).ifPresent(StreamSourceChannel::suspendReads);
+                });
+    }
+
+    @Override
+    public void resume() {
+        paused = false;
+        thread.execute(
+                () -> {
+                    if (paused) {
+                        return;
+                    }
+                    source.filter(channel -> !ended).ifPresent(StreamSourceChannel::wakeupReads);
+                });
+    }
+
+    @Override
+    public void cancel() {
+        thread.execute(() -> fail(HttpFailure.CANCELLED));
+    }
+}
--- /dev/null
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -0,0 +1,127 @@
+package org.tamaracktrack.link.http;
+
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Calls by Undertow's client. */
+public final class UndertowHttpCaller implements HttpCaller {
+    private static final int IO_THREADS = 2;
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers;
+    private final ConnectionPool pool;
+
+    private UndertowHttpCaller(XnioWorker worker, ByteBufferPool buffers) {
+        this.worker = worker;
+        this.buffers = buffers;
+        this.pool = ConnectionPool.of(UndertowClient.getInstance(), worker, buffers);
+    }
+
+    /**
+     * Starts a caller.
+     *
+     * @return the caller
+     * @throws TamaracktrackException with {@code INTERNAL} when its threads can't be started
+     */
+    public static UndertowHttpCaller of() {
+        try {
+            OptionMap options =
+                    OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.WORKER_NAME, "http")
+                            .set(Options.THREAD_DAEMON, true)
+                            .getMap();
+            return new UndertowHttpCaller(
+                    Xnio.getInstance().createWorker(options),
+                    new DefaultByteBufferPool(false, BUFFER_BYTES));
+        } catch (IOException failure) {
+            throw TamaracktrackException.of(ErrorCode.INTERNAL, "can't start XNIO", failure);
+        }
+    }
+
+    @Override
+    public HttpAnswer call(HttpCall call) {
+        Collector collector = new Collector();
+        stream(call, collector);
+        try {
+            return collector.answer.get();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw HttpCallException.of(HttpFailure.CANCELLED, "interrupted");
+        } catch (ExecutionException failure) {
+            if (failure.getCause() instanceof HttpCallException cause) {
+                throw HttpCallException.of(cause.failure(), describe(call, cause));
+            }
+            throw TamaracktrackException.of(ErrorCode.INTERNAL, describe(call, failure), failure);
+        }
+    }
+
+    private static String describe(HttpCall call, Exception failure) {
+        return call.method() + " " + call.address() + ": " + failure.getMessage();
+    }
+
+    @Override
+    public HttpStream stream(HttpCall call, HttpListener listener) {
+        Objects.requireNonNull(call, "call is null");
+        Objects.requireNonNull(listener, "listener is null");
+        return Exchange.start(call, listener, pool, worker.getIoThread(), buffers);
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+        buffers.close();
+    }
+
+    /** Gathers a whole answer. */
+    private static final class Collector implements HttpListener {
+        private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int status;
+        private Map<String, String> headers = Map.of();
+
+        @Override
+        public void onHead(int receivedStatus, Map<String, String> receivedHeaders) {
+            status = receivedStatus;
+            headers = receivedHeaders;
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            // A broken server could send without end; past the bound the call fails instead of
+            // filling the heap, and what still arrives is dropped until the timeout closes it.
+            if (body.size() + bytes.length > MAXIMUM_ANSWER_BYTES) {
+                onFailure(HttpFailure.ANSWER_CUT);
+                return;
+            }
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            answer.complete(new HttpAnswer(status, headers, body.toByteArray()));
+        }
+
+        @Override
+        public void onFailure(HttpFailure failure) {
+            answer.completeExceptionally(HttpCallException.of(failure, failure.text()));
+        }
+    }
+}
--- /dev/null
+++ b/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
@@ -0,0 +1,124 @@
+package org.tamaracktrack.link.log;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.log.LogEntry;
+import org.tamaracktrack.core.log.LogStream;
+import org.tamaracktrack.link.http.HttpAnswer;
+import org.tamaracktrack.link.http.HttpCall;
+import org.tamaracktrack.link.http.HttpCallException;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.tamaracktrack.link.http.HttpFailure;
+import org.tamaracktrack.link.http.HttpListener;
+import org.tamaracktrack.link.http.HttpStream;
+
+class HttpLogClientTest {
+    private static final LogEntry ENTRY =
+            new LogEntry.LeaseReleased("planner", IncarnationId.of("entry-1"));
+
+    private final ScriptedCaller caller = new ScriptedCaller();
+    private final LogClient log =
+            HttpLogClient.of(caller, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+
+    @Test
+    void shouldGiveTheOffsetWhenTheLogTookTheRecord() {
+        caller.answers(200, "{\"offset\":7,\"appendedAtMillis\":9}");
+
+        assertThat(log.append(LogStream.PLAN, ENTRY)).isEqualTo(new LogClient.Appended(7, 9));
+    }
+
+    @Test
+    void shouldPassOverByNumberWhenARecordIsNotUnderstood() {
+        caller.answers(
+                200,
+                "{\"firstOffset\":3,\"nextOffset\":5,\"records\":["
+                        + "{\"offset\":3,\"appendedAtMillis\":1,\"body\":\"{}\"},"
+                        + "{\"offset\":4,\"appendedAtMillis\":2,\"body\":"
+                        + "\"{\\\"t\\\":\\\"leaseReleased\\\",\\\"duty\\\":\\\"planner\\\","
+                        + "\\\"holder\\\":\\\"entry-1\\\"}\"}]}");
+
+        LogClient.Batch batch = log.read(LogStream.PLAN, 0, 10, 0);
+
+        assertThat(batch.undecodable()).containsExactly(3L);
+        assertThat(batch.records().get(0).entry()).isEqualTo(ENTRY);
+        assertThat(batch.firstOffset()).isEqualTo(3);
+    }
+
+    @Nested
+    class Failures {
+
+        @Test
+        void shouldSayNotWrittenWhenTheLogRefuses() {
+            caller.answers(503, "");
+            caller.answers(429, "");
+            caller.fails(HttpFailure.NOT_SENT);
+
+            assertThat(appendFailure()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
+            assertThat(appendFailure()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
+            assertThat(appendFailure()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
+        }
+
+        @Test
+        void shouldSayUnknownWhenTheAnswerIsLost() {
+            // The record is written and the answer is lost on the way. A writer that took this for
+            // a refusal would write again and act twice.
+            caller.fails(HttpFailure.NO_ANSWER);
+            caller.fails(HttpFailure.TIMED_OUT);
+            caller.fails(HttpFailure.ANSWER_CUT);
+            caller.answers(500, "");
+            caller.answers(200, "garbage");
+
+            for (int tries = 0; tries < 5; tries++) {
+                assertThat(appendFailure()).isEqualTo(ErrorCode.LOG_OUTCOME_UNKNOWN);
+            }
+        }
+
+        private ErrorCode appendFailure() {
+            return assertThrows(
+                            TamaracktrackException.class, () -> log.append(LogStream.PLAN, ENTRY))
+                    .code();
+        }
+    }
+
+    private static final class ScriptedCaller implements HttpCaller {
+        private final Deque<Supplier<HttpAnswer>> script = new ArrayDeque<>();
+
+        void answers(int status, String body) {
+            script.add(
+                    () -> new HttpAnswer(status, Map.of(), body.getBytes(StandardCharsets.UTF_8)));
+        }
+
+        void fails(HttpFailure failure) {
+            script.add(
+                    () -> {
+                        throw HttpCallException.of(failure, "scripted");
+                    });
+        }
+
+        @Override
+        public HttpAnswer call(HttpCall call) {
+            return script.remove().get();
+        }
+
+        @Override
+        public HttpStream stream(HttpCall call, HttpListener listener) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void close() {}
+    }
+}
