--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/lease/LeaseRegister.java
@@ -0,0 +1,146 @@
+package org.tamaracktrack.core.lease;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.log.LogEntry;
+import org.tamaracktrack.core.log.LogRecord;
+
+/**
+ * The leases, derived from the records of the plan stream in offset order. Every reader of the same
+ * records derives the same holders, so nothing has to be agreed beyond the log's order.
+ */
+public final class LeaseRegister {
+    /** A longer lease is cut to this, so that a bad record can't take a duty for good. */
+    public static final long MAXIMUM_DURATION_MILLIS = 60_000;
+
+    private final Map<Duty, Lease> leases = new EnumMap<>(Duty.class);
+
+    private LeaseRegister() {}
+
+    /**
+     * Returns a register without leases.
+     *
+     * @return the register
+     */
+    public static LeaseRegister empty() {
+        return new LeaseRegister();
+    }
+
+    /**
+     * Takes the next record of the plan stream in.
+     *
+     * @param record the record
+     * @return true when it granted, renewed or ended a lease
+     */
+    public boolean handle(LogRecord record) {
+        if (record.entry() instanceof LogEntry.LeaseTaken taken) {
+            return duty(taken.duty()).map(duty -> take(duty, taken, record)).orElse(false);
+        }
+        if (record.entry() instanceof LogEntry.LeaseReleased released) {
+            return duty(released.duty()).map(duty -> release(duty, released, record)).orElse(false);
+        }
+        return false;
+    }
+
+    private boolean take(Duty duty, LogEntry.LeaseTaken taken, LogRecord record) {
+        Lease last = leases.get(duty);
+        boolean inForce = last != null && last.inForceAt(record.appendedAtMillis());
+        if (!granted(last, inForce, taken, record.offset())) {
+            return false;
+        }
+        long expiresAtMillis =
+                record.appendedAtMillis()
+                        + Math.min(Math.max(0, taken.durationMillis()), MAXIMUM_DURATION_MILLIS);
+        leases.put(
+                duty,
+                new Lease(taken.holder(), term(last, inForce, taken, record), expiresAtMillis));
+        return true;
+    }
+
+    // A paused holder that wakes after its lease lapsed renews a term that another process has
+    // since been granted past. Granting it would give two holders in turn; its number is lower than
+    // the last grant's, so every reader refuses it and it has to claim anew. A reader that began
+    // after a gap may have granted the wrong claim; the true holder's renewals name a higher term
+    // and put it right.
+    private static boolean granted(
+            Lease last, boolean inForce, LogEntry.LeaseTaken taken, long offset) {
+        if (taken.renews() >= offset) {
+            return false;
+        }
+        if (last == null) {
+            return true;
+        }
+        boolean sameHolder = last.holder().equals(taken.holder());
+        if (taken.renews() < 0) {
+            return !inForce || sameHolder;
+        }
+        return taken.renews() > last.term() || sameHolder && taken.renews() == last.term();
+    }
+
+    private static long term(
+            Lease last, boolean inForce, LogEntry.LeaseTaken taken, LogRecord record) {
+        if (taken.renews() >= 0) {
+            return taken.renews();
+        }
+        boolean repeatedClaim = last != null && inForce && last.holder().equals(taken.holder());
+        return repeatedClaim ? last.term() : record.offset();
+    }
+
+    private boolean release(Duty duty, LogEntry.LeaseReleased released, LogRecord record) {
+        Lease last = leases.get(duty);
+        if (last == null || !last.holder().equals(released.holder())) {
+            return false;
+        }
+        long endsAtMillis = Math.min(last.expiresAtMillis(), record.appendedAtMillis());
+        leases.put(duty, new Lease(last.holder(), last.term(), endsAtMillis));
+        return true;
+    }
+
+    /**
+     * Returns the last lease granted, whether or not it has lapsed since.
+     *
+     * @param duty the duty
+     * @return the lease, if any was granted
+     */
+    public Optional<Lease> last(Duty duty) {
+        return Optional.ofNullable(leases.get(duty));
+    }
+
+    /**
+     * Returns the lease in force.
+     *
+     * @param duty the duty
+     * @param logMillis a time by the log's clock
+     * @return the lease, if one is in force
+     */
+    public Optional<Lease> inForceAt(Duty duty, long logMillis) {
+        return last(duty).filter(lease -> lease.inForceAt(logMillis));
+    }
+
+    /**
+     * Returns the process that was last granted a duty.
+     *
+     * @param duty the duty
+     * @return the process, if any
+     */
+    public Optional<IncarnationId> holder(Duty duty) {
+        return last(duty).map(Lease::holder);
+    }
+
+    /**
+     * Returns the term that was last granted.
+     *
+     * @param duty the duty
+     * @return the term, if any
+     */
+    public Optional<Long> term(Duty duty) {
+        return last(duty).map(Lease::term);
+    }
+
+    private static Optional<Duty> duty(String text) {
+        return Arrays.stream(Duty.values()).filter(duty -> duty.text().equals(text)).findFirst();
+    }
+}
--- a/core/src/main/java/org/tamaracktrack/core/log/LogEntry.java
+++ b/core/src/main/java/org/tamaracktrack/core/log/LogEntry.java
@@ -142,8 +142,11 @@
      * @param duty the duty: {@code planner} or {@code reporter}
      * @param holder the process
      * @param durationMillis how long the grant holds
+     * @param renews the term that this record renews, -1 for a new claim. A reader whose stream
+     *     begins after the grant expired learns the term from it.
      */
-    record LeaseTaken(String duty, IncarnationId holder, long durationMillis) implements LogEntry {}
+    record LeaseTaken(String duty, IncarnationId holder, long durationMillis, long renews)
+            implements LogEntry {}
 
     /**
      * The holder gives the duty up before the lease ends.
