--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of rate. */
+package org.tamaracktrack.core.rate;
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
@@ -0,0 +1,133 @@
+package org.tamaracktrack.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.handlers.ResponseCodeHandler;
+import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.daemon.configuration.FollowedConfiguration;
+import org.tamaracktrack.daemon.entry.EntryRole;
+import org.tamaracktrack.daemon.operations.HttpFront;
+import org.tamaracktrack.daemon.operations.OperationsHandler;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.daemon.runtime.DaemonRole;
+import org.tamaracktrack.daemon.runtime.DaemonRuntime;
+import org.tamaracktrack.daemon.settings.DaemonSettings;
+import org.tamaracktrack.daemon.settings.IpAddresses;
+import org.tamaracktrack.daemon.settings.Settings;
+import org.tamaracktrack.daemon.target.TargetRole;
+import org.tamaracktrack.link.frame.XnioFrameTransport;
+import org.tamaracktrack.link.hosts.HttpHostListClient;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.tamaracktrack.link.http.UndertowHttpCaller;
+import org.tamaracktrack.link.log.HttpLogClient;
+import org.tamaracktrack.link.log.LogClient;
+import sun.misc.Signal;
+
+/** The running daemon: its parts, and its end. */
+final class DaemonProcess {
+    private static final Logger LOG = Logger.getLogger(DaemonProcess.class);
+    private static final int CUT = 1;
+    private static final int STOPPED_AT_ONCE = 4;
+
+    private final DaemonRuntime runtime;
+    private final DaemonRole role;
+    private final HttpFront front;
+    private final AtomicInteger signals = new AtomicInteger();
+
+    private DaemonProcess(DaemonRuntime runtime, DaemonRole role, HttpFront front) {
+        this.runtime = runtime;
+        this.role = role;
+        this.front = front;
+    }
+
+    static DaemonProcess start(DaemonSettings settings) {
+        IncarnationId incarnation = incarnation(settings.settings());
+        LOG.infof("event=start incarnation=%s %s", incarnation, settings.describe());
+        DaemonRuntime runtime = runtime(settings.settings(), incarnation);
+        if (settings.settings().role() == Settings.Role.ENTRY) {
+            EntryRole entry = EntryRole.start(runtime, settings.routing(), settings.placement());
+            return new DaemonProcess(runtime, entry, front(runtime, entry, entry.callers()));
+        }
+        TargetRole target = TargetRole.start(runtime);
+        return new DaemonProcess(
+                runtime, target, front(runtime, target, ResponseCodeHandler.HANDLE_404));
+    }
+
+    private static IncarnationId incarnation(Settings settings) {
+        return IncarnationId.of(
+                settings.role().name().toLowerCase(Locale.ROOT)
+                        + "-"
+                        + settings.host()
+                        + "-"
+                        + Long.toHexString(ThreadLocalRandom.current().nextLong()));
+    }
+
+    private static DaemonRuntime runtime(Settings settings, IncarnationId incarnation) {
+        ControlThread control = ControlThread.of("control");
+        HttpCaller http = UndertowHttpCaller.of();
+        LogClient log = HttpLogClient.of(http, settings.logAddress());
+        return new DaemonRuntime(
+                settings,
+                incarnation,
+                control,
+                log,
+                settings.hostListAddress().map(address -> HttpHostListClient.of(http, address)),
+                XnioFrameTransport.of(settings.sharedSecret()),
+                http,
+                new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+                FollowedConfiguration.start(log, control));
+    }
+
+    private static HttpFront front(DaemonRuntime runtime, DaemonRole role, HttpHandler next) {
+        try {
+            return HttpFront.start(
+                    runtime.settings().httpAddress(),
+                    runtime.settings().maximumConnections(),
+                    OperationsHandler.of(runtime.metrics(), role::ready, next));
+        } catch (RuntimeException failure) {
+            throw TamaracktrackException.of(
+                    ErrorCode.INVALID_SETTINGS,
+                    "can't listen at " + IpAddresses.format(runtime.settings().httpAddress()),
+                    failure);
+        }
+    }
+
+    String readyLine() {
+        return "ready http="
+                + IpAddresses.format(front.address())
+                + " peer="
+                + IpAddresses.format(role.peerAddress());
+    }
+
+    void stopOnSignals() {
+        Signal.handle(new Signal("TERM"), signal -> onSignal());
+        Signal.handle(new Signal("INT"), signal -> onSignal());
+    }
+
+    private void onSignal() {
+        if (signals.incrementAndGet() == 1) {
+            new Thread(this::stop, "stop").start();
+        } else {
+            LOG.warnf("event=stopped-at-once cut=%d", role.inProgress());
+            System.err.println("stopped at once, requests cut: " + role.inProgress());
+            Runtime.getRuntime().halt(STOPPED_AT_ONCE);
+        }
+    }
+
+    private void stop() {
+        boolean whole = role.drain();
+        front.close();
+        runtime.transport().close();
+        runtime.http().close();
+        runtime.control().close();
+        LOG.infof("event=stopped whole=%s", whole);
+        System.exit(whole ? 0 : CUT);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerPaths.java
@@ -0,0 +1,28 @@
+package org.tamaracktrack.daemon.entry;
+
+import java.util.Set;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+
+/** The paths that callers may use. */
+final class CallerPaths {
+    static final String MODELS = "/v1/models";
+    private static final Set<String> COMPLETIONS =
+            Set.of("/v1/chat/completions", "/v1/completions");
+
+    private CallerPaths() {}
+
+    static void check(String method, String path) {
+        if (path.startsWith(RequestReader.SERVICES_PATH)) {
+            return;
+        }
+        boolean models = path.equals(MODELS);
+        if (!models && !COMPLETIONS.contains(path)) {
+            throw TamaracktrackException.of(ErrorCode.NOT_FOUND, "there is nothing at this path");
+        }
+        if (!method.equals(models ? "GET" : "POST")) {
+            throw TamaracktrackException.of(
+                    ErrorCode.METHOD_NOT_ALLOWED, "the path does not take " + method);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
@@ -0,0 +1,200 @@
+package org.tamaracktrack.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.AttemptId;
+import org.tamaracktrack.core.id.HostId;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.log.LogRecord;
+import org.tamaracktrack.core.membership.Membership;
+import org.tamaracktrack.core.membership.MembershipAction;
+import org.tamaracktrack.core.message.Message;
+import org.tamaracktrack.core.placement.PlanRegister;
+import org.tamaracktrack.core.routing.Candidate;
+import org.tamaracktrack.core.routing.RoutingPolicy;
+import org.tamaracktrack.core.routing.RoutingQuery;
+import org.tamaracktrack.core.routing.RoutingTable;
+import org.tamaracktrack.daemon.duty.TargetView;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.daemon.settings.IpAddresses;
+
+/** The targets of this daemon: connections to them and the choice among them. */
+final class TargetDirectory implements TargetView {
+    private static final Logger LOG = Logger.getLogger(TargetDirectory.class);
+    private static final long NO_TARGET_RETRY_MILLIS = 1_000;
+
+    private final TargetPeers peers;
+    private final Membership membership = Membership.empty();
+    private final RoutingTable table;
+    private final RoutingPolicy policy;
+    private final PlanRegister plans = PlanRegister.empty();
+    private final Map<TargetId, TargetLink> links = new HashMap<>();
+    private final Map<AttemptId, RequestRunner> runners = new ConcurrentHashMap<>();
+    private long seed;
+
+    private TargetDirectory(
+            TargetPeers peers, RoutingTable table, RoutingPolicy policy, long seed) {
+        this.peers = peers;
+        this.table = table;
+        this.policy = policy;
+        this.seed = seed;
+    }
+
+    static TargetDirectory of(
+            TargetPeers peers, RoutingTable table, RoutingPolicy policy, long seed) {
+        return new TargetDirectory(peers, table, policy, seed);
+    }
+
+    RoutingTable table() {
+        return table;
+    }
+
+    /** The runners of attempts under way. For any thread. */
+    Map<AttemptId, RequestRunner> runners() {
+        return runners;
+    }
+
+    void route(RoutingQuery query, Set<TargetId> tried, AttemptId attempt, RequestRunner runner) {
+        long now = ControlThread.nowMillis();
+        Predicate<TargetId> usable =
+                target ->
+                        !tried.contains(target)
+                                && links.containsKey(target)
+                                && membership.accepts(target, now);
+        List<Candidate> candidates = table.candidates(query, usable, now);
+        Optional<TargetLink> chosen =
+                policy.choose(query, candidates, seed++).map(links::get);
+        chosen.ifPresentOrElse(
+                link -> {
+                    table.sent(link.target());
+                    runner.chosen(attempt, link);
+                },
+                () -> runner.noTarget(attempt, ErrorCode.NO_TARGET, NO_TARGET_RETRY_MILLIS));
+    }
+
+    void ended(TargetId target) {
+        table.ended(target);
+    }
+
+    void served(TargetId target, long runMillis) {
+        table.served(target, runMillis);
+    }
+
+    void onOwnership(LogRecord record) {
+        carryOut(membership.handle(record));
+    }
+
+    void onPlan(LogRecord record) {
+        plans.handle(record).ifPresent(plan -> table.plan(plan.placements()));
+    }
+
+    void onHosts(Set<HostId> leaving) {
+        membership.listed(leaving);
+    }
+
+    void tick() {
+        carryOut(membership.tick(ControlThread.nowMillis(), seed++));
+    }
+
+    private void carryOut(List<MembershipAction> actions) {
+        actions.forEach(this::carryOut);
+    }
+
+    private void carryOut(MembershipAction action) {
+        if (action instanceof MembershipAction.Connect connect) {
+            connect(connect);
+        } else if (action instanceof MembershipAction.Query query) {
+            link(query.target(), query.owner())
+                    .ifPresent(link -> link.send(new Message.LoadQuery()));
+        } else if (action instanceof MembershipAction.Close close) {
+            LOG.warnf("event=target-silent target=%s owner=%s", close.target(), close.owner());
+            link(close.target(), close.owner()).ifPresent(TargetLink::close);
+            onClosed(close.target(), close.owner());
+        } else if (action instanceof MembershipAction.Retire retire) {
+            retire(retire);
+        }
+    }
+
+    private void connect(MembershipAction.Connect connect) {
+        try {
+            InetSocketAddress address = IpAddresses.parse(connect.address());
+            peers.connect(connect.target(), connect.owner(), address);
+        } catch (TamaracktrackException badAddress) {
+            LOG.warnf("event=bad-address target=%s", connect.target());
+            membership.closed(connect.target(), connect.owner(), ControlThread.nowMillis());
+        }
+    }
+
+    private Optional<TargetLink> link(TargetId target, IncarnationId owner) {
+        return Optional.ofNullable(links.get(target)).filter(link -> link.owner().equals(owner));
+    }
+
+    // The former owner may still be finishing what it has in progress; closing its connection now
+    // would cut those answers.
+    private void retire(MembershipAction.Retire retire) {
+        link(retire.target(), retire.owner())
+                .ifPresent(
+                        link -> {
+                            links.remove(retire.target());
+                            table.forget(retire.target());
+                            peers.retire(link);
+                        });
+    }
+
+    void onOpened(TargetLink link) {
+        LOG.infof("event=target-connected target=%s owner=%s", link.target(), link.owner());
+        links.put(link.target(), link);
+        membership.opened(link.target(), link.owner(), ControlThread.nowMillis());
+    }
+
+    void onClosed(TargetId target, IncarnationId owner) {
+        link(target, owner)
+                .ifPresent(
+                        link -> {
+                            LOG.infof("event=target-disconnected target=%s", target);
+                            links.remove(target);
+                            table.forget(target);
+                        });
+        membership.closed(target, owner, ControlThread.nowMillis());
+    }
+
+    void onHeard(TargetLink link) {
+        membership.heard(link.target(), link.owner(), ControlThread.nowMillis());
+    }
+
+    void onLoad(TargetLink link, Message.Load load) {
+        if (links.get(link.target()) == link && load.target().equals(link.target())) {
+            membership.announced(link.target(), link.owner(), load.leaving());
+            table.heard(load, ControlThread.nowMillis());
+        }
+    }
+
+    void onLeaving(TargetLink link) {
+        LOG.infof("event=target-leaving target=%s", link.target());
+        membership.announced(link.target(), link.owner(), true);
+    }
+
+    @Override
+    public Map<TargetId, TargetView.Seen> targets() {
+        return table.loads(ControlThread.nowMillis()).entrySet().stream()
+                .collect(
+                        Collectors.toMap(
+                                Map.Entry::getKey,
+                                entry ->
+                                        new TargetView.Seen(
+                                                entry.getValue().load(),
+                                                entry.getValue().ageMillis(),
+                                                links.containsKey(entry.getKey()))));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
@@ -0,0 +1,172 @@
+package org.tamaracktrack.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.AttemptId;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.message.Message;
+import org.tamaracktrack.daemon.configuration.ConfigurationSource;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.frame.Connection;
+import org.tamaracktrack.link.frame.ConnectionHandler;
+import org.tamaracktrack.link.frame.FrameTransport;
+
+/** Opens connections to target daemons and hands on what arrives. */
+final class TargetPeers {
+    private static final Logger LOG = Logger.getLogger(TargetPeers.class);
+    private static final long RETIRE_CHECK_MILLIS = 500;
+    static final String ROLE = "entry";
+
+    private final FrameTransport transport;
+    private final ControlThread control;
+    private final IncarnationId incarnation;
+    private final ConfigurationSource configuration;
+    private final EntryMetrics metrics;
+    private TargetDirectory directory;
+
+    private TargetPeers(
+            FrameTransport transport,
+            ControlThread control,
+            IncarnationId incarnation,
+            ConfigurationSource configuration,
+            EntryMetrics metrics) {
+        this.transport = transport;
+        this.control = control;
+        this.incarnation = incarnation;
+        this.configuration = configuration;
+        this.metrics = metrics;
+    }
+
+    static TargetPeers of(
+            FrameTransport transport,
+            ControlThread control,
+            IncarnationId incarnation,
+            ConfigurationSource configuration,
+            EntryMetrics metrics) {
+        return new TargetPeers(transport, control, incarnation, configuration, metrics);
+    }
+
+    /** Sets who hears of the connections; before the first of them. */
+    void directory(TargetDirectory newDirectory) {
+        directory = newDirectory;
+    }
+
+    void connect(TargetId target, IncarnationId owner, InetSocketAddress address) {
+        transport.connect(address, new Handler(target, owner));
+    }
+
+    void retire(TargetLink link) {
+        if (link.idle()) {
+            link.close();
+        } else {
+            control.after(RETIRE_CHECK_MILLIS, () -> retire(link));
+        }
+    }
+
+    private final class Handler implements ConnectionHandler {
+        private final TargetId target;
+        private final IncarnationId owner;
+        private Optional<TargetLink> link = Optional.empty();
+
+        private Handler(TargetId target, IncarnationId owner) {
+            this.target = target;
+            this.owner = owner;
+        }
+
+        @Override
+        public void onOpen(Connection connection) {
+            connection.send(
+                    new Message.Hello(
+                            incarnation,
+                            ROLE,
+                            Optional.empty(),
+                            configuration
+                                    .current()
+                                    .map(ConfigurationSource.Versioned::version)
+                                    .orElse(-1L)));
+        }
+
+        @Override
+        public void onMessage(Connection connection, Message message) {
+            if (message instanceof Message.Hello hello) {
+                onHello(connection, hello);
+            } else if (message instanceof Message.ConfigurationQuery query) {
+                answer(connection, query);
+            } else if (message instanceof Message.ConfigurationOffer offer) {
+                configuration.offer(offer.version(), offer.document());
+            } else {
+                link.ifPresent(open -> onAnswer(open, message));
+            }
+        }
+
+        // An address is used again by other processes: taken for the owner, a successor or another
+        // target's daemon would be sent work that is not meant for it.
+        private void onHello(Connection connection, Message.Hello hello) {
+            if (!hello.incarnation().equals(owner)
+                    || !hello.target().equals(Optional.of(target))) {
+                LOG.warnf("event=wrong-peer target=%s found=%s", target, hello.incarnation());
+                connection.close();
+                return;
+            }
+            TargetLink opened = TargetLink.of(target, owner, connection, directory.runners());
+            link = Optional.of(opened);
+            control.post(() -> directory.onOpened(opened));
+        }
+
+        private void answer(Connection connection, Message.ConfigurationQuery query) {
+            configuration
+                    .current()
+                    .filter(current -> current.version() > query.haveVersion())
+                    .ifPresent(
+                            current ->
+                                    connection.send(
+                                            new Message.ConfigurationOffer(
+                                                    current.version(), current.document())));
+        }
+
+        private void onAnswer(TargetLink open, Message message) {
+            control.post(() -> directory.onHeard(open));
+            if (message instanceof Message.Refused refused) {
+                control.post(() -> directory.onLoad(open, refused.load()));
+                pass(refused.attempt(), message);
+            } else if (message instanceof Message.Started started) {
+                pass(started.attempt(), message);
+            } else if (message instanceof Message.Chunk chunk) {
+                pass(chunk.attempt(), message);
+            } else if (message instanceof Message.Finished finished) {
+                control.post(() -> directory.onLoad(open, finished.load()));
+                pass(finished.attempt(), message);
+            } else if (message instanceof Message.Failed failed) {
+                control.post(() -> directory.onLoad(open, failed.load()));
+                pass(failed.attempt(), message);
+            } else if (message instanceof Message.LoadReport report) {
+                control.post(() -> directory.onLoad(open, report.load()));
+            } else if (message instanceof Message.Leaving) {
+                control.post(() -> directory.onLeaving(open));
+            }
+        }
+
+        private void pass(AttemptId attempt, Message message) {
+            Map<AttemptId, RequestRunner> runners = directory.runners();
+            Optional.ofNullable(runners.get(attempt))
+                    .ifPresentOrElse(
+                            runner -> runner.received(message),
+                            () -> metrics.event(EntryMetrics.Event.LATE_FRAME));
+        }
+
+        @Override
+        public void onClosed(Connection connection) {
+            link.ifPresent(TargetLink::closed);
+            control.post(() -> directory.onClosed(target, owner));
+        }
+
+        @Override
+        public void onConnectFailed(TamaracktrackException failure) {
+            control.post(() -> directory.onClosed(target, owner));
+        }
+    }
+}
--- a/daemon/src/main/java/org/tamaracktrack/daemon/runtime/DaemonRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/runtime/DaemonRole.java
@@ -20,6 +20,15 @@
      */
     boolean ready();
 
+    /**
+     * Returns how much would be cut if the process ended now.
+     *
+     * @return how many requests are in progress
+     */
+    default int inProgress() {
+        return 0;
+    }
+
     /**
      * Stops taking new work, finishes what is in progress, writes the last records, and returns; at
      * the latest when the time for a planned stop has passed.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonFlags.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonFlags.java
@@ -54,6 +54,9 @@
     @Parameter(names = "--routing", description = "estimated-wait, random or fewest-outstanding")
     String routing;
 
+    @Parameter(names = "--placement", description = "hysteresis, static, lru or greedy")
+    String placement;
+
     @Parameter(names = "--check-settings", description = "check the settings and exit")
     boolean checkSettings;
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
@@ -1,6 +1,8 @@
 package org.tamaracktrack.daemon.settings;
 
+import java.util.Locale;
 import java.util.Objects;
+import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
 
 /**
@@ -8,9 +10,10 @@
  *
  * @param settings the settings
  * @param routing how an entry daemon chooses targets
+ * @param placement how an entry daemon that plans places models
  * @param checkOnly whether to stop after the check
  */
-public record DaemonSettings(Settings settings, RoutingKind routing, boolean checkOnly) {
+public record DaemonSettings(Settings settings, RoutingKind routing, PlacementKind placement, boolean checkOnly) {
 
     /** Checks the arguments. */
     public DaemonSettings {
@@ -53,6 +56,8 @@
                 + " maximum_connections="
                 + settings.maximumConnections()
                 + " routing="
-                + routing.text();
+                + routing.text()
+                + " placement="
+                + placement.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/SettingsParser.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/SettingsParser.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.HostId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
 
 /** Reads the settings from flags and environment variables and checks them all. */
@@ -123,7 +125,7 @@
     }
 
     private static String variable(String flag) {
-        return ENVIRONMENT_PREFIX + flag.substring(2).replace('-', '_').toUpperCase();
+        return ENVIRONMENT_PREFIX + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
     }
 
     private DaemonSettings settings(DaemonFlags flags) {
@@ -167,7 +169,7 @@
                                 flags.maximumConnections,
                                 DEFAULT_CONNECTIONS));
         checkTimes(settings);
-        return new DaemonSettings(settings, routing(flags), checkOnly(flags));
+        return new DaemonSettings(settings, routing(flags), placement(flags), checkOnly(flags));
     }
 
     private void checkTarget(Optional<Settings.Role> role, Optional<TargetId> target) {
@@ -201,6 +203,15 @@
                 .orElse(RoutingKind.ESTIMATED_WAIT);
     }
 
+    private PlacementKind placement(DaemonFlags flags) {
+        return value(
+                        "--placement",
+                        flags.placement,
+                        text -> PlacementKind.valueOf(text.toUpperCase(Locale.ROOT)),
+                        "hysteresis, static, lru, greedy")
+                .orElse(PlacementKind.HYSTERESIS);
+    }
+
     private boolean checkOnly(DaemonFlags flags) {
         return flags.checkSettings
                 || "true".equals(environment.get(ENVIRONMENT_PREFIX + "CHECK_SETTINGS"));
@@ -244,7 +255,7 @@
     }
 
     private static Settings.Role roleOf(String text) {
-        return Settings.Role.valueOf(text.toUpperCase());
+        return Settings.Role.valueOf(text.toUpperCase(Locale.ROOT));
     }
 
     private static String secretOf(String text) {
