--- a/daemon/src/main/java/org/tamaracktrack/daemon/runtime/LogFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/runtime/LogFollower.java
@@ -33,6 +33,14 @@
          */
         void onRecord(LogRecord record);
 
+        /**
+         * A record that is not understood, and is therefore not handed over. Called before the
+         * records around it.
+         *
+         * @param offset its offset
+         */
+        default void onUndecodable(long offset) {}
+
         /**
          * Records from the next offset on have expired before they were read.
          *
@@ -110,6 +118,7 @@
         if (batch.firstOffset() > next) {
             control.post(() -> listener.onGap(batch.firstOffset()));
         }
+        batch.undecodable().forEach(offset -> control.post(() -> listener.onUndecodable(offset)));
         batch.records().forEach(record -> control.post(() -> listener.onRecord(record)));
         long after = Math.max(Math.max(next, batch.firstOffset()), lastOffset(batch) + 1);
         if (after >= batch.nextOffset()) {
