--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
@@ -45,8 +45,7 @@
         CallerConnection created = new CallerConnection(open);
         connection.putAttachment(KEY, created);
         open.incrementAndGet();
-        connection.addCloseListener(
-                closed -> connection.getIoThread().execute(created::closed));
+        connection.addCloseListener(closed -> connection.getIoThread().execute(created::closed));
         return created;
     }
 
@@ -70,7 +69,8 @@
         if (exchange.getConnection() instanceof HttpServerConnection connection
                 && connection.getExtraBytes() == null) {
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-            source.setReadListener((ChannelListener<Object>) any -> readMore(connection));
+            source.setReadListener(
+                    (ChannelListener<ConduitStreamSourceChannel>) any -> readMore(connection));
             connection.getOriginalSourceConduit().resumeReads();
         }
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
@@ -104,7 +104,9 @@
         if (http.path().equals(CallerPaths.MODELS)) {
             exchange.dispatch();
             channel.listen(new Unheard());
-            channel.whole(200, Map.of("content-type", "application/json"),
+            channel.whole(
+                    200,
+                    Map.of("content-type", "application/json"),
                     ModelList.json(current, account));
             return;
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/ClaimService.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/ClaimService.java
@@ -109,7 +109,8 @@
         } else if (action instanceof ClaimAction.Granted granted) {
             waiting.remove(granted.ticket()).granted(granted.claim());
         } else if (action instanceof ClaimAction.Declined declined) {
-            waiting.remove(declined.ticket()).declined(declined.code(), declined.retryAfterMillis());
+            waiting.remove(declined.ticket())
+                    .declined(declined.code(), declined.retryAfterMillis());
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
@@ -13,7 +13,6 @@
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.HostId;
-import org.tamaracktrack.core.log.LogRecord;
 import org.tamaracktrack.core.log.LogStream;
 import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
@@ -21,6 +20,7 @@
 import org.tamaracktrack.daemon.counters.CounterPublisher;
 import org.tamaracktrack.daemon.counters.Counters;
 import org.tamaracktrack.daemon.duty.Duties;
+import org.tamaracktrack.daemon.duty.TargetView;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.runtime.DaemonRole;
 import org.tamaracktrack.daemon.runtime.DaemonRuntime;
@@ -157,9 +157,7 @@
         try {
             Set<HostId> leaving =
                     hosts.read().entrySet().stream()
-                            .filter(
-                                    host ->
-                                            host.getValue() == HostListClient.HostState.LEAVING)
+                            .filter(host -> host.getValue() == HostListClient.HostState.LEAVING)
                             .map(Map.Entry::getKey)
                             .collect(Collectors.toSet());
             runtime.control().post(() -> targets.onHosts(leaving));
@@ -178,6 +176,11 @@
         return handler;
     }
 
+    /** What is known of the targets; for the control thread. */
+    TargetView targets() {
+        return targets;
+    }
+
     @Override
     public InetSocketAddress peerAddress() {
         return peerAddress;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
@@ -204,8 +204,7 @@
             link.ifPresent(open -> open.send(new Message.Cancel(cancel.attempt())));
             awaitVerdict();
         } else if (action instanceof ExchangeAction.GrantCredit credit) {
-            link.ifPresent(
-                    open -> open.send(new Message.Credit(credit.attempt(), credit.bytes())));
+            link.ifPresent(open -> open.send(new Message.Credit(credit.attempt(), credit.bytes())));
         } else if (action instanceof ExchangeAction.AttemptOver attemptOver) {
             attemptOver(attemptOver.attempt());
         } else if (action instanceof ExchangeAction.Settle settle) {
@@ -234,8 +233,7 @@
         } else if (action instanceof ExchangeAction.AnswerError failed) {
             error = Optional.of(failed);
             services.metrics().error(failed.code());
-            channel.error(
-                    CallerError.of(failed.code(), failed.ran(), failed.retryAfterMillis()));
+            channel.error(CallerError.of(failed.code(), failed.ran(), failed.retryAfterMillis()));
         } else {
             cut = true;
             services.metrics().event(EntryMetrics.Event.CALLER_CUT);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestServices.java
@@ -19,8 +19,7 @@
     Set<RequestRunner> inProgress();
 
     /** Chooses a target; the runner hears of it. */
-    void route(
-            RoutingQuery query, Set<TargetId> tried, AttemptId attempt, RequestRunner runner);
+    void route(RoutingQuery query, Set<TargetId> tried, AttemptId attempt, RequestRunner runner);
 
     /** An attempt that had been routed to a target ended. */
     void ended(TargetId target);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
@@ -73,8 +73,7 @@
                                 && links.containsKey(target)
                                 && membership.accepts(target, now);
         List<Candidate> candidates = table.candidates(query, usable, now);
-        Optional<TargetLink> chosen =
-                policy.choose(query, candidates, seed++).map(links::get);
+        Optional<TargetLink> chosen = policy.choose(query, candidates, seed++).map(links::get);
         chosen.ifPresentOrElse(
                 link -> {
                     table.sent(link.target());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
@@ -106,8 +106,7 @@
         // An address is used again by other processes: taken for the owner, a successor or another
         // target's daemon would be sent work that is not meant for it.
         private void onHello(Connection connection, Message.Hello hello) {
-            if (!hello.incarnation().equals(owner)
-                    || !hello.target().equals(Optional.of(target))) {
+            if (!hello.incarnation().equals(owner) || !hello.target().equals(Optional.of(target))) {
                 LOG.warnf("event=wrong-peer target=%s found=%s", target, hello.incarnation());
                 connection.close();
                 return;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
@@ -78,8 +78,7 @@
 
     @Override
     public void after(long delayMillis, Runnable task) {
-        exchange.getIoThread()
-                .executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+        exchange.getIoThread().executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
@@ -13,7 +13,8 @@
  * @param placement how an entry daemon that plans places models
  * @param checkOnly whether to stop after the check
  */
-public record DaemonSettings(Settings settings, RoutingKind routing, PlacementKind placement, boolean checkOnly) {
+public record DaemonSettings(
+        Settings settings, RoutingKind routing, PlacementKind placement, boolean checkOnly) {
 
     /** Checks the arguments. */
     public DaemonSettings {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.daemon.target;
 
+import java.net.InetSocketAddress;
 import java.util.Objects;
 import org.tamaracktrack.daemon.runtime.DaemonRole;
 import org.tamaracktrack.daemon.runtime.DaemonRuntime;
@@ -23,6 +24,16 @@
         return new TargetRole(runtime);
     }
 
+    @Override
+    public InetSocketAddress peerAddress() {
+        return runtime.settings().peerAddress();
+    }
+
+    @Override
+    public boolean ready() {
+        return false;
+    }
+
     @Override
     public boolean drain() {
         runtime.control().close();
