--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -28,6 +29,7 @@
 /** One call: opens or takes a connection, sends, reads. Its state belongs to one thread. */
 final class Exchange implements HttpStream {
     private final HttpCall call;
+    private final BooleanSupplier maySend;
     private final HttpListener listener;
     private final ConnectionPool pool;
     private final XnioIoThread firstThread;
@@ -42,11 +44,13 @@
 
     private Exchange(
             HttpCall call,
+            BooleanSupplier maySend,
             HttpListener listener,
             ConnectionPool pool,
             XnioIoThread firstThread,
             ByteBufferPool buffers) {
         this.call = call;
+        this.maySend = maySend;
         this.listener = listener;
         this.pool = pool;
         this.firstThread = firstThread;
@@ -56,11 +60,12 @@
 
     static Exchange start(
             HttpCall call,
+            BooleanSupplier maySend,
             HttpListener listener,
             ConnectionPool pool,
             XnioIoThread ioThread,
             ByteBufferPool buffers) {
-        Exchange exchange = new Exchange(call, listener, pool, ioThread, buffers);
+        Exchange exchange = new Exchange(call, maySend, listener, pool, ioThread, buffers);
         exchange.connect();
         return exchange;
     }
@@ -105,6 +110,15 @@
             pool.giveBack(call.address(), opened);
             return;
         }
+        // A process may be frozen between the decision to call and this moment. Sent after its
+        // time,
+        // an order would act on memory that a successor has given away, and a request that its
+        // caller was told had not run would run.
+        if (!maySend.getAsBoolean()) {
+            pool.giveBack(call.address(), opened);
+            fail(HttpFailure.NOT_SENT);
+            return;
+        }
         connection = Optional.of(opened);
         timer =
                 Optional.of(
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -1,5 +1,7 @@
 package org.tamaracktrack.link.http;
 
+import java.util.function.BooleanSupplier;
+
 /** Makes HTTP calls. Safe for use by several threads. Connections are kept and used again. */
 public interface HttpCaller extends AutoCloseable {
 
@@ -19,7 +21,20 @@
      * @param listener hears of the answer
      * @return the call under way
      */
-    HttpStream stream(HttpCall call, HttpListener listener);
+    default HttpStream stream(HttpCall call, HttpListener listener) {
+        return stream(call, () -> true, listener);
+    }
+
+    /**
+     * Makes a call and streams the answer, unless its time has passed by the moment of sending.
+     *
+     * @param call the call
+     * @param maySend asked once, right before the first byte is sent; on false nothing is sent and
+     *     the listener hears {@code NOT_SENT}
+     * @param listener hears of the answer
+     * @return the call under way
+     */
+    HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener);
 
     /** Closes every connection and stops the threads. */
     @Override
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.xnio.OptionMap;
@@ -78,10 +79,11 @@
     }
 
     @Override
-    public HttpStream stream(HttpCall call, HttpListener listener) {
+    public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
         Objects.requireNonNull(call, "call is null");
+        Objects.requireNonNull(maySend, "maySend is null");
         Objects.requireNonNull(listener, "listener is null");
-        return Exchange.start(call, listener, pool, worker.getIoThread(), buffers);
+        return Exchange.start(call, maySend, listener, pool, worker.getIoThread(), buffers);
     }
 
     @Override
--- a/link/src/test/java/org/tamaracktrack/link/http/UndertowHttpCallerTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/http/UndertowHttpCallerTest.java
@@ -170,6 +170,24 @@
             return assertThrows(HttpCallException.class, () -> caller.call(call)).failure();
         }
 
+        @Test
+        void shouldSendNothingWhenItsTimePassedBeforeTheConnectionOpened() throws Exception {
+            // The decision to call was made, the process was frozen, and the connection opens only
+            // after the call's time. The server must not see it, and the caller hears "not sent".
+            try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                InetSocketAddress there = (InetSocketAddress) server.getLocalSocketAddress();
+                Failing listener = new Failing();
+
+                caller.stream(HttpCall.get(there, "/", TIMEOUT_MILLIS), () -> false, listener);
+
+                assertThat(listener.failures.poll(20, TimeUnit.SECONDS))
+                        .isEqualTo(HttpFailure.NOT_SENT);
+                try (Socket accepted = server.accept()) {
+                    assertThat(accepted.getInputStream().available()).isEqualTo(0);
+                }
+            }
+        }
+
         @Test
         void shouldSayCancelledOnceWhenCancelled() throws Exception {
             try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
--- a/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -114,7 +115,7 @@
         }
 
         @Override
-        public HttpStream stream(HttpCall call, HttpListener listener) {
+        public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
             throw new UnsupportedOperationException();
         }
 
