--- a/standins/src/main/java/org/tamaracktrack/standins/Main.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/Main.java
@@ -1,15 +1,63 @@
 package org.tamaracktrack.standins;
 
-/** Entry point of the program. */
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.tamaracktrack.standins.engine.EngineFlags;
+import org.tamaracktrack.standins.hosts.HostListFlags;
+import org.tamaracktrack.standins.http.StandInServer;
+import org.tamaracktrack.standins.log.LogFlags;
+import org.tamaracktrack.standins.service.ServiceFlags;
+import org.tamaracktrack.standins.weights.WeightStoreFlags;
+
+/**
+ * Runs one stand-in: {@code log}, {@code hosts}, {@code weights}, {@code engine}, {@code service}.
+ */
 public final class Main {
+    private static final int EXIT_USAGE = 2;
+    private static final Map<String, Supplier<StandInFlags>> KINDS =
+            Map.of(
+                    "log", LogFlags::new,
+                    "hosts", HostListFlags::new,
+                    "weights", WeightStoreFlags::new,
+                    "engine", EngineFlags::new,
+                    "service", ServiceFlags::new);
+
     private Main() {}
 
     /**
-     * Runs the program.
+     * Starts the stand-in, prints {@code ready port=… control=…} and stays.
      *
-     * @param arguments the command line
+     * @param arguments the kind and its flags
      */
     public static void main(String[] arguments) {
-        System.exit(2);
+        JCommander commander = new JCommander();
+        commander.setProgramName("standins");
+        KINDS.forEach((kind, flags) -> commander.addCommand(kind, flags.get()));
+        try {
+            commander.parse(arguments);
+        } catch (ParameterException wrong) {
+            System.err.println(wrong.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        if (commander.getParsedCommand() == null) {
+            commander.usage();
+            System.exit(EXIT_USAGE);
+        }
+        run(
+                (StandInFlags)
+                        commander
+                                .getCommands()
+                                .get(commander.getParsedCommand())
+                                .getObjects()
+                                .get(0));
+    }
+
+    private static void run(StandInFlags flags) {
+        flags.exitWithParent();
+        StandInServer server =
+                StandInServer.start(flags.create(), flags.port(), flags.controlPort());
+        System.out.println("ready port=" + server.port() + " control=" + server.controlPort());
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The model engine's stand-in. */
+package org.tamaracktrack.standins.engine;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/hosts/package-info.java
@@ -0,0 +1,2 @@
+/** The host list's stand-in. */
+package org.tamaracktrack.standins.hosts;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** What every stand-in's HTTP interface needs. */
+package org.tamaracktrack.standins.http;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/log/package-info.java
@@ -0,0 +1,2 @@
+/** The append-only log's stand-in. */
+package org.tamaracktrack.standins.log;
--- a/standins/src/main/java/org/tamaracktrack/standins/package-info.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/package-info.java
@@ -1,2 +1,2 @@
-/** TODO package. */
+/** Small processes that take the place of the outside systems in tests and on one machine. */
 package org.tamaracktrack.standins;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** The plain service's stand-in. */
+package org.tamaracktrack.standins.service;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/time/package-info.java
@@ -0,0 +1,2 @@
+/** Values that are seen late. */
+package org.tamaracktrack.standins.time;
--- /dev/null
+++ b/standins/src/main/java/org/tamaracktrack/standins/weights/package-info.java
@@ -0,0 +1,2 @@
+/** The weight store's stand-in. */
+package org.tamaracktrack.standins.weights;
