--- a/standins/src/main/java/org/tamaracktrack/standins/http/CallerWatch.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/http/CallerWatch.java
@@ -4,7 +4,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Notices that a caller has closed its connection while its answer is being made. Undertow reads
@@ -12,11 +12,11 @@
  * only by the next write, and a whole answer would be made for nobody.
  */
 public final class CallerWatch {
-    private final ConduitStreamSourceChannel channel;
+    private final StreamSourceConduit source;
     private boolean stopped;
 
-    private CallerWatch(ConduitStreamSourceChannel channel) {
-        this.channel = channel;
+    private CallerWatch(StreamSourceConduit source) {
+        this.source = source;
     }
 
     /**
@@ -28,35 +28,38 @@
      */
     public static CallerWatch start(HttpServerExchange exchange, Runnable onGone) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-        ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
-        CallerWatch watch = new CallerWatch(channel);
+        StreamSourceConduit source = connection.getOriginalSourceConduit();
+        CallerWatch watch = new CallerWatch(source);
         ByteBuffer unused = ByteBuffer.allocate(1);
-        channel.setReadListener(ignored -> watch.read(connection, unused, onGone));
-        channel.wakeupReads();
+        // The conduit of the body is at its end and ignores calls to resume; the one below is not.
+        connection
+                .getChannel()
+                .getSourceChannel()
+                .setReadListener(ignored -> watch.read(unused, onGone));
+        source.wakeupReads();
         return watch;
     }
 
-    private synchronized void read(
-            HttpServerConnection connection, ByteBuffer unused, Runnable onGone) {
+    private synchronized void read(ByteBuffer unused, Runnable onGone) {
         if (stopped) {
-            channel.suspendReads();
+            source.suspendReads();
             return;
         }
         try {
-            if (connection.getOriginalSourceConduit().read(unused) == 0) {
+            if (source.read(unused) == 0) {
                 return;
             }
         } catch (IOException broken) {
             // The same as an orderly close: nobody is there to read the answer.
         }
         stopped = true;
-        channel.suspendReads();
+        source.suspendReads();
         onGone.run();
     }
 
     /** Stops to watch. To be called before the end of the answer is written. */
     public synchronized void stop() {
         stopped = true;
-        channel.suspendReads();
+        source.suspendReads();
     }
 }
