Publish, validate, compare and show configurations from the command line

Cause: operators need a verdict that is the log's, not the answer's, and every problem at once. Ruled out: taking the append's answer as the verdict (it may be lost after the write took effect); appending again without reading (a second record, and a verdict turned round). Change: tamaracktrack validate, diff, publish, show, history; exit codes, help with examples, table, JSON and CSV; the publisher reads before it appends again, with the same identifier. A misspelt option was taken for a file name by the parser; it is refused by name now.

--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/DiffCommand.java
@@ -0,0 +1,67 @@
+package org.tamaracktrack.cli.command;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tamaracktrack.cli.ExitCode;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.cli.output.Table;
+import org.tamaracktrack.core.config.DocumentDifference;
+import org.tamaracktrack.core.config.DocumentDifference.Change;
+import org.tamaracktrack.core.config.InForce;
+import org.tamaracktrack.link.codec.Codecs;
+import org.tamaracktrack.link.codec.Documents;
+
+/** Compares a document with the one in force. */
+@Parameters(commandDescription = "compare a document with the one in force")
+public final class DiffCommand implements Command {
+    @ParametersDelegate private final DocumentOptions document = new DocumentOptions();
+    @ParametersDelegate private final LogOptions log = new LogOptions();
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Override
+    public String name() {
+        return "diff";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "tamaracktrack diff configuration.yaml",
+                "tamaracktrack diff configuration.yaml --output json");
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return common.helpWanted();
+    }
+
+    @Override
+    public ExitCode run(Environment environment) {
+        Output output = common.output(environment);
+        // Through the same text form as the published one, so that 1 and 1L are no difference.
+        Map<String, Object> wanted =
+                Documents.parseJson(Documents.canonicalJson(document.document()));
+        InForce inForce = log.inForce(environment);
+        List<Change> changes =
+                DocumentDifference.between(Documents.parseJson(inForce.document()), wanted);
+        Table table = Table.of("path", "in force", "file");
+        changes.forEach(
+                change -> table.row(change.path(), text(change.before()), text(change.after())));
+        output.table(table);
+        output.line(changes.size() + " differences to version " + inForce.version() + ", in force");
+        return changes.isEmpty() ? ExitCode.OK : ExitCode.DIFFERENT;
+    }
+
+    private static String text(Optional<Object> value) {
+        return value.map(
+                        found ->
+                                new String(
+                                        Codecs.encode(Codecs.json(), found),
+                                        StandardCharsets.UTF_8))
+                .orElse("-");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/HistoryCommand.java
@@ -0,0 +1,91 @@
+package org.tamaracktrack.cli.command;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.time.Instant;
+import java.util.List;
+import org.tamaracktrack.cli.ExitCode;
+import org.tamaracktrack.cli.log.ConfigurationLog;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.cli.output.Table;
+import org.tamaracktrack.core.config.ConfigurationEvent;
+import org.tamaracktrack.core.log.LogEntry.Publication;
+import org.tamaracktrack.core.log.LogRecord;
+
+/** Lists the publications that the log still holds, and what came of each. */
+@Parameters(commandDescription = "list the publications that the log holds, and what came of each")
+public final class HistoryCommand implements Command {
+    @ParametersDelegate private final LogOptions log = new LogOptions();
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Override
+    public String name() {
+        return "history";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("tamaracktrack history", "tamaracktrack history --output json");
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return common.helpWanted();
+    }
+
+    @Override
+    public ExitCode run(Environment environment) {
+        Output output = common.output(environment);
+        ConfigurationLog configuration = log.configuration(environment);
+        Table table =
+                Table.of(
+                        "offset", "time", "outcome", "based on", "operator", "publication", "note");
+        configuration.events().forEach(event -> addRow(table, event));
+        output.table(table);
+        configuration
+                .inForce()
+                .ifPresent(inForce -> output.line("in force: version " + inForce.version()));
+        return ExitCode.OK;
+    }
+
+    private static void addRow(Table table, ConfigurationEvent event) {
+        if (event instanceof ConfigurationEvent.Accepted accepted) {
+            row(table, accepted.record(), "accepted", accepted.publication());
+        } else if (event instanceof ConfigurationEvent.Superseded superseded) {
+            row(table, superseded.record(), "superseded", superseded.publication());
+        } else if (event instanceof ConfigurationEvent.Invalid invalid) {
+            row(table, invalid.record(), "invalid", invalid.publication());
+        } else if (event instanceof ConfigurationEvent.Doubled doubled) {
+            row(table, doubled.record(), "doubled", doubled.publication());
+        } else if (event instanceof ConfigurationEvent.SnapshotTaken taken) {
+            table.row(
+                    taken.record().offset(),
+                    time(taken.record()),
+                    "snapshot of version " + taken.version(),
+                    "",
+                    "",
+                    "",
+                    "older records have expired");
+        }
+    }
+
+    private static void row(
+            Table table, LogRecord record, String outcome, Publication publication) {
+        table.row(
+                record.offset(),
+                time(record),
+                outcome,
+                publication.basedOn(),
+                orEmpty(publication.operator()),
+                publication.publication(),
+                orEmpty(publication.note()));
+    }
+
+    private static Instant time(LogRecord record) {
+        return Instant.ofEpochMilli(record.appendedAtMillis());
+    }
+
+    private static String orEmpty(String text) {
+        return text == null ? "" : text;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/Numbers.java
@@ -0,0 +1,18 @@
+package org.tamaracktrack.cli.command;
+
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+
+/** Reads numbers from the command line. */
+final class Numbers {
+    private Numbers() {}
+
+    static long whole(String name, String text, long maximum) {
+        if (text.matches("\\d{1,18}") && Long.parseLong(text) <= maximum) {
+            return Long.parseLong(text);
+        }
+        throw TamaracktrackException.of(
+                ErrorCode.INVALID_SETTINGS,
+                name + " is " + text + "; use a whole number from 0 to " + maximum);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/PublishCommand.java
@@ -0,0 +1,166 @@
+package org.tamaracktrack.cli.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tamaracktrack.cli.ExitCode;
+import org.tamaracktrack.cli.log.ConfigurationLog;
+import org.tamaracktrack.cli.log.Patience;
+import org.tamaracktrack.cli.log.Publisher;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.cli.output.OutputFormat;
+import org.tamaracktrack.core.config.ConfigurationEvent;
+import org.tamaracktrack.core.config.ConfigurationReader;
+import org.tamaracktrack.core.config.ConfigurationReading;
+import org.tamaracktrack.core.config.InForce;
+import org.tamaracktrack.core.config.Warning;
+import org.tamaracktrack.core.id.PublicationId;
+import org.tamaracktrack.core.log.LogEntry.Publication;
+import org.tamaracktrack.link.codec.Documents;
+import org.tamaracktrack.link.log.LogClient;
+
+/** Publishes a document and says what came of it after having read it back. */
+@Parameters(commandDescription = "publish a document; the verdict is read back from the log")
+public final class PublishCommand implements Command {
+    private static final String BASED_ON = "--based-on";
+
+    @ParametersDelegate private final DocumentOptions document = new DocumentOptions();
+
+    @Parameter(
+            names = BASED_ON,
+            order = 11,
+            description =
+                    "the version that the document was written against, as `show` names it; by"
+                            + " default the one in force now")
+    private String basedOn;
+
+    @Parameter(names = "--note", order = 12, description = "why, for the history")
+    private String note = "";
+
+    @Parameter(
+            names = "--publication",
+            order = 13,
+            description = "the identifier of an earlier try whose outcome is unknown")
+    private String publication;
+
+    @ParametersDelegate private final LogOptions log = new LogOptions();
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Override
+    public String name() {
+        return "publish";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "tamaracktrack publish configuration.yaml --note 'more room for batch'",
+                "tamaracktrack publish configuration.yaml --based-on 41",
+                "tamaracktrack publish configuration.yaml --parameter engineOne=10.0.0.1:8000");
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return common.helpWanted();
+    }
+
+    @Override
+    public ExitCode run(Environment environment) {
+        Output output = common.output(environment);
+        Map<String, Object> tree = document.document();
+        if (ConfigurationReader.read(tree) instanceof ConfigurationReading.Rejected rejected) {
+            ReadingOutput.rejected(output, rejected.problems());
+            return ExitCode.INVALID;
+        }
+        LogClient client = log.log(environment);
+        Patience patience = log.patience(environment);
+        ConfigurationLog configuration = ConfigurationLog.of(client);
+        configuration.readToEnd(patience);
+        Publication wanted = publication(environment, configuration, tree);
+        ConfigurationEvent outcome = Publisher.of(client, configuration, patience).publish(wanted);
+        return report(output, wanted, outcome);
+    }
+
+    private Publication publication(
+            Environment environment, ConfigurationLog configuration, Map<String, Object> tree) {
+        long inForce = configuration.inForce().map(InForce::version).orElse(-1L);
+        long base =
+                Optional.ofNullable(basedOn)
+                        .filter(text -> !text.equals("-1"))
+                        .map(text -> Numbers.whole(BASED_ON, text, Long.MAX_VALUE))
+                        .orElse(basedOn == null ? inForce : -1);
+        PublicationId id =
+                Optional.ofNullable(publication)
+                        .map(PublicationId::of)
+                        .orElseGet(environment.publications());
+        return new Publication(
+                id, base, Documents.canonicalJson(tree), log.operator(environment), note);
+    }
+
+    private static ExitCode report(Output output, Publication wanted, ConfigurationEvent outcome) {
+        if (outcome instanceof ConfigurationEvent.Accepted accepted) {
+            return accepted(output, wanted, accepted);
+        }
+        if (outcome instanceof ConfigurationEvent.Superseded superseded) {
+            return superseded(output, wanted, superseded);
+        }
+        ReadingOutput.rejected(output, ((ConfigurationEvent.Invalid) outcome).problems());
+        return ExitCode.INVALID;
+    }
+
+    private static ExitCode accepted(
+            Output output, Publication wanted, ConfigurationEvent.Accepted accepted) {
+        List<Warning> warnings = accepted.warnings();
+        if (output.format() == OutputFormat.TABLE) {
+            if (!warnings.isEmpty()) {
+                output.table(ReadingOutput.warningTable(warnings));
+            }
+            output.line(
+                    "accepted: version %d, publication %s, %d warnings"
+                            .formatted(
+                                    accepted.record().offset(),
+                                    wanted.publication(),
+                                    warnings.size()));
+            return ExitCode.OK;
+        }
+        output.json(
+                result(
+                        wanted,
+                        "accepted",
+                        Map.of(
+                                "version",
+                                accepted.record().offset(),
+                                "warnings",
+                                ReadingOutput.warningTable(warnings).asMaps())));
+        return ExitCode.OK;
+    }
+
+    private static ExitCode superseded(
+            Output output, Publication wanted, ConfigurationEvent.Superseded superseded) {
+        output.line(
+                "superseded: version %d came first and this was based on %d; see what changed with"
+                                .formatted(superseded.versionInForce(), wanted.basedOn())
+                        + " `tamaracktrack diff FILE`, bring it in, and publish again");
+        if (output.format() != OutputFormat.TABLE) {
+            output.json(
+                    result(
+                            wanted,
+                            "superseded",
+                            Map.of("versionInForce", superseded.versionInForce())));
+        }
+        return ExitCode.SUPERSEDED;
+    }
+
+    private static Map<String, Object> result(
+            Publication wanted, String outcome, Map<String, Object> details) {
+        Map<String, Object> result = new LinkedHashMap<>(details);
+        result.put("outcome", outcome);
+        result.put("publication", wanted.publication().value());
+        result.put("basedOn", wanted.basedOn());
+        return result;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/ShowCommand.java
@@ -0,0 +1,55 @@
+package org.tamaracktrack.cli.command;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.tamaracktrack.cli.ExitCode;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.cli.output.OutputFormat;
+import org.tamaracktrack.core.config.InForce;
+import org.tamaracktrack.link.codec.Codecs;
+import org.tamaracktrack.link.codec.Documents;
+
+/** Shows the document in force. */
+@Parameters(commandDescription = "show the document in force, ready to be edited and published")
+public final class ShowCommand implements Command {
+    @ParametersDelegate private final LogOptions log = new LogOptions();
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Override
+    public String name() {
+        return "show";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "tamaracktrack show > configuration.yaml", "tamaracktrack show --output json");
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return common.helpWanted();
+    }
+
+    @Override
+    public ExitCode run(Environment environment) {
+        Output output = common.output(environment);
+        InForce inForce = log.inForce(environment);
+        Map<String, Object> tree = Documents.parseJson(inForce.document());
+        if (output.format() == OutputFormat.JSON) {
+            Map<String, Object> result = new LinkedHashMap<>();
+            result.put("version", inForce.version());
+            result.put("document", tree);
+            output.json(result);
+            return ExitCode.OK;
+        }
+        output.text("# version " + inForce.version() + System.lineSeparator());
+        byte[] yaml = Codecs.encode(Codecs.yaml(), tree);
+        output.text(new String(yaml, StandardCharsets.UTF_8));
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/ValidateCommand.java
@@ -0,0 +1,45 @@
+package org.tamaracktrack.cli.command;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.util.List;
+import org.tamaracktrack.cli.ExitCode;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.core.config.ConfigurationReader;
+import org.tamaracktrack.core.config.ConfigurationReading;
+
+/** Checks a document without publishing it. */
+@Parameters(commandDescription = "check a document whole, without the log")
+public final class ValidateCommand implements Command {
+    @ParametersDelegate private final DocumentOptions document = new DocumentOptions();
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Override
+    public String name() {
+        return "validate";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "tamaracktrack validate configuration.yaml",
+                "tamaracktrack validate configuration.yaml --parameter share=3 --output json");
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return common.helpWanted();
+    }
+
+    @Override
+    public ExitCode run(Environment environment) {
+        Output output = common.output(environment);
+        ConfigurationReading reading = ConfigurationReader.read(document.document());
+        if (reading instanceof ConfigurationReading.Accepted accepted) {
+            ReadingOutput.accepted(output, accepted.warnings());
+            return ExitCode.OK;
+        }
+        ReadingOutput.rejected(output, ((ConfigurationReading.Rejected) reading).problems());
+        return ExitCode.INVALID;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the operators' tool. */
+package org.tamaracktrack.cli.command;
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/output/package-info.java
@@ -0,0 +1,2 @@
+/** Writes the results of commands as tables, JSON or CSV. */
+package org.tamaracktrack.cli.output;
--- /dev/null
+++ b/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
@@ -0,0 +1,211 @@
+package org.tamaracktrack.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.tamaracktrack.cli.command.Environment;
+import org.tamaracktrack.cli.command.Links;
+import org.tamaracktrack.cli.log.FakeLog;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.PublicationId;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.tamaracktrack.link.log.LogClient;
+
+class CommandLineTest {
+    private static final String SAMPLE = "../docs/sample-configuration.yaml";
+
+    private final FakeLog log = new FakeLog();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+    private final AtomicInteger publications = new AtomicInteger();
+    @TempDir private Path directory;
+
+    private final class FakeLinks implements Links {
+        @Override
+        public LogClient log(InetSocketAddress address) {
+            return log;
+        }
+
+        @Override
+        public HttpCaller http() {
+            throw TamaracktrackException.of(ErrorCode.INTERNAL, "no HTTP in this test");
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    private ExitCode run(String... arguments) {
+        out.reset();
+        errors.reset();
+        Environment environment =
+                new Environment(
+                        Map.of(
+                                "TAMARACKTRACK_LOG_ADDRESS",
+                                "127.0.0.1:1",
+                                "TAMARACKTRACK_TIMEOUT_MILLIS",
+                                "50"),
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(errors, true, StandardCharsets.UTF_8),
+                        new FakeLinks(),
+                        () -> PublicationId.of("p-" + publications.getAndIncrement()));
+        return CommandLine.of(environment).run(arguments);
+    }
+
+    private String output() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private String errors() {
+        return errors.toString(StandardCharsets.UTF_8);
+    }
+
+    private String changed(String from, String to) throws IOException {
+        Path file = directory.resolve("changed.yaml");
+        Files.writeString(file, Files.readString(Path.of(SAMPLE)).replace(from, to));
+        return file.toString();
+    }
+
+    @Nested
+    class Help {
+        @Test
+        void shouldListCommandsAndExitCodesWhenAsked() {
+            assertThat(run("--help")).isEqualTo(ExitCode.OK);
+            assertThat(output()).contains("publish");
+            assertThat(output()).contains("3  another publication came first");
+        }
+
+        @Test
+        void shouldShowExamplesWhenAskedForACommand() {
+            assertThat(run("publish", "--help")).isEqualTo(ExitCode.OK);
+            assertThat(output()).contains("tamaracktrack publish configuration.yaml");
+        }
+
+        @Test
+        void shouldPointToTheHelpWhenTheCommandLineIsWrong() {
+            assertThat(run("publish", "--colour")).isEqualTo(ExitCode.USAGE);
+            assertThat(errors()).contains("see `tamaracktrack --help`");
+        }
+    }
+
+    @Nested
+    class Validate {
+        @Test
+        void shouldAcceptTheSampleDocument() {
+            assertThat(run("validate", SAMPLE)).isEqualTo(ExitCode.OK);
+        }
+
+        @Test
+        void shouldListEveryProblemWhenThereAreSeveral() throws IOException {
+            String file = changed("memoryMebibytes: 8192", "memoryMebibytes: much");
+
+            assertThat(run("validate", file, "--output", "csv")).isEqualTo(ExitCode.INVALID);
+            assertThat(output().lines().count()).isEqualTo(6);
+        }
+
+        @Test
+        void shouldRefuseWhenAKeyStandsTwice() throws IOException {
+            String file = changed("moveCost: 0.5", "moveCost: 0.5\nmoveCost: 9");
+
+            assertThat(run("validate", file)).isEqualTo(ExitCode.INVALID);
+            assertThat(errors()).contains("Duplicate field 'moveCost'");
+        }
+
+        @Test
+        void shouldUseParametersOfTheCommandLine() {
+            assertThat(run("validate", SAMPLE, "--parameter", "engineOne=here"))
+                    .isEqualTo(ExitCode.INVALID);
+            assertThat(run("validate", SAMPLE, "--parameter", "engineNine=10.0.0.1:1"))
+                    .isEqualTo(ExitCode.USAGE);
+        }
+    }
+
+    @Nested
+    class Publish {
+        @Test
+        void shouldSayTheVersionWhenAccepted() {
+            assertThat(run("publish", SAMPLE)).isEqualTo(ExitCode.OK);
+            assertThat(output()).contains("accepted: version 0, publication p-0, 1 warnings");
+        }
+
+        @Test
+        void shouldSayWhatToDoWhenSuperseded() {
+            run("publish", SAMPLE);
+
+            assertThat(run("publish", SAMPLE, "--based-on", "-1")).isEqualTo(ExitCode.SUPERSEDED);
+            assertThat(errors()).contains("version 0 is in force");
+        }
+
+        @Test
+        void shouldSayWhetherItWasWrittenWhenTheLogIsOut() {
+            log.setReadable(false);
+
+            assertThat(run("publish", SAMPLE)).isEqualTo(ExitCode.LOG_UNAVAILABLE);
+        }
+    }
+
+    @Nested
+    class ReadingBack {
+        @Test
+        void shouldShowWhatCanBePublishedAgain() throws IOException {
+            run("publish", SAMPLE);
+            assertThat(run("show")).isEqualTo(ExitCode.OK);
+            Path file = directory.resolve("shown.yaml");
+            Files.writeString(file, output());
+
+            assertThat(run("diff", file.toString())).isEqualTo(ExitCode.OK);
+            assertThat(run("publish", file.toString())).isEqualTo(ExitCode.OK);
+        }
+
+        @Test
+        void shouldListWhatDiffers() throws IOException {
+            run("publish", SAMPLE);
+            String file = changed("moveCost: 0.5", "moveCost: 2");
+
+            assertThat(run("diff", file, "--output", "json")).isEqualTo(ExitCode.DIFFERENT);
+            assertThat(output().strip())
+                    .isEqualTo("[{\"file\":\"2\",\"in force\":\"0.5\",\"path\":\"moveCost\"}]");
+        }
+
+        @Test
+        void shouldListTheHistoryWithItsOutcomes() {
+            run("publish", SAMPLE, "--note", "first");
+            log.fail(List.of(FakeLog.Fault.WRITTEN_LATE));
+            run("publish", SAMPLE, "--operator", "rosa");
+
+            assertThat(run("history", "--output", "csv")).isEqualTo(ExitCode.OK);
+            List<String> lines = output().lines().toList();
+            assertThat(lines).hasSize(4);
+            assertThat(lines.get(2)).contains("accepted,0,rosa");
+            assertThat(lines.get(3)).contains("doubled,0,rosa");
+        }
+
+        @Test
+        void shouldSayThatNothingIsInForceWhenTheLogIsEmpty() {
+            assertThat(run("show")).isEqualTo(ExitCode.NOT_FOUND);
+            assertThat(errors()).contains("tamaracktrack publish FILE");
+        }
+
+        @Test
+        void shouldNotGuessWhenRecordsExpiredWithoutASnapshot() {
+            run("publish", SAMPLE);
+            log.expireBefore(1);
+
+            assertThat(run("show")).isEqualTo(ExitCode.NOT_FOUND);
+            assertThat(errors()).contains("expired");
+        }
+    }
+}
