--- a/link/src/main/java/org/tamaracktrack/link/frame/FrameConnection.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/FrameConnection.java
@@ -150,7 +150,7 @@
             int count = stream.getSourceChannel().read(input);
             while (count > 0 && state.get() != State.CLOSED) {
                 input.flip();
-                decoder.decode(input).forEach(this::receive);
+                decoder.decode(input, this::receive);
                 input.clear();
                 count = stream.getSourceChannel().read(input);
             }
--- a/link/src/main/java/org/tamaracktrack/link/frame/FrameDecoder.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/FrameDecoder.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 
@@ -28,17 +29,23 @@
 
     /** Takes bytes in; the frames that are now whole come out in order. */
     List<byte[]> decode(ByteBuffer input) {
+        List<byte[]> frames = new ArrayList<>();
+        decode(input, frames::add);
+        return frames;
+    }
+
+    // Each frame is handed over before the next is looked at: the first message often arrives in
+    // one piece with the proof before it, and is over the limit that holds until that proof.
+    void decode(ByteBuffer input, Consumer<byte[]> receiver) {
         append(input);
         pending.flip();
-        List<byte[]> frames = new ArrayList<>();
         while (hasWholeFrame()) {
             byte[] frame = new byte[pending.getInt()];
             pending.get(frame);
-            frames.add(frame);
+            receiver.accept(frame);
         }
         pending.compact();
         shrinkWhenEmpty();
-        return frames;
     }
 
     private boolean hasWholeFrame() {
--- a/link/src/test/java/org/tamaracktrack/link/frame/FrameDecoderTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/frame/FrameDecoderTest.java
@@ -49,4 +49,24 @@
 
         assertThat(failure.code()).isEqualTo(ErrorCode.FRAME_TOO_LARGE);
     }
+
+    // What the caller sees: no connection opens. The proof (at most 64 bytes) and the first message
+    // (larger) arrive in one read; the limit is raised only when the proof has been taken, so the
+    // message must not be looked at before that.
+    @Test
+    void shouldTakeALargerFrameWhenTheFrameBeforeItRaisesTheLimit() {
+        FrameDecoder decoder = FrameDecoder.of(64);
+        ByteBuffer wire = ByteBuffer.allocate(400);
+        wire.put(FrameDecoder.encode(new byte[32])).put(FrameDecoder.encode(new byte[300])).flip();
+        List<Integer> lengths = new ArrayList<>();
+
+        decoder.decode(
+                wire,
+                frame -> {
+                    decoder.allow(LIMIT);
+                    lengths.add(frame.length);
+                });
+
+        assertThat(lengths).containsExactly(32, 300).inOrder();
+    }
 }
