--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/admission/Need.java
@@ -0,0 +1,42 @@
+package org.tamaracktrack.core.admission;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.ModelId;
+
+/**
+ * What must be in accelerator memory before a request can start.
+ *
+ * @param model the model
+ * @param adapter the adapter on it, if one is asked for
+ */
+public record Need(ModelId model, Optional<AdapterId> adapter) {
+
+    /** Checks the arguments. */
+    public Need {
+        Objects.requireNonNull(model, "model is null");
+        Objects.requireNonNull(adapter, "adapter is null");
+    }
+
+    /**
+     * Returns the need of a request for a model.
+     *
+     * @param model the model
+     * @return the need
+     */
+    public static Need of(ModelId model) {
+        return new Need(model, Optional.empty());
+    }
+
+    /**
+     * Returns the need of a request for an adapter.
+     *
+     * @param model the adapter's base model
+     * @param adapter the adapter
+     * @return the need
+     */
+    public static Need of(ModelId model, AdapterId adapter) {
+        return new Need(model, Optional.of(adapter));
+    }
+}
