--- a/core/src/main/java/org/tamaracktrack/core/admission/AdmissionMessage.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/AdmissionMessage.java
@@ -7,6 +7,8 @@
 
 /** What admission hears. */
 public sealed interface AdmissionMessage {
+    /** Stands for a need that can't be met as things are. */
+    long NEVER = Long.MAX_VALUE / 4;
 
     /**
      * A request arrived.
@@ -57,12 +59,12 @@
     }
 
     /**
-     * A need can't be met in time: what waits for it is refused.
+     * A need will be met later: what can't wait that long is refused.
      *
      * @param need the need
-     * @param retryAfterMillis when trying again makes sense
+     * @param readyInMillis when it will be met at the soonest, or {@link #NEVER}
      */
-    record NeedRefused(Need need, long retryAfterMillis) implements AdmissionMessage {}
+    record NeedDelayed(Need need, long readyInMillis) implements AdmissionMessage {}
 
     /**
      * Another configuration is in force.
--- a/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.id.AttemptId;
@@ -26,6 +27,7 @@
  */
 public final class FairAdmission implements AdmissionPolicy {
     private static final long SHORTEST_RETRY_MILLIS = 100;
+    private static final long LONGEST_RETRY_MILLIS = 5_000;
 
     private final Map<RequestClassId, ClassQueue> classes = new HashMap<>();
     private final Map<AttemptId, Work> waiting = new LinkedHashMap<>();
@@ -70,8 +72,8 @@
             ended(ended.attempt(), ended.tokens(), nowMillis);
         } else if (message instanceof AdmissionMessage.ReadyChanged changed) {
             readyChanged(changed.ready());
-        } else if (message instanceof AdmissionMessage.NeedRefused refused) {
-            needRefused(refused, actions);
+        } else if (message instanceof AdmissionMessage.NeedDelayed delayed) {
+            needDelayed(delayed, nowMillis, actions);
         } else if (message instanceof AdmissionMessage.LimitsChanged changed) {
             limits = changed.limits();
         } else {
@@ -199,19 +201,20 @@
                 });
     }
 
-    private void needRefused(AdmissionMessage.NeedRefused refused, List<AdmissionAction> actions) {
+    private void needDelayed(
+            AdmissionMessage.NeedDelayed delayed, long nowMillis, List<AdmissionAction> actions) {
         List<Work> hopeless =
                 unmet.values().stream()
-                        .filter(work -> work.need().equals(Optional.of(refused.need())))
+                        .filter(work -> work.need().equals(Optional.of(delayed.need())))
+                        .filter(
+                                work ->
+                                        nowMillis + delayed.readyInMillis()
+                                                > work.firstTokenByMillis())
                         .toList();
+        long retryAfterMillis = Math.min(LONGEST_RETRY_MILLIS, delayed.readyInMillis());
         hopeless.forEach(this::forget);
         hopeless.forEach(
-                work ->
-                        actions.add(
-                                refuse(
-                                        work,
-                                        ErrorCode.MODEL_NOT_RESIDENT,
-                                        refused.retryAfterMillis())));
+                work -> actions.add(refuse(work, ErrorCode.MODEL_NOT_RESIDENT, retryAfterMillis)));
     }
 
     // Held back until its turn, a late request would cost its caller the time to try elsewhere and
@@ -243,7 +246,7 @@
 
     private Stream<AdmissionAction> hopeless(AccountQueue queue, long nowMillis) {
         List<Work> works = List.copyOf(queue.waiting().values());
-        return java.util.stream.IntStream.range(0, works.size())
+        return IntStream.range(0, works.size())
                 .mapToObj(
                         index ->
                                 tooLate(
--- a/core/src/main/java/org/tamaracktrack/core/admission/FifoAdmission.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/FifoAdmission.java
@@ -57,15 +57,16 @@
             ended(ended.attempt(), nowMillis);
         } else if (message instanceof AdmissionMessage.ReadyChanged changed) {
             ready = changed.ready();
-        } else if (message instanceof AdmissionMessage.NeedRefused refused) {
+        } else if (message instanceof AdmissionMessage.NeedDelayed delayed) {
             List.copyOf(waiting.values()).stream()
-                    .filter(work -> work.need().equals(Optional.of(refused.need())))
+                    .filter(work -> work.need().equals(Optional.of(delayed.need())))
+                    .filter(work -> nowMillis + delayed.readyInMillis() > work.firstTokenByMillis())
                     .forEach(
                             work ->
                                     refuse(
                                             work,
                                             ErrorCode.MODEL_NOT_RESIDENT,
-                                            refused.retryAfterMillis(),
+                                            RETRY_MILLIS,
                                             actions));
         } else if (message instanceof AdmissionMessage.LimitsChanged changed) {
             limits = changed.limits();
--- a/core/src/main/java/org/tamaracktrack/core/log/LogEntry.java
+++ b/core/src/main/java/org/tamaracktrack/core/log/LogEntry.java
@@ -106,6 +106,7 @@
      * @param accelerator where the memory is
      * @param model the model concerned
      * @param reservedMebibytes how much memory it may take
+     * @param issuedAtMillis when it was issued, by the clock of the target's host
      * @param lifetimeMillis the engine ignores the order when this has passed since it was issued
      */
     record OrderIntent(
@@ -115,6 +116,7 @@
             AcceleratorId accelerator,
             ModelId model,
             long reservedMebibytes,
+            long issuedAtMillis,
             long lifetimeMillis)
             implements LogEntry {}
 
