--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/Endpoint.java
@@ -0,0 +1,22 @@
+package org.tamaracktrack.daemon.target;
+
+import java.net.InetSocketAddress;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+
+/** Reads an IP number and port. */
+final class Endpoint {
+    private Endpoint() {}
+
+    static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(
+                    text.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException notAnAddress) {
+            throw TamaracktrackException.of(
+                    ErrorCode.INVALID_CONFIGURATION, "not an address: " + text, notAnAddress);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/LeavingWatch.java
@@ -0,0 +1,67 @@
+package org.tamaracktrack.daemon.target;
+
+import java.util.Objects;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.HostId;
+import org.tamaracktrack.link.hosts.HostListClient;
+
+/** Reads in the platform's host list whether the own host is leaving. */
+final class LeavingWatch implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(LeavingWatch.class);
+    private static final long PERIOD_MILLIS = 1_000;
+
+    private final HostListClient hosts;
+    private final HostId host;
+    private final Consumer<Boolean> listener;
+    private final ScheduledExecutorService thread =
+            Executors.newSingleThreadScheduledExecutor(
+                    task -> {
+                        Thread made = new Thread(task, "host-list");
+                        made.setDaemon(true);
+                        return made;
+                    });
+    private boolean reachable = true;
+
+    private LeavingWatch(HostListClient hosts, HostId host, Consumer<Boolean> listener) {
+        this.hosts = hosts;
+        this.host = host;
+        this.listener = listener;
+    }
+
+    static LeavingWatch start(HostListClient hosts, HostId host, Consumer<Boolean> listener) {
+        Objects.requireNonNull(hosts, "hosts is null");
+        LeavingWatch watch = new LeavingWatch(hosts, host, listener);
+        watch.thread.scheduleWithFixedDelay(watch::read, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        return watch;
+    }
+
+    // The list lags and has outages; what it does not say changes nothing.
+    private void read() {
+        try {
+            HostListClient.HostState state = hosts.read().get(host);
+            if (state != null) {
+                listener.accept(state == HostListClient.HostState.LEAVING);
+            }
+            reachable(true);
+        } catch (TamaracktrackException failure) {
+            reachable(false);
+        }
+    }
+
+    private void reachable(boolean now) {
+        if (reachable != now) {
+            reachable = now;
+            LOG.infof("event=host-list reachable=%s", now);
+        }
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/LoadTimes.java
@@ -0,0 +1,48 @@
+package org.tamaracktrack.daemon.target;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.tamaracktrack.core.admission.Need;
+import org.tamaracktrack.core.target.Change;
+import org.tamaracktrack.core.target.OrderKind;
+
+/** A moving average of how long loads of models and of adapters take. */
+final class LoadTimes {
+    private static final double NEWEST_WEIGHT = 0.3;
+
+    private final Map<Change, Long> orderedAt = new HashMap<>();
+    private double modelMillis;
+    private double adapterMillis;
+
+    private LoadTimes() {}
+
+    static LoadTimes empty() {
+        return new LoadTimes();
+    }
+
+    void ordered(Change change, long nowMillis) {
+        if (change.kind().isLoad()) {
+            orderedAt.put(change, nowMillis);
+        }
+    }
+
+    void done(Change change, long nowMillis) {
+        Long since = orderedAt.remove(change);
+        if (since == null) {
+            return;
+        }
+        if (change.kind() == OrderKind.LOAD_MODEL) {
+            modelMillis = average(modelMillis, nowMillis - since);
+        } else {
+            adapterMillis = average(adapterMillis, nowMillis - since);
+        }
+    }
+
+    private static double average(double old, long newest) {
+        return old == 0 ? newest : old + NEWEST_WEIGHT * (newest - old);
+    }
+
+    long expectedMillis(Need need) {
+        return Math.round(need.adapter().isPresent() ? adapterMillis : modelMillis);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/RetryDelays.java
@@ -0,0 +1,52 @@
+package org.tamaracktrack.daemon.target;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.target.Change;
+import org.tamaracktrack.core.target.OrderKind;
+
+/** Doubling delays before a change that had no effect is ordered again. */
+final class RetryDelays {
+    private static final long FIRST_MILLIS = 500;
+    private static final long LONGEST_MILLIS = 30_000;
+
+    private final Map<Key, Delay> delays = new HashMap<>();
+
+    private record Key(OrderKind kind, ModelId model, Optional<AdapterId> adapter) {}
+
+    private record Delay(long millis, long dueAtMillis) {}
+
+    private RetryDelays() {}
+
+    static RetryDelays empty() {
+        return new RetryDelays();
+    }
+
+    private static Key key(Change change) {
+        return new Key(change.kind(), change.model(), change.adapter());
+    }
+
+    void failed(Change change, long nowMillis) {
+        delays.compute(
+                key(change),
+                (key, last) -> {
+                    long millis =
+                            last == null
+                                    ? FIRST_MILLIS
+                                    : Math.min(LONGEST_MILLIS, 2 * last.millis());
+                    return new Delay(millis, nowMillis + millis);
+                });
+    }
+
+    void succeeded(Change change) {
+        delays.remove(key(change));
+    }
+
+    boolean isDue(Change change, long nowMillis) {
+        Delay delay = delays.get(key(change));
+        return delay == null || nowMillis >= delay.dueAtMillis();
+    }
+}
