--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/placement/PlanningView.java
@@ -0,0 +1,61 @@
+package org.tamaracktrack.core.placement;
+
+import java.util.Map;
+import java.util.Objects;
+import org.tamaracktrack.core.config.Configuration;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.TargetId;
+
+/**
+ * What a plan is made from.
+ *
+ * @param nowMillis the monotonic time
+ * @param configuration the configuration in force
+ * @param targets what was last heard of each target
+ * @param demand the demand by model; a model that is not named has none
+ */
+public record PlanningView(
+        long nowMillis,
+        Configuration configuration,
+        Map<TargetId, TargetStatus> targets,
+        Map<ModelId, ModelDemand> demand) {
+
+    /** Checks the arguments. */
+    public PlanningView {
+        Objects.requireNonNull(configuration, "configuration is null");
+        targets = Map.copyOf(targets);
+        demand = Map.copyOf(demand);
+    }
+
+    /**
+     * Returns the demand for a model.
+     *
+     * @param model the model
+     * @return its demand
+     */
+    public ModelDemand demand(ModelId model) {
+        return demand.getOrDefault(model, ModelDemand.NONE);
+    }
+
+    /**
+     * Returns whether new copies may be placed on a target.
+     *
+     * @param target the target
+     * @return true when it is configured, reachable and stays
+     */
+    public boolean usable(TargetId target) {
+        TargetStatus status = targets.get(target);
+        return configuration.targets().containsKey(target) && status != null && status.usable();
+    }
+
+    /**
+     * Returns whether a model is ready on a target that stays.
+     *
+     * @param model the model
+     * @param target the target
+     * @return true when it is
+     */
+    public boolean ready(ModelId model, TargetId target) {
+        return usable(target) && targets.get(target).resident().contains(model);
+    }
+}
