--- a/core/src/main/java/org/tamaracktrack/core/placement/AcceleratorPacking.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/AcceleratorPacking.java
@@ -2,7 +2,9 @@
 
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 import org.tamaracktrack.core.config.Configuration;
 
 /** Whether copies fit on the accelerators of a target, each copy whole on one of them. */
@@ -19,7 +21,28 @@
     }
 
     /**
-     * Returns whether copies fit.
+     * Returns whether copies fit when the largest goes first, each to the accelerator with the most
+     * room, which is how targets place them.
+     *
+     * @param accelerators the accelerators; memory set aside for KV cache is not available
+     * @param mebibytes the size of each copy, its adapters included
+     * @return true when they fit
+     */
+    static boolean fitsInOrder(
+            List<Configuration.Accelerator> accelerators, Collection<Long> mebibytes) {
+        PriorityQueue<Long> free = new PriorityQueue<>(Comparator.reverseOrder());
+        accelerators.forEach(one -> free.add(one.memoryMebibytes() - one.cacheMebibytes()));
+        return mebibytes.stream()
+                .sorted(Comparator.reverseOrder())
+                .allMatch(size -> !free.isEmpty() && free.peek() >= size && take(free, size));
+    }
+
+    private static boolean take(PriorityQueue<Long> free, long size) {
+        return free.add(free.remove() - size);
+    }
+
+    /**
+     * Returns whether copies fit in any arrangement.
      *
      * @param accelerators the accelerators; memory set aside for KV cache is not available
      * @param mebibytes the size of each copy, its adapters included
@@ -37,7 +60,8 @@
         return new AcceleratorPacking(free, sizes).place(sizes.length - 1);
     }
 
-    // Largest first with backtracking: first-fit alone may refuse a subset of copies that it took
+    // Largest first with backtracking: placing in order alone may refuse a subset of copies that it
+    // took
     // with one more, which would read as a breach when a copy is dropped.
     private boolean place(int index) {
         if (index < 0) {
--- a/core/src/main/java/org/tamaracktrack/core/placement/HysteresisPlacement.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/HysteresisPlacement.java
@@ -141,13 +141,13 @@
                                         copy -> worthKeeping(layout, view, copy.model())))
                         .toList();
         for (Placement extra : extras) {
-            if (layout.fits(added.target(), left)) {
+            if (layout.fitsInOrder(added.target(), left)) {
                 break;
             }
             left.remove(extra);
             dropped.add(extra.model());
         }
-        return layout.fits(added.target(), left) ? Optional.of(dropped) : Optional.empty();
+        return layout.fitsInOrder(added.target(), left) ? Optional.of(dropped) : Optional.empty();
     }
 
     private static double worthKeeping(Layout layout, PlanningView view, ModelId model) {
--- a/core/src/main/java/org/tamaracktrack/core/placement/Layout.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/Layout.java
@@ -173,7 +173,7 @@
         List<Placement> wanted = new ArrayList<>(on(placement.target()));
         wanted.removeIf(copy -> copy.model().equals(placement.model()));
         wanted.add(placement);
-        return fits(placement.target(), wanted);
+        return fitsInOrder(placement.target(), wanted);
     }
 
     /**
@@ -187,7 +187,22 @@
     }
 
     /**
-     * Returns whether copies fit on a target.
+     * Returns whether copies fit on a target in the order in which targets place them.
+     *
+     * @param target the target
+     * @param placements the copies
+     * @return true when they fit
+     */
+    public boolean fitsInOrder(TargetId target, Collection<Placement> placements) {
+        Configuration.Target configured = configuration.targets().get(target);
+        return configured != null
+                && AcceleratorPacking.fitsInOrder(
+                        configured.accelerators(),
+                        placements.stream().map(this::mebibytes).toList());
+    }
+
+    /**
+     * Returns whether copies fit on a target in any arrangement.
      *
      * @param target the target
      * @param placements the copies
--- a/core/src/main/java/org/tamaracktrack/core/placement/PlacementKind.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/PlacementKind.java
@@ -1,13 +1,32 @@
 package org.tamaracktrack.core.placement;
 
+import java.util.Optional;
+
 /** The policies that the placement setting may name. */
 public enum PlacementKind {
     /** Follows demand, but only where it pays for the moves. */
     HYSTERESIS,
-    /** One home for each model, whatever the demand. */
+    /** One home for each model and memory filled in turn, whatever the demand. */
     STATIC,
     /** No plan: targets load on demand and evict the least recently used model. */
     LRU,
     /** Follows demand at once, whatever the moves. */
-    GREEDY
+    GREEDY;
+
+    /** The time over which the gain of a copy is weighed against its moves. */
+    public static final long DEFAULT_PAYBACK_MILLIS = 120_000;
+
+    /**
+     * Returns the policy.
+     *
+     * @return the policy; empty for the kind that publishes no plan
+     */
+    public Optional<PlacementPolicy> policy() {
+        return switch (this) {
+            case HYSTERESIS -> Optional.of(HysteresisPlacement.of(DEFAULT_PAYBACK_MILLIS));
+            case STATIC -> Optional.of(StaticPlacement.of());
+            case GREEDY -> Optional.of(GreedyPlacement.of());
+            case LRU -> Optional.empty();
+        };
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/duty/ReporterDuty.java
@@ -0,0 +1,144 @@
+package org.tamaracktrack.daemon.duty;
+
+import java.util.Optional;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.log.LogEntry;
+import org.tamaracktrack.core.log.LogRecord;
+import org.tamaracktrack.core.log.LogStream;
+import org.tamaracktrack.core.report.ReportRollUp;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.daemon.runtime.DaemonRuntime;
+
+/**
+ * Keeps what must outlast the log's retention: appends snapshots of the reports and of the
+ * configuration well before the records that they stand for expire. On the control thread.
+ */
+final class ReporterDuty {
+    private static final int REPORTS_PER_SNAPSHOT = 60;
+    private static final int LEAST_RECORDS_PER_SNAPSHOT = 60;
+    private static final int RECORDS_PER_PROCESS = 4;
+    private static final int SILENT_REPORTS = 18;
+
+    private final DaemonRuntime runtime;
+    private final DutyLease lease;
+    private final DutyAppender appender;
+    private final ReportsFollower follower;
+    private ReportRollUp rollUp;
+    private long recordsSinceSnapshot;
+    private long reportsWrittenAtMillis;
+    private long configurationWrittenAtMillis;
+    private long configurationWrittenVersion = -1;
+    private boolean appending;
+
+    private ReporterDuty(DaemonRuntime runtime, DutyLease lease, DutyAppender appender) {
+        this.runtime = runtime;
+        this.lease = lease;
+        this.appender = appender;
+        this.follower = ReportsFollower.of(runtime);
+        this.rollUp = ReportRollUp.empty(silentMillis());
+    }
+
+    static ReporterDuty of(DaemonRuntime runtime, DutyLease lease, DutyAppender appender) {
+        return new ReporterDuty(runtime, lease, appender);
+    }
+
+    private long silentMillis() {
+        return SILENT_REPORTS * runtime.settings().reportMillis();
+    }
+
+    private long snapshotMillis() {
+        return REPORTS_PER_SNAPSHOT * runtime.settings().reportMillis();
+    }
+
+    void tick() {
+        if (lease.term().isEmpty()) {
+            follower.stop();
+            return;
+        }
+        follower.start(this::beginRollUp);
+        if (!appending) {
+            snapshotReports();
+        }
+        if (!appending) {
+            snapshotConfiguration();
+        }
+    }
+
+    private ReportsFollower.Sink beginRollUp() {
+        rollUp = ReportRollUp.empty(silentMillis());
+        recordsSinceSnapshot = 0;
+        reportsWrittenAtMillis = ControlThread.nowMillis();
+        return new RollUpSink();
+    }
+
+    private void snapshotReports() {
+        if (!follower.caughtUp()) {
+            return;
+        }
+        rollUp.startAnew();
+        long ageMillis = ControlThread.nowMillis() - reportsWrittenAtMillis;
+        long enough =
+                Math.max(
+                        LEAST_RECORDS_PER_SNAPSHOT,
+                        (long) RECORDS_PER_PROCESS * rollUp.processes());
+        boolean due =
+                recordsSinceSnapshot >= enough
+                        || recordsSinceSnapshot > 0 && ageMillis >= snapshotMillis();
+        if (due) {
+            rollUp.snapshot().ifPresent(entry -> append(LogStream.REPORTS, entry));
+            recordsSinceSnapshot = 0;
+            reportsWrittenAtMillis = ControlThread.nowMillis();
+        }
+    }
+
+    private void snapshotConfiguration() {
+        Optional<LogEntry.ConfigurationSnapshot> snapshot = runtime.configuration().snapshot();
+        long ageMillis = ControlThread.nowMillis() - configurationWrittenAtMillis;
+        snapshot.filter(
+                        entry ->
+                                entry.version() != configurationWrittenVersion
+                                        || ageMillis >= snapshotMillis())
+                .ifPresent(
+                        entry -> {
+                            append(LogStream.CONFIGURATION, entry);
+                            configurationWrittenVersion = entry.version();
+                            configurationWrittenAtMillis = ControlThread.nowMillis();
+                        });
+    }
+
+    private void append(LogStream stream, LogEntry entry) {
+        appending = true;
+        appender.append(stream, entry, lease::trusted, new Outcome());
+    }
+
+    private final class RollUpSink implements ReportsFollower.Sink {
+        @Override
+        public void onRecord(LogRecord record) {
+            rollUp.handle(record);
+            if (record.entry() instanceof LogEntry.ReportSnapshot) {
+                recordsSinceSnapshot = 0;
+            } else {
+                recordsSinceSnapshot++;
+            }
+        }
+
+        @Override
+        public void onGap(long firstOffset) {
+            rollUp.onGap(firstOffset);
+        }
+    }
+
+    private final class Outcome implements DutyAppender.Listener {
+        @Override
+        public void onAppended(long offset, long sentAtMillis) {
+            appending = false;
+        }
+
+        @Override
+        public void onFailed(ErrorCode code) {
+            appending = false;
+            configurationWrittenVersion = -1;
+            recordsSinceSnapshot++;
+        }
+    }
+}
