--- a/core/src/main/java/org/tamaracktrack/core/lease/LeaseRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/lease/LeaseRegister.java
@@ -2,8 +2,10 @@
 
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.tamaracktrack.core.id.IncarnationId;
 import org.tamaracktrack.core.log.LogEntry;
 import org.tamaracktrack.core.log.LogRecord;
@@ -17,6 +19,9 @@
     public static final long MAXIMUM_DURATION_MILLIS = 60_000;
 
     private final Map<Duty, Lease> leases = new EnumMap<>(Duty.class);
+    private final Set<Duty> doubtful = EnumSet.noneOf(Duty.class);
+    private long firstOffset = -1;
+    private long firstMillis;
 
     private LeaseRegister() {}
 
@@ -36,6 +41,10 @@
      * @return true when it granted, renewed or ended a lease
      */
     public boolean handle(LogRecord record) {
+        if (firstOffset < 0) {
+            firstOffset = record.offset();
+            firstMillis = record.appendedAtMillis();
+        }
         if (record.entry() instanceof LogEntry.LeaseTaken taken) {
             return duty(taken.duty()).map(duty -> take(duty, taken, record)).orElse(false);
         }
@@ -48,25 +57,37 @@
     private boolean take(Duty duty, LogEntry.LeaseTaken taken, LogRecord record) {
         Lease last = leases.get(duty);
         boolean inForce = last != null && last.inForceAt(record.appendedAtMillis());
-        if (!granted(last, inForce, taken, record.offset())) {
+        if (!granted(duty, last, inForce, taken, record.offset())) {
             return false;
         }
         long expiresAtMillis =
                 record.appendedAtMillis()
                         + Math.min(Math.max(0, taken.durationMillis()), MAXIMUM_DURATION_MILLIS);
-        leases.put(
-                duty,
-                new Lease(taken.holder(), term(last, inForce, taken, record), expiresAtMillis));
+        Lease lease =
+                new Lease(taken.holder(), term(last, inForce, taken, record), expiresAtMillis);
+        leases.put(duty, lease);
+        if (taken.renews() < 0 && historyUnknown(record)) {
+            doubtful.add(duty);
+        } else {
+            doubtful.remove(duty);
+        }
         return true;
     }
 
+    // A reader that begins in the middle of the stream may first see a claim that full readers
+    // refused because of a grant that has expired from the log. Believed for good, that claim's
+    // term would be higher than the true holder's and every plan would be dropped. Within the
+    // longest lease from the first record read, a claim is therefore doubtful and gives way to any
+    // renewal: a holder renews within its lease, and of two renewals the higher term stays.
+    private boolean historyUnknown(LogRecord record) {
+        return firstOffset > 0 && record.appendedAtMillis() < firstMillis + MAXIMUM_DURATION_MILLIS;
+    }
+
     // A paused holder that wakes after its lease lapsed renews a term that another process has
     // since been granted past. Granting it would give two holders in turn; its number is lower than
-    // the last grant's, so every reader refuses it and it has to claim anew. A reader that began
-    // after a gap may have granted the wrong claim; the true holder's renewals name a higher term
-    // and put it right.
-    private static boolean granted(
-            Lease last, boolean inForce, LogEntry.LeaseTaken taken, long offset) {
+    // the last grant's, so every reader refuses it and it has to claim anew.
+    private boolean granted(
+            Duty duty, Lease last, boolean inForce, LogEntry.LeaseTaken taken, long offset) {
         if (taken.renews() >= offset) {
             return false;
         }
@@ -77,7 +98,9 @@
         if (taken.renews() < 0) {
             return !inForce || sameHolder;
         }
-        return taken.renews() > last.term() || sameHolder && taken.renews() == last.term();
+        return doubtful.contains(duty)
+                || taken.renews() > last.term()
+                || sameHolder && taken.renews() == last.term();
     }
 
     private static long term(
