--- a/core/src/test/java/org/tamaracktrack/core/report/ReportRollUpTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/report/ReportRollUpTest.java
@@ -124,6 +124,23 @@
                     .isEqualTo(scenario.knownSums());
         }
 
+        // A process ended more than a day before the snapshot, which names it no longer; its last
+        // record has not expired yet and was read. Its counters are in the snapshot's sum.
+        @Test
+        void shouldNotAddAProcessWhenTheSnapshotHasForgottenIt() {
+            ReportRollUp newcomer = ReportRollUp.empty(SILENT_MILLIS);
+            newcomer.onGap(10);
+            newcomer.handle(LogRecord.of(10, 0, counters("a", 3, 10, true)));
+
+            newcomer.handle(
+                    LogRecord.of(
+                            12,
+                            0,
+                            new ReportSnapshot(11, 0, Map.of(COUNTER, 10L), List.of(), List.of())));
+
+            assertThat(newcomer.report(0).counters()).containsExactly(COUNTER, 10L);
+        }
+
         @Test
         void shouldSayThatRecordsWereLostWhenTheSnapshotEndsBeforeTheOldestRecord() {
             ReportRollUp newcomer = ReportRollUp.empty(SILENT_MILLIS);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/configuration/ConfigurationSource.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/configuration/ConfigurationSource.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.tamaracktrack.core.config.Configuration;
-import org.tamaracktrack.core.log.LogEntry.ConfigurationSnapshot;
 
 /** The configuration in force. It never goes back to an older version. */
 public interface ConfigurationSource {
@@ -31,16 +30,6 @@
      */
     void offer(long version, String document);
 
-    /**
-     * Returns a snapshot of what the log shows to be in force, so that older records may expire.
-     * For the control thread.
-     *
-     * @return the snapshot; empty when this daemon does not know enough to write one
-     */
-    default Optional<ConfigurationSnapshot> snapshot() {
-        return Optional.empty();
-    }
-
     /**
      * A configuration and its version.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/duty/Duties.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/duty/Duties.java
@@ -117,6 +117,16 @@
         reporter.tick();
     }
 
+    /**
+     * Returns whether this process may act on a duty now. For any thread.
+     *
+     * @param duty the duty
+     * @return true while its lease can be trusted
+     */
+    public boolean holds(Duty duty) {
+        return (duty == Duty.PLANNER ? plannerLease : reporterLease).trusted();
+    }
+
     /**
      * Gives the duties up, so that another process takes them at once. Not for the control thread.
      */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/duty/ReporterDuty.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/duty/ReporterDuty.java
@@ -1,6 +1,5 @@
 package org.tamaracktrack.daemon.duty;
 
-import java.util.Optional;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.log.LogEntry;
 import org.tamaracktrack.core.log.LogRecord;
@@ -10,8 +9,8 @@
 import org.tamaracktrack.daemon.runtime.DaemonRuntime;
 
 /**
- * Keeps what must outlast the log's retention: appends snapshots of the reports and of the
- * configuration well before the records that they stand for expire. On the control thread.
+ * Keeps what must outlast the log's retention: appends snapshots of the reports well before the
+ * records that they stand for expire. On the control thread.
  */
 final class ReporterDuty {
     private static final int REPORTS_PER_SNAPSHOT = 60;
@@ -26,8 +25,6 @@
     private ReportRollUp rollUp;
     private long recordsSinceSnapshot;
     private long reportsWrittenAtMillis;
-    private long configurationWrittenAtMillis;
-    private long configurationWrittenVersion = -1;
     private boolean appending;
 
     private ReporterDuty(DaemonRuntime runtime, DutyLease lease, DutyAppender appender) {
@@ -59,9 +56,6 @@
         if (!appending) {
             snapshotReports();
         }
-        if (!appending) {
-            snapshotConfiguration();
-        }
     }
 
     private ReportsFollower.Sink beginRollUp() {
@@ -85,30 +79,15 @@
                 recordsSinceSnapshot >= enough
                         || recordsSinceSnapshot > 0 && ageMillis >= snapshotMillis();
         if (due) {
-            rollUp.snapshot().ifPresent(entry -> append(LogStream.REPORTS, entry));
+            rollUp.snapshot().ifPresent(this::append);
             recordsSinceSnapshot = 0;
             reportsWrittenAtMillis = ControlThread.nowMillis();
         }
     }
 
-    private void snapshotConfiguration() {
-        Optional<LogEntry.ConfigurationSnapshot> snapshot = runtime.configuration().snapshot();
-        long ageMillis = ControlThread.nowMillis() - configurationWrittenAtMillis;
-        snapshot.filter(
-                        entry ->
-                                entry.version() != configurationWrittenVersion
-                                        || ageMillis >= snapshotMillis())
-                .ifPresent(
-                        entry -> {
-                            append(LogStream.CONFIGURATION, entry);
-                            configurationWrittenVersion = entry.version();
-                            configurationWrittenAtMillis = ControlThread.nowMillis();
-                        });
-    }
-
-    private void append(LogStream stream, LogEntry entry) {
+    private void append(LogEntry entry) {
         appending = true;
-        appender.append(stream, entry, lease::trusted, new Outcome());
+        appender.append(LogStream.REPORTS, entry, lease::trusted, new Outcome());
     }
 
     private final class RollUpSink implements ReportsFollower.Sink {
@@ -137,7 +116,6 @@
         @Override
         public void onFailed(ErrorCode code) {
             appending = false;
-            configurationWrittenVersion = -1;
             recordsSinceSnapshot++;
         }
     }
