--- a/core/src/main/java/org/tamaracktrack/core/placement/GreedyPlacement.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/GreedyPlacement.java
@@ -3,12 +3,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.log.LogEntry.Placement;
 
 /** Gives the memory to the models with the most demand per copy, at each tick anew. */
 public final class GreedyPlacement implements PlacementPolicy {
+    private record Candidate(ModelId model, double slotsPerCopy) {}
+
     private GreedyPlacement() {}
 
     /**
@@ -27,24 +30,29 @@
                 .filter(copy -> layout.copies(copy.model()) > 1)
                 .forEach(copy -> layout.remove(copy.model(), copy.target()));
         Homes.ensure(layout, view);
-        boolean added = true;
-        while (added) {
-            added = addOne(layout, before, view);
-        }
+        fill(layout, before, view);
     }
 
-    private static boolean addOne(Layout layout, Layout before, PlanningView view) {
-        Optional<Placement> further =
-                view.configuration().models().keySet().stream()
-                        .filter(model -> slotsPerCopy(layout, view, model) > 0)
-                        .sorted(
-                                Comparator.comparingDouble(
-                                        model -> -slotsPerCopy(layout, view, model)))
-                        .map(model -> copy(layout, before, view, model))
-                        .flatMap(Optional::stream)
-                        .findFirst();
-        further.ifPresent(layout::put);
-        return further.isPresent();
+    private static void fill(Layout layout, Layout before, PlanningView view) {
+        PriorityQueue<Candidate> candidates =
+                new PriorityQueue<>(
+                        Comparator.comparingDouble((Candidate one) -> -one.slotsPerCopy())
+                                .thenComparing(Candidate::model));
+        view.demand().keySet().stream()
+                .filter(view.configuration().models()::containsKey)
+                .map(model -> new Candidate(model, slotsPerCopy(layout, view, model)))
+                .filter(one -> one.slotsPerCopy() > 0)
+                .forEach(candidates::add);
+        while (!candidates.isEmpty()) {
+            ModelId model = candidates.remove().model();
+            copy(layout, before, view, model)
+                    .ifPresent(
+                            copy -> {
+                                layout.put(copy);
+                                candidates.add(
+                                        new Candidate(model, slotsPerCopy(layout, view, model)));
+                            });
+        }
     }
 
     private static double slotsPerCopy(Layout layout, PlanningView view, ModelId model) {
--- a/core/src/main/java/org/tamaracktrack/core/placement/HysteresisPlacement.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/HysteresisPlacement.java
@@ -25,23 +25,27 @@
     private static final long LOAD_MILLIS = 5_000;
 
     private final long paybackMillis;
+    private final double patience;
     private final Map<ModelId, Long> payingSince = new HashMap<>();
 
     /** A further copy, what has to go for it, and what it is worth. */
     private record Change(Placement added, List<ModelId> dropped, int moves, double worth) {}
 
-    private HysteresisPlacement(long paybackMillis) {
+    private HysteresisPlacement(long paybackMillis, double patience) {
         this.paybackMillis = paybackMillis;
+        this.patience = patience;
     }
 
     /**
      * Returns the policy.
      *
      * @param paybackMillis the time over which the gain of a copy is weighed against its moves
+     * @param patience how long a change has to pay before it is made, in times of what its moves
+     *     take
      * @return the policy
      */
-    public static HysteresisPlacement of(long paybackMillis) {
-        return new HysteresisPlacement(paybackMillis);
+    public static HysteresisPlacement of(long paybackMillis, double patience) {
+        return new HysteresisPlacement(paybackMillis, patience);
     }
 
     @Override
@@ -49,29 +53,36 @@
         if (!Homes.ensure(layout, view).isEmpty()) {
             return;
         }
-        List<ModelId> busiest = busiest(layout, view);
+        ExpectedService service = ExpectedService.of(layout, view);
+        List<ModelId> busiest = busiest(service, view);
         payingSince.keySet().retainAll(busiest);
         int changes = 0;
         for (ModelId model : busiest) {
-            if (changes < CHANGES_PER_TICK && improve(layout, view, model)) {
+            if (changes < CHANGES_PER_TICK && improve(layout, view, service, model)) {
                 changes++;
+                service = ExpectedService.of(layout, view);
             }
         }
     }
 
-    private static List<ModelId> busiest(Layout layout, PlanningView view) {
-        ExpectedService service = ExpectedService.of(layout, view);
-        return view.configuration().models().keySet().stream()
-                .filter(model -> service.lost(model) > LEAST_LOST_PER_SECOND)
+    private static List<ModelId> busiest(ExpectedService service, PlanningView view) {
+        Map<ModelId, Double> lost = new HashMap<>();
+        view.demand().keySet().stream()
+                .filter(view.configuration().models()::containsKey)
+                .forEach(model -> lost.put(model, service.lost(model)));
+        return lost.entrySet().stream()
+                .filter(one -> one.getValue() > LEAST_LOST_PER_SECOND)
                 .sorted(
-                        Comparator.comparingDouble((ModelId model) -> -service.lost(model))
-                                .thenComparing(Comparator.naturalOrder()))
+                        Map.Entry.<ModelId, Double>comparingByValue()
+                                .reversed()
+                                .thenComparing(Map.Entry.comparingByKey()))
                 .limit(MODELS_CONSIDERED)
+                .map(Map.Entry::getKey)
                 .toList();
     }
 
-    private boolean improve(Layout layout, PlanningView view, ModelId model) {
-        ExpectedService service = ExpectedService.of(layout, view);
+    private boolean improve(
+            Layout layout, PlanningView view, ExpectedService service, ModelId model) {
         Optional<Change> best =
                 Copies.apart(layout, view, model).stream()
                         .flatMap(target -> change(layout, view, service, model, target).stream())
@@ -84,7 +95,6 @@
         if (!paidLongEnough(view, model, best.get())) {
             return false;
         }
-        payingSince.remove(model);
         apply(layout, best.get());
         return true;
     }
@@ -97,7 +107,7 @@
         long since = payingSince.computeIfAbsent(model, unused -> view.nowMillis());
         double loadsPerSecond = view.configuration().weightStore().loadsPerSecond();
         long takesMillis = LOAD_MILLIS + (long) (1_000 * change.moves() / loadsPerSecond);
-        return change.moves() == 0 || view.nowMillis() - since >= takesMillis;
+        return change.moves() == 0 || view.nowMillis() - since >= patience * takesMillis;
     }
 
     private static void apply(Layout layout, Change change) {
--- a/core/src/main/java/org/tamaracktrack/core/placement/PlacementKind.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/PlacementKind.java
@@ -16,6 +16,9 @@
     /** The time over which the gain of a copy is weighed against its moves. */
     public static final long DEFAULT_PAYBACK_MILLIS = 120_000;
 
+    /** How long a change has to pay, in times of what its moves take. */
+    public static final double DEFAULT_PATIENCE = 1;
+
     /**
      * Returns the policy.
      *
@@ -23,7 +26,8 @@
      */
     public Optional<PlacementPolicy> policy() {
         return switch (this) {
-            case HYSTERESIS -> Optional.of(HysteresisPlacement.of(DEFAULT_PAYBACK_MILLIS));
+            case HYSTERESIS ->
+                    Optional.of(HysteresisPlacement.of(DEFAULT_PAYBACK_MILLIS, DEFAULT_PATIENCE));
             case STATIC -> Optional.of(StaticPlacement.of());
             case GREEDY -> Optional.of(GreedyPlacement.of());
             case LRU -> Optional.empty();
