--- a/core/src/main/java/org/tamaracktrack/core/claim/ClaimRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/claim/ClaimRegister.java
@@ -23,8 +23,8 @@
     private long windowMillis;
     private long logMillis = NEVER;
     private long knownFromMillis = NEVER;
-    private boolean readFromStart;
-    private boolean hole = true;
+    private boolean readFromStart = true;
+    private boolean hole;
 
     private ClaimRegister(long windowMillis) {
         this.windowMillis = windowMillis;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
@@ -45,10 +45,18 @@
         CallerConnection created = new CallerConnection(open);
         connection.putAttachment(KEY, created);
         open.incrementAndGet();
-        connection.addCloseListener(closed -> connection.getIoThread().execute(created::closed));
+        connection.addCloseListener(closed -> created.closedOn(connection.getIoThread()));
         return created;
     }
 
+    private void closedOn(XnioIoThread thread) {
+        try {
+            thread.execute(this::closed);
+        } catch (RejectedExecutionException stopped) {
+            closed();
+        }
+    }
+
     private void closed() {
         open.decrementAndGet();
         onClosed.run();
