--- a/core/src/main/java/org/tamaracktrack/core/exchange/AttemptAnswer.java
+++ b/core/src/main/java/org/tamaracktrack/core/exchange/AttemptAnswer.java
@@ -1,6 +1,8 @@
 package org.tamaracktrack.core.exchange;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.tamaracktrack.core.id.AttemptId;
@@ -12,7 +14,8 @@
 
     private final AttemptId attempt;
     private final ExchangeFacts facts;
-    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+    private final List<byte[]> buffer = new ArrayList<>();
+    private int bufferedBytes;
     private Optional<Message.Started> head = Optional.empty();
     private int chunks;
     private long receivedBytes;
@@ -64,7 +67,8 @@
         if (unreadBytes > (long) facts.creditBytes() + facts.bufferBytes()) {
             return Optional.of("more bytes than credit: " + unreadBytes);
         }
-        buffer.writeBytes(chunk.bytes());
+        buffer.add(chunk.bytes());
+        bufferedBytes += chunk.bytes().length;
         return Optional.empty();
     }
 
@@ -82,18 +86,24 @@
     }
 
     boolean passOn() {
-        return facts.streamed() || buffer.size() > facts.bufferBytes();
+        return facts.streamed() || bufferedBytes > facts.bufferBytes();
     }
 
     byte[] takeBuffer() {
-        byte[] bytes = buffer.toByteArray();
-        buffer.reset();
-        return bytes;
+        ByteBuffer joined = ByteBuffer.allocate(bufferedBytes);
+        buffer.forEach(joined::put);
+        clearBuffer();
+        return joined.array();
     }
 
     void discard() {
-        unreadBytes -= buffer.size();
-        buffer.reset();
+        unreadBytes -= bufferedBytes;
+        clearBuffer();
+    }
+
+    private void clearBuffer() {
+        buffer.clear();
+        bufferedBytes = 0;
     }
 
     void read(int bytes) {
--- a/core/src/main/java/org/tamaracktrack/core/exchange/Exchange.java
+++ b/core/src/main/java/org/tamaracktrack/core/exchange/RequestExchange.java
@@ -18,7 +18,7 @@
  * The state of one request. The caller is answered once; an attempt is followed by another only
  * when it certainly did not run or the request is idempotent.
  */
-public final class Exchange {
+public final class RequestExchange {
     private static final long NO_HINT = -1;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
@@ -40,7 +40,7 @@
         ENDED
     }
 
-    private Exchange(ExchangeFacts facts, RetryRule rule) {
+    private RequestExchange(ExchangeFacts facts, RetryRule rule) {
         this.facts = facts;
         this.rule = rule;
         this.attempt = facts.firstAttempt();
@@ -54,10 +54,10 @@
      * @param rule decides over further attempts
      * @return the request
      */
-    public static Exchange of(ExchangeFacts facts, RetryRule rule) {
+    public static RequestExchange of(ExchangeFacts facts, RetryRule rule) {
         Objects.requireNonNull(facts, "facts is null");
         Objects.requireNonNull(rule, "rule is null");
-        return new Exchange(facts, rule);
+        return new RequestExchange(facts, rule);
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/claim/ClaimSchedule.java
+++ b/core/src/test/java/org/tamaracktrack/core/claim/ClaimSchedule.java
@@ -19,8 +19,8 @@
  */
 final class ClaimSchedule {
     static final long WINDOW_MILLIS = 20_000;
-    private static final int STEPS = 250;
-    private static final int KEYS = 3;
+    private static final int STEPS = 500;
+    private static final int KEYS = 4;
     private static final ClaimLimits LIMITS = new ClaimLimits(1_000, 0, 0, 100);
 
     private final Random random;
--- a/core/src/test/java/org/tamaracktrack/core/exchange/ExchangeSchedule.java
+++ b/core/src/test/java/org/tamaracktrack/core/exchange/ExchangeSchedule.java
@@ -30,7 +30,7 @@
 
     private final Random random;
     private final boolean idempotent;
-    private final Exchange exchange;
+    private final RequestExchange exchange;
     private final Map<AttemptId, Run> runs = new HashMap<>();
     private final Set<TargetId> used = new HashSet<>();
     private final List<Message> wire = new ArrayList<>();
@@ -44,7 +44,7 @@
         this.random = new Random(seed);
         this.idempotent = random.nextBoolean();
         this.exchange =
-                Exchange.of(
+                RequestExchange.of(
                         new ExchangeFacts(
                                 FIRST, idempotent, random.nextBoolean(), DEADLINE, 64, 32, seed),
                         RetryRule.of(RetryBudget.of(0)));
--- a/core/src/test/java/org/tamaracktrack/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/exchange/RequestExchangeTest.java
@@ -21,7 +21,7 @@
 import org.tamaracktrack.core.retry.RetryBudget;
 import org.tamaracktrack.core.retry.RetryRule;
 
-class ExchangeTest {
+class RequestExchangeTest {
     private static final AttemptId FIRST = AttemptId.of(IncarnationId.of("entry-1"), 1, 0);
     private static final TargetId TARGET = TargetId.of("engine-1");
     private static final Message.Load LOAD =
@@ -52,7 +52,8 @@
                             "AnswerWhole", "AnswerEnd", "AnswerError", "CutCaller", "String");
         }
 
-        // For longer runs: mvn test -pl core -Dtest=ExchangeTest -DargLine="-Dschedules=1000000"
+        // For longer runs: mvn test -pl core -Dtest=RequestExchangeTest
+        // -DargLine="-Dschedules=1000000"
         @Test
         void shouldHoldInAsManyDrawnSchedulesAsAskedFor() {
             Random seeds = new Random();
@@ -67,9 +68,9 @@
         }
     }
 
-    private static Exchange sent(boolean idempotent) {
-        Exchange exchange =
-                Exchange.of(
+    private static RequestExchange sent(boolean idempotent) {
+        RequestExchange exchange =
+                RequestExchange.of(
                         new ExchangeFacts(FIRST, idempotent, false, 1_000, 100, 100, 1),
                         RetryRule.of(RetryBudget.of(0)));
         exchange.handle(new ExchangeEvent.Begun(), 0);
@@ -100,11 +101,12 @@
         // of the first, so the request as a whole is unknown.
         @Test
         void shouldSayUnknownWhenALaterAttemptIsRefusedAfterOneWasLost() {
-            Exchange exchange = sent(true);
+            RequestExchange exchange = sent(true);
             AttemptId second = FIRST.next();
             exchange.handle(new ExchangeEvent.ConnectionLost(FIRST), 5);
             exchange.handle(new ExchangeEvent.Chosen(second, TargetId.of("engine-2")), 6);
-            Message refusal = new Message.Refused(second, ErrorCode.DEADLINE_BEFORE_START, -1, LOAD);
+            Message refusal =
+                    new Message.Refused(second, ErrorCode.DEADLINE_BEFORE_START, -1, LOAD);
 
             assertThat(answer(exchange.handle(new ExchangeEvent.Received(refusal), 7)))
                     .isEqualTo(
@@ -116,8 +118,8 @@
         // sending after that would make the answer untrue.
         @Test
         void shouldNotSendWhenTheDeadlineWasAnsweredBeforeATargetWasChosen() {
-            Exchange exchange =
-                    Exchange.of(
+            RequestExchange exchange =
+                    RequestExchange.of(
                             new ExchangeFacts(FIRST, true, false, 1_000, 100, 100, 1),
                             RetryRule.of(RetryBudget.of(0)));
             exchange.handle(new ExchangeEvent.Begun(), 0);
@@ -129,8 +131,8 @@
         // The process was paused between the choice and the sending, past the deadline.
         @Test
         void shouldNotSendWhenTheDeadlineHasPassedAtTheChoice() {
-            Exchange exchange =
-                    Exchange.of(
+            RequestExchange exchange =
+                    RequestExchange.of(
                             new ExchangeFacts(FIRST, true, false, 1_000, 100, 100, 1),
                             RetryRule.of(RetryBudget.of(0)));
             exchange.handle(new ExchangeEvent.Begun(), 0);
--- a/core/src/test/java/org/tamaracktrack/core/membership/MembershipTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/membership/MembershipTest.java
@@ -58,8 +58,7 @@
 
         @Test
         void shouldStopWhenAnOperatorDrainsAndGoOnWhenThatIsTakenBack() {
-            membership.handle(
-                    LogRecord.of(6, 0, new LogEntry.DrainRequested(TARGET, true, "ana")));
+            membership.handle(LogRecord.of(6, 0, new LogEntry.DrainRequested(TARGET, true, "ana")));
             assertThat(membership.accepts(TARGET, 1)).isFalse();
 
             membership.handle(
@@ -84,8 +83,7 @@
             assertThat(membership.handle(taken(NEXT, 8)))
                     .containsExactly(new MembershipAction.Retire(TARGET, OWNER));
             assertThat(membership.tick(1, 1))
-                    .containsExactly(
-                            new MembershipAction.Connect(TARGET, NEXT, "127.0.0.1:8"));
+                    .containsExactly(new MembershipAction.Connect(TARGET, NEXT, "127.0.0.1:8"));
             assertThat(membership.accepts(TARGET, 1)).isFalse();
         }
 
@@ -122,9 +120,7 @@
             assertThat(membership.tick(199, 1)).isEmpty();
             assertThat(membership.tick(300, 1))
                     .containsExactlyElementsIn(
-                            List.of(
-                                    new MembershipAction.Connect(
-                                            TARGET, OWNER, "127.0.0.1:5")));
+                            List.of(new MembershipAction.Connect(TARGET, OWNER, "127.0.0.1:5")));
         }
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/routing/EstimatedWaitPolicyTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/routing/EstimatedWaitPolicyTest.java
@@ -106,15 +106,9 @@
     void shouldStayInTheOwnDataCentreUntilItsWaitExceedsTheDistance() {
         Candidate near = candidate(0, 30, 0, 0, 0);
 
-        assertThat(
-                        choices(
-                                List.of(near, candidate(1, 28, 0, 0, 4)),
-                                query(OptionalLong.empty())))
+        assertThat(choices(List.of(near, candidate(1, 28, 0, 0, 4)), query(OptionalLong.empty())))
                 .containsExactly(TargetId.of("t0"), 1_000L);
-        assertThat(
-                        choices(
-                                List.of(near, candidate(1, 20, 0, 0, 4)),
-                                query(OptionalLong.empty())))
+        assertThat(choices(List.of(near, candidate(1, 20, 0, 0, 4)), query(OptionalLong.empty())))
                 .containsExactly(TargetId.of("t1"), 1_000L);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
@@ -9,9 +9,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
@@ -9,10 +9,10 @@
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.Ran;
-import org.tamaracktrack.core.exchange.Exchange;
 import org.tamaracktrack.core.exchange.ExchangeAction;
 import org.tamaracktrack.core.exchange.ExchangeEvent;
 import org.tamaracktrack.core.exchange.ExchangeFacts;
+import org.tamaracktrack.core.exchange.RequestExchange;
 import org.tamaracktrack.core.id.AttemptId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.message.Message;
@@ -33,7 +33,7 @@
     private final RequestServices services;
     private final CallerRequest request;
     private final CallerChannel channel;
-    private final Exchange exchange;
+    private final RequestExchange exchange;
     private final RequestTimes times;
     private final long deadlineAtMillis;
     private Optional<TargetLink> link = Optional.empty();
@@ -59,7 +59,7 @@
         this.deadlineAtMillis = nowMillis + request.requestClass().totalMillis();
         this.times = RequestTimes.arrived(nowMillis);
         this.exchange =
-                Exchange.of(
+                RequestExchange.of(
                         new ExchangeFacts(
                                 firstAttempt,
                                 request.idempotent(),
