--- a/core/src/main/java/org/tamaracktrack/core/target/OrderAction.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/OrderAction.java
@@ -53,9 +53,17 @@
     record Deposed() implements OrderAction {}
 
     /**
-     * An invariant does not hold.
+     * An invariant does not hold: the engine uses more memory than there is.
      *
      * @param failure what does not hold
      */
     record Breach(TamaracktrackException failure) implements OrderAction {}
+
+    /**
+     * The engine uses memory that is reserved here: another process has sent it orders, so this one
+     * is no longer the owner, or is about to read that it is not.
+     *
+     * @param failure what does not fit
+     */
+    record Contended(TamaracktrackException failure) implements OrderAction {}
 }
--- a/core/src/main/java/org/tamaracktrack/core/target/OrderControl.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/OrderControl.java
@@ -32,6 +32,7 @@
     private Optional<EngineInventory> inventory = Optional.empty();
     private Optional<Moment> ownedSince = Optional.empty();
     private long ownedFromFencing = -1;
+    private boolean deposed;
     private boolean inventoryIsOwn;
     private boolean fenceSeen;
     private long fencedAtMillis = Long.MIN_VALUE / 2;
@@ -84,20 +85,30 @@
 
     private void recordRead(OrderMessage.RecordRead read, Moment now, List<OrderAction> actions) {
         ownership.handle(read.record());
-        boolean owns = ownership.owner().equals(Optional.of(settings.self()));
+        boolean owns = !deposed && ownership.owner().equals(Optional.of(settings.self()));
         if (owns && ownership.firstFencingOfOwner() != ownedFromFencing) {
             takeOver(now);
         } else if (!owns && ownedSince.isPresent()) {
-            ownedSince = Optional.empty();
-            ownedFromFencing = -1;
-            dropPrepared();
-            actions.add(new OrderAction.Deposed());
+            lose(actions);
         }
         if (read.record().entry() instanceof LogEntry.OrderIntent intent) {
             sendIfIntended(intent.order(), now, actions);
         }
     }
 
+    // An append of a process that died may reach the log after its successor's. The successor then
+    // loses the target to nobody; being the younger one it takes it again. The older one, should it
+    // have been paused only, must not, or the two would take it from each other for ever.
+    private void lose(List<OrderAction> actions) {
+        ownedSince = Optional.empty();
+        ownedFromFencing = -1;
+        dropPrepared();
+        if (ownership.isOwnerYoungerThan(settings.self())) {
+            deposed = true;
+            actions.add(new OrderAction.Deposed());
+        }
+    }
+
     // The inventory must be asked for after the own record was read: an order of the predecessor
     // may have been settled by it in between, and an older inventory would not show its memory.
     private void takeOver(Moment now) {
@@ -206,18 +217,20 @@
         return moved ? new OrderAction.Moved(change) : new OrderAction.NotMoved(change);
     }
 
+    // Nothing more is ordered while either holds: an overcommitted engine must not get worse, and a
+    // process whose reserved memory another has filled is not the owner it believes to be.
     private void commit(EngineInventory seen, List<OrderAction> actions) {
-        List<TamaracktrackException> failures =
+        List<OrderAction> failures =
                 settings.accelerators().stream()
                         .flatMap(accelerator -> commit(accelerator, seen).stream())
                         .toList();
         if (!breached) {
-            failures.forEach(failure -> actions.add(new OrderAction.Breach(failure)));
+            actions.addAll(failures);
         }
         breached = !failures.isEmpty();
     }
 
-    private Optional<TamaracktrackException> commit(
+    private Optional<OrderAction> commit(
             Configuration.Accelerator accelerator, EngineInventory seen) {
         Optional<EngineInventory.AcceleratorState> state =
                 seen.accelerators().stream()
@@ -228,11 +241,15 @@
                         .orElse(0L);
         long weights = seen.weightsMebibytes(accelerator.id()) + accelerator.cacheMebibytes();
         long used = state.map(EngineInventory.AcceleratorState::usedMebibytes).orElse(0L);
+        long committed = state.isPresent() ? Math.max(weights, used) : 0;
         try {
-            ledger.commit(accelerator.id(), capacity, Math.max(weights, used));
+            ledger.commit(accelerator.id(), capacity, committed);
             return Optional.empty();
-        } catch (TamaracktrackException breach) {
-            return Optional.of(breach);
+        } catch (TamaracktrackException failure) {
+            return Optional.of(
+                    committed > capacity
+                            ? new OrderAction.Breach(failure)
+                            : new OrderAction.Contended(failure));
         }
     }
 
@@ -389,7 +406,7 @@
     /**
      * Returns whether this process owns the target, as far as it has read.
      *
-     * @return true when it does
+     * @return true when it does; false when it has yet to take the target, or to take it again
      */
     public boolean isOwner() {
         return ownedSince.isPresent();
