--- a/core/src/main/java/org/tamaracktrack/core/log/LogEntry.java
+++ b/core/src/main/java/org/tamaracktrack/core/log/LogEntry.java
@@ -87,13 +87,15 @@
      * @param host its host
      * @param dataCentre its data centre
      * @param address where entry daemons reach it, IP number and port
+     * @param startedAtMillis when the daemon started, by the clock of its host
      */
     record OwnershipTaken(
             TargetId target,
             IncarnationId owner,
             HostId host,
             DataCentreId dataCentre,
-            String address)
+            String address,
+            long startedAtMillis)
             implements LogEntry {}
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/target/OrderControl.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/OrderControl.java
@@ -103,7 +103,7 @@
         ownedSince = Optional.empty();
         ownedFromFencing = -1;
         dropPrepared();
-        if (ownership.isOwnerYoungerThan(settings.self())) {
+        if (ownership.isOwnerYoungerThan(settings.startedAtMillis())) {
             deposed = true;
             actions.add(new OrderAction.Deposed());
         }
--- a/core/src/main/java/org/tamaracktrack/core/target/OrderSettings.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/OrderSettings.java
@@ -11,12 +11,14 @@
  *
  * @param target the target
  * @param self this process
+ * @param startedAtMillis when this process started, by the host's clock
  * @param checksFencing whether the engine refuses orders with an old fencing number
  * @param accelerators the accelerators that the configuration lists
  */
 public record OrderSettings(
         TargetId target,
         IncarnationId self,
+        long startedAtMillis,
         boolean checksFencing,
         List<Configuration.Accelerator> accelerators) {
     /** The engine ignores an order this long after it was issued. */
--- a/core/src/main/java/org/tamaracktrack/core/target/OwnershipRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/OwnershipRegister.java
@@ -15,20 +15,10 @@
  * order. Every reader that has read up to the same offset says the same.
  */
 public final class OwnershipRegister {
-    private static final int REMEMBERED_OWNERS = 64;
-
     private final TargetId target;
     private final Map<OrderId, LogEntry.OrderIntent> intents = new LinkedHashMap<>();
-    private final Map<IncarnationId, Long> firstSeen =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<IncarnationId, Long> eldest) {
-                    return size() > REMEMBERED_OWNERS;
-                }
-            };
     private Optional<IncarnationId> owner = Optional.empty();
+    private long ownerStartedAtMillis;
     private long fencing = -1;
     private long firstFencingOfOwner = -1;
 
@@ -67,7 +57,7 @@
     }
 
     private void taken(LogEntry.OwnershipTaken taken, long offset) {
-        firstSeen.putIfAbsent(taken.owner(), offset);
+        ownerStartedAtMillis = taken.startedAtMillis();
         if (!owner.equals(Optional.of(taken.owner()))) {
             owner = Optional.of(taken.owner());
             firstFencingOfOwner = offset;
@@ -103,15 +93,13 @@
     }
 
     /**
-     * Returns whether the present owner took the target for the first time after another process
-     * did.
+     * Returns whether the present owner started later than another process on the same host.
      *
-     * @param other the other process
-     * @return true when it is the younger of the two, or the other is not known
+     * @param startedAtMillis when the other process started, by the host's clock
+     * @return true when the owner is the younger one
      */
-    public boolean isOwnerYoungerThan(IncarnationId other) {
-        long ours = owner.map(each -> firstSeen.getOrDefault(each, -1L)).orElse(-1L);
-        return ours > firstSeen.getOrDefault(other, -1L);
+    public boolean isOwnerYoungerThan(long startedAtMillis) {
+        return ownerStartedAtMillis > startedAtMillis;
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/Attempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/Attempt.java
@@ -12,6 +12,7 @@
 import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.core.target.AnswerState;
 import org.tamaracktrack.core.target.Usage;
+import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.frame.Connection;
 import org.tamaracktrack.link.http.HttpFailure;
 import org.tamaracktrack.link.http.HttpListener;
@@ -109,6 +110,16 @@
         return true;
     }
 
+    // Asked by the thread that is about to write the first byte. The process may have been frozen
+    // since the attempt was started, and its caller answered meanwhile.
+    private boolean isInTime() {
+        return ControlThread.nowMillis() < firstTokenByMillis();
+    }
+
+    synchronized boolean maySend() {
+        return cancelledWith.isEmpty() && isInTime();
+    }
+
     /** The caller no longer wants it, or its time is up. */
     synchronized void cancel(ErrorCode code) {
         cancelledWith = cancelledWith.or(() -> Optional.of(code));
@@ -252,7 +263,7 @@
             }
         }
         if (failure == HttpFailure.NOT_SENT) {
-            listener.onNotRun(this, ErrorCode.ENGINE_UNAVAILABLE);
+            listener.onNotRun(this, notSentCode(cancelled));
         } else if (cancelled.isPresent()) {
             listener.onFailed(this, cancelled.get(), started ? Ran.YES : Ran.UNKNOWN);
         } else {
@@ -260,6 +271,13 @@
         }
     }
 
+    private ErrorCode notSentCode(Optional<ErrorCode> cancelled) {
+        if (cancelled.isPresent()) {
+            return ErrorCode.CANCELLED_BEFORE_START;
+        }
+        return isInTime() ? ErrorCode.ENGINE_UNAVAILABLE : ErrorCode.DEADLINE_BEFORE_START;
+    }
+
     private static ErrorCode codeOf(HttpFailure failure) {
         return switch (failure) {
             case TIMED_OUT -> ErrorCode.DEADLINE_WHILE_RUNNING;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/Dispatcher.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/Dispatcher.java
@@ -58,7 +58,7 @@
                         headers(submit, to.configuration()),
                         submit.body(),
                         Math.max(1, attempt.deadlineMillis() - ControlThread.nowMillis()));
-        return attempt.send(listener -> http.stream(call, listener));
+        return attempt.send(listener -> http.stream(call, attempt::maySend, listener));
     }
 
     private static Map<String, String> headers(Message.Submit submit, Configuration configuration) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/EngineKeeper.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/EngineKeeper.java
@@ -75,6 +75,7 @@
             Configuration configuration,
             Configuration.Target target,
             IncarnationId self,
+            long startedAtMillis,
             ControlThread control,
             EngineClient engine,
             OwnershipLog ownershipLog,
@@ -91,7 +92,11 @@
         this.orders =
                 OrderControl.of(
                         new OrderSettings(
-                                target.id(), self, target.checksFencing(), target.accelerators()));
+                                target.id(),
+                                self,
+                                startedAtMillis,
+                                target.checksFencing(),
+                                target.accelerators()));
         configure(configuration, target);
     }
 
@@ -99,6 +104,7 @@
             Configuration configuration,
             Configuration.Target target,
             IncarnationId self,
+            long startedAtMillis,
             ControlThread control,
             EngineClient engine,
             OwnershipLog ownershipLog,
@@ -111,6 +117,7 @@
                         configuration,
                         target,
                         self,
+                        startedAtMillis,
                         control,
                         engine,
                         ownershipLog,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
@@ -39,6 +39,7 @@
     private static final long LAST_RECORD_MILLIS = 2_000;
     private static final AdmissionLimits NO_LIMITS = new AdmissionLimits(0, Map.of(), Map.of());
 
+    private final long startedAtMillis = System.currentTimeMillis();
     private final DaemonRuntime runtime;
     private final TargetId target;
     private final TargetMeters meters;
@@ -122,7 +123,8 @@
                                 runtime.incarnation(),
                                 runtime.settings().host(),
                                 runtime.settings().dataCentre(),
-                                address.getAddress().getHostAddress() + ":" + address.getPort()),
+                                address.getAddress().getHostAddress() + ":" + address.getPort(),
+                                startedAtMillis),
                         ownershipLog,
                         this::isOwner);
         ownership = Optional.of(taking);
@@ -187,6 +189,7 @@
                             configuration,
                             now,
                             runtime.incarnation(),
+                            startedAtMillis,
                             runtime.control(),
                             engine,
                             ownershipLog,
@@ -253,29 +256,17 @@
                 keeper.map(EngineKeeper::loading).orElse(List.of()));
     }
 
-    /**
-     * Returns where entry daemons reach this one.
-     *
-     * @return the address in use
-     */
+    @Override
     public InetSocketAddress peerAddress() {
         return address;
     }
 
-    /**
-     * Returns whether new work may be sent here.
-     *
-     * @return true when it may
-     */
+    @Override
     public boolean ready() {
         return ready;
     }
 
-    /**
-     * Returns how many attempts are in progress.
-     *
-     * @return the number
-     */
+    @Override
     public int inProgress() {
         return submissions.size();
     }
@@ -340,7 +331,7 @@
         private void servicesOwner(LogEntry.OwnershipTaken taken) {
             boolean owned = ownsPlainService;
             ownsPlainService = taken.owner().equals(runtime.incarnation());
-            if (owned && !ownsPlainService) {
+            if (owned && !ownsPlainService && taken.startedAtMillis() > startedAtMillis) {
                 deposed();
             }
         }
