--- a/core/src/main/java/org/tamaracktrack/core/target/OwnershipRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/OwnershipRegister.java
@@ -18,6 +18,7 @@
     private final TargetId target;
     private final Map<OrderId, LogEntry.OrderIntent> intents = new LinkedHashMap<>();
     private Optional<IncarnationId> owner = Optional.empty();
+    private long ownerStartedAtMillis;
     private long fencing = -1;
     private long firstFencingOfOwner = -1;
 
@@ -56,6 +57,7 @@
     }
 
     private void taken(LogEntry.OwnershipTaken taken, long offset) {
+        ownerStartedAtMillis = taken.startedAtMillis();
         if (!owner.equals(Optional.of(taken.owner()))) {
             owner = Optional.of(taken.owner());
             firstFencingOfOwner = offset;
@@ -90,6 +92,16 @@
         return fencing;
     }
 
+    /**
+     * Returns whether the present owner started later than another process on the same host.
+     *
+     * @param startedAtMillis when the other process started, by the host's clock
+     * @return true when the owner is the younger one
+     */
+    public boolean isOwnerYoungerThan(long startedAtMillis) {
+        return ownerStartedAtMillis > startedAtMillis;
+    }
+
     /**
      * Returns the number from which on every ownership record is the owner's.
      *
