--- a/core/src/main/java/org/tamaracktrack/core/config/ConfigurationRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/config/ConfigurationRegister.java
@@ -96,6 +96,15 @@
         return !started;
     }
 
+    /**
+     * Returns whether every record there was has been read, and the log could be read last.
+     *
+     * @return true when the log is followed
+     */
+    public boolean isFollowing() {
+        return following;
+    }
+
     /**
      * Returns a snapshot of what the log shows to be in force, for others to start from.
      *
--- a/core/src/test/java/org/tamaracktrack/core/config/RegisterDocuments.java
+++ b/core/src/test/java/org/tamaracktrack/core/config/RegisterDocuments.java
@@ -20,9 +20,9 @@
         if (document.equals(BROKEN)) {
             throw TamaracktrackException.of(ErrorCode.INVALID_CONFIGURATION, "broken");
         }
-        Map<String, Object> tree = SampleDocument.tree();
+        Map<String, Object> tree = smallest();
         if (document.startsWith(INVALID)) {
-            tree.remove("classes");
+            tree.remove("moveCost");
         }
         if (document.startsWith(LATER_FORMAT)) {
             tree.put("format", ConfigurationReader.FORMAT + 1);
@@ -30,6 +30,30 @@
         return tree;
     }
 
+    private static Map<String, Object> smallest() {
+        return SampleDocument.map(
+                "moveCost",
+                0,
+                "idempotencyWindowMillis",
+                600_000,
+                "weightStore",
+                SampleDocument.map("loadsPerSecond", 1, "concurrentLoads", 1),
+                "classes",
+                SampleDocument.map(
+                        "only",
+                        SampleDocument.map(
+                                "firstTokenMillis",
+                                1,
+                                "betweenTokensMillis",
+                                1,
+                                "totalMillis",
+                                1,
+                                "weight",
+                                1,
+                                "queueLimit",
+                                1)));
+    }
+
     static LogRecord publication(long offset, String id, long basedOn, String document) {
         return LogRecord.of(
                 offset,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/configuration/FollowedConfiguration.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/configuration/FollowedConfiguration.java
@@ -26,23 +26,22 @@
     private final List<Consumer<Versioned>> listeners = new ArrayList<>();
     private final List<Consumer<ConfigurationEvent>> eventListeners = new ArrayList<>();
     private LogFollower follower;
-    private boolean readable = true;
     private volatile Optional<Versioned> current = Optional.empty();
-    private volatile Status status = new Status(-1, false, true, false, 0);
+    private volatile Status status = new Status(-1, false, false, false, 0);
 
     /**
      * How this daemon stands to the configuration stream.
      *
      * @param version the version in force, -1 for none
      * @param confirmed whether it was read from the log, and not only offered by a peer
-     * @param logReadable whether the log could be read the last time
+     * @param following whether every record there was has been read, and the log could be read last
      * @param awaitsSnapshot whether records expired unread, so that a snapshot is needed
      * @param nextOffset the offset of the next record
      */
     public record Status(
             long version,
             boolean confirmed,
-            boolean logReadable,
+            boolean following,
             boolean awaitsSnapshot,
             long nextOffset) {}
 
@@ -122,7 +121,7 @@
                 new Status(
                         inForce.map(InForce::version).orElse(-1L),
                         inForce.filter(InForce::confirmed).isPresent(),
-                        readable,
+                        register.isFollowing(),
                         register.awaitsSnapshot(),
                         register.nextOffset());
         Optional<Versioned> before = current;
@@ -170,7 +169,6 @@
 
         @Override
         public void onReachable(boolean reachable) {
-            readable = reachable;
             if (!reachable) {
                 register.unreachable();
             }
