Ask peers for the configuration while the log is out

Cause: a daemon that starts during an outage of the log has no configuration and no one to ask. Ruled out: taking a peer's word while the log can be followed (a peer may be behind). Change: one place answers and sends queries; an asker that runs while the log is not followed, started with the daemon; tests of the followed configuration with gaps, peers and expired records.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
@@ -12,6 +12,7 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.IncarnationId;
 import org.tamaracktrack.daemon.configuration.FollowedConfiguration;
+import org.tamaracktrack.daemon.configuration.PeerAsker;
 import org.tamaracktrack.daemon.entry.EntryRole;
 import org.tamaracktrack.daemon.operations.HttpFront;
 import org.tamaracktrack.daemon.operations.OperationsHandler;
@@ -22,6 +23,7 @@
 import org.tamaracktrack.daemon.settings.IpAddresses;
 import org.tamaracktrack.daemon.settings.Settings;
 import org.tamaracktrack.daemon.target.TargetRole;
+import org.tamaracktrack.link.frame.FrameTransport;
 import org.tamaracktrack.link.frame.XnioFrameTransport;
 import org.tamaracktrack.link.hosts.HttpHostListClient;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -73,16 +75,19 @@
         ControlThread control = ControlThread.of("control");
         HttpCaller http = UndertowHttpCaller.of();
         LogClient log = HttpLogClient.of(http, settings.logAddress());
+        FrameTransport transport = XnioFrameTransport.of(settings.sharedSecret());
+        FollowedConfiguration configuration = FollowedConfiguration.start(log, control);
+        PeerAsker.start(configuration, transport, control, settings.peers());
         return new DaemonRuntime(
                 settings,
                 incarnation,
                 control,
                 log,
                 settings.hostListAddress().map(address -> HttpHostListClient.of(http, address)),
-                XnioFrameTransport.of(settings.sharedSecret()),
+                transport,
                 http,
                 new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
-                FollowedConfiguration.start(log, control));
+                configuration);
     }
 
     private static HttpFront front(DaemonRuntime runtime, DaemonRole role, HttpHandler next) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/configuration/FollowedConfiguration.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/configuration/FollowedConfiguration.java
@@ -106,11 +106,7 @@
         control.post(() -> apply(register.offer(version, document)));
     }
 
-    /**
-     * Returns a snapshot for the log. For the control thread.
-     *
-     * @return the snapshot; empty when this daemon does not know enough to write one
-     */
+    @Override
     public Optional<ConfigurationSnapshot> snapshot() {
         return register.snapshot();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/configuration/ExpiringLog.java
@@ -0,0 +1,61 @@
+package org.tamaracktrack.daemon.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.log.LogEntry;
+import org.tamaracktrack.core.log.LogRecord;
+import org.tamaracktrack.core.log.LogStream;
+import org.tamaracktrack.link.log.LogClient;
+
+/** The configuration stream in memory; it can be out, and its records can expire. */
+final class ExpiringLog implements LogClient {
+    private final List<LogRecord> records = new ArrayList<>();
+    private long firstOffset;
+    private boolean out;
+
+    synchronized void setOut(boolean value) {
+        out = value;
+        notifyAll();
+    }
+
+    synchronized void expireBefore(long offset) {
+        firstOffset = offset;
+        notifyAll();
+    }
+
+    synchronized List<LogRecord> records() {
+        return List.copyOf(records);
+    }
+
+    @Override
+    public synchronized Appended append(LogStream stream, LogEntry entry) {
+        checkReachable();
+        records.add(LogRecord.of(records.size(), records.size(), entry));
+        notifyAll();
+        return new Appended(records.size() - 1, records.size() - 1);
+    }
+
+    @Override
+    public synchronized Batch read(LogStream stream, long from, int maximum, long waitMillis) {
+        checkReachable();
+        if (records.size() <= from) {
+            try {
+                wait(waitMillis);
+            } catch (InterruptedException closed) {
+                Thread.currentThread().interrupt();
+            }
+            checkReachable();
+        }
+        List<LogRecord> found =
+                records.stream().skip(Math.max(from, firstOffset)).limit(maximum).toList();
+        return new Batch(firstOffset, records.size(), found, List.of());
+    }
+
+    private void checkReachable() {
+        if (out) {
+            throw TamaracktrackException.of(ErrorCode.LOG_UNAVAILABLE, "out");
+        }
+    }
+}
