Run the whole system as processes, and check answers as a caller

Cause: end-to-end tests and bin/local need real processes that can be killed and paused. Change: bench.stack starts stand-ins, daemons and the operators' tool as JVMs on loopback; bench.caller checks that an answer is whole and its own; bin/local.

--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/caller/AnswerCheck.java
@@ -0,0 +1,146 @@
+package org.tamaracktrack.bench.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.tamaracktrack.link.codec.Codecs;
+import org.tamaracktrack.standins.engine.AnswerText;
+import org.tamaracktrack.standins.http.Sha256;
+
+/** Decides whether an answer is whole and the answer to the request. */
+public final class AnswerCheck {
+    private static final int OK = 200;
+    private static final String DATA = "data: ";
+    private static final String DONE = "[DONE]";
+
+    private AnswerCheck() {}
+
+    /**
+     * Checks the answer of a model.
+     *
+     * @param request what was asked
+     * @param status the HTTP status
+     * @param body the body as it came
+     * @return what the caller got
+     */
+    public static Outcome check(ModelRequest request, int status, byte[] body) {
+        if (status != OK) {
+            return error(body);
+        }
+        boolean good = request.stream() ? stream(request, body) : whole(request, body);
+        return good ? Outcome.WHOLE : Outcome.WRONG;
+    }
+
+    /**
+     * Checks the answer of a plain service.
+     *
+     * @param request what was asked
+     * @param status the HTTP status
+     * @param body the body as it came
+     * @return what the caller got
+     */
+    public static Outcome check(ServiceRequest request, int status, byte[] body) {
+        if (status != OK) {
+            return error(body);
+        }
+        boolean good =
+                json(body)
+                        .filter(answer -> text(answer, "service").equals(request.service()))
+                        .filter(answer -> text(answer, "method").equals(request.method()))
+                        .filter(answer -> text(answer, "path").equals(request.path()))
+                        .filter(
+                                answer ->
+                                        text(answer, "body_sha256")
+                                                .equals(Sha256.hex(request.body())))
+                        .isPresent();
+        return good ? Outcome.WHOLE : Outcome.WRONG;
+    }
+
+    /**
+     * Returns the code of an error.
+     *
+     * @param body the body as it came
+     * @return the code, or empty
+     */
+    public static String code(byte[] body) {
+        return json(body).map(answer -> answer.at("/error/code").asText("")).orElse("");
+    }
+
+    private static Outcome error(byte[] body) {
+        String ran = json(body).map(answer -> answer.at("/error/ran").asText("")).orElse("");
+        return ran.equals("no") ? Outcome.NOT_RUN : Outcome.MAY_HAVE_RUN;
+    }
+
+    private static boolean whole(ModelRequest request, byte[] body) {
+        return json(body)
+                .filter(answer -> own(request, answer))
+                .filter(
+                        answer ->
+                                answer.at("/choices/0/message/content")
+                                        .asText()
+                                        .equals(expected(request)))
+                .filter(answer -> used(request, answer))
+                .isPresent();
+    }
+
+    private static boolean stream(ModelRequest request, byte[] body) {
+        List<String> events =
+                Arrays.stream(new String(body, StandardCharsets.UTF_8).split("\n\n"))
+                        .filter(event -> event.startsWith(DATA))
+                        .map(event -> event.substring(DATA.length()))
+                        .toList();
+        if (events.isEmpty() || !events.get(events.size() - 1).equals(DONE)) {
+            return false;
+        }
+        List<Optional<JsonNode>> answers =
+                events.stream()
+                        .limit(events.size() - 1L)
+                        .map(event -> json(event.getBytes(StandardCharsets.UTF_8)))
+                        .toList();
+        String text =
+                answers.stream()
+                        .flatMap(Optional::stream)
+                        .filter(answer -> own(request, answer))
+                        .map(answer -> answer.at("/choices/0/delta/content").asText())
+                        .collect(Collectors.joining());
+        return text.equals(expected(request))
+                && answers.get(answers.size() - 1)
+                        .filter(answer -> used(request, answer))
+                        .isPresent();
+    }
+
+    private static String expected(ModelRequest request) {
+        String hash = request.promptHash();
+        return IntStream.range(0, request.tokens())
+                .mapToObj(index -> AnswerText.token(hash, index))
+                .collect(Collectors.joining());
+    }
+
+    private static boolean own(ModelRequest request, JsonNode answer) {
+        return text(answer, "model").equals(request.model())
+                && text(answer, "adapter").equals(request.adapter().orElse(""))
+                && text(answer, "prompt_sha256").equals(request.promptHash());
+    }
+
+    private static boolean used(ModelRequest request, JsonNode answer) {
+        return answer.at("/usage/completion_tokens").asInt() == request.tokens();
+    }
+
+    private static String text(JsonNode answer, String field) {
+        JsonNode value = answer.get(field);
+        return value == null || value.isNull() ? "" : value.asText();
+    }
+
+    private static Optional<JsonNode> json(byte[] body) {
+        try {
+            return Optional.ofNullable(Codecs.json().readTree(body));
+        } catch (IOException wrong) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/caller/Caller.java
@@ -0,0 +1,107 @@
+package org.tamaracktrack.bench.caller;
+
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+
+/** Sends requests and checks what comes back. Safe for use by several threads. */
+public final class Caller {
+    private static final Duration CONNECT_LIMIT = Duration.ofSeconds(5);
+
+    private final HttpClient client;
+
+    private Caller(HttpClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Returns a caller.
+     *
+     * @return the caller
+     */
+    public static Caller of() {
+        return new Caller(
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(CONNECT_LIMIT)
+                        .build());
+    }
+
+    /**
+     * Sends a request to a model.
+     *
+     * @param address IP number and port of the server
+     * @param request the request
+     * @return what the caller saw
+     */
+    public CompletableFuture<Observation> send(String address, ModelRequest request) {
+        return send(address, request, () -> {});
+    }
+
+    /**
+     * Sends a request to a model.
+     *
+     * @param address IP number and port of the server
+     * @param request the request
+     * @param onFirstByte runs when the first byte of the body has come
+     * @return what the caller saw
+     */
+    public CompletableFuture<Observation> send(
+            String address, ModelRequest request, Runnable onFirstByte) {
+        Objects.requireNonNull(request, "request is null");
+        return send(
+                request.toHttp(address),
+                onFirstByte,
+                (status, body) -> AnswerCheck.check(request, status, body));
+    }
+
+    /**
+     * Calls a plain service.
+     *
+     * @param address IP number and port of the server
+     * @param request the call
+     * @return what the caller saw
+     */
+    public CompletableFuture<Observation> send(String address, ServiceRequest request) {
+        Objects.requireNonNull(request, "request is null");
+        return send(
+                request.toHttp(address),
+                () -> {},
+                (status, body) -> AnswerCheck.check(request, status, body));
+    }
+
+    private CompletableFuture<Observation> send(
+            HttpRequest request, Runnable onFirstByte, BiFunction<Integer, byte[], Outcome> check) {
+        long start = System.nanoTime();
+        return client.sendAsync(request, head -> new TimedBody(onFirstByte))
+                .handle(
+                        (answer, failure) ->
+                                failure == null
+                                        ? answered(start, answer, check)
+                                        : broken(start, failure));
+    }
+
+    private static Observation answered(
+            long start,
+            HttpResponse<TimedBody.Body> answer,
+            BiFunction<Integer, byte[], Outcome> check) {
+        long end = System.nanoTime();
+        byte[] body = answer.body().bytes();
+        Outcome outcome = check.apply(answer.statusCode(), body);
+        String code = outcome == Outcome.WHOLE ? "" : AnswerCheck.code(body);
+        long firstByte = answer.body().firstByteNanos();
+        return new Observation(
+                outcome, answer.statusCode(), code, start, firstByte == 0 ? end : firstByte, end);
+    }
+
+    private static Observation broken(long start, Throwable failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        long end = System.nanoTime();
+        String code = cause.getClass().getSimpleName();
+        return new Observation(Outcome.BROKEN, 0, code, start, end, end);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/caller/TimedBody.java
@@ -0,0 +1,50 @@
+package org.tamaracktrack.bench.caller;
+
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Flow;
+
+/** Collects a body and notes when its first byte came. */
+final class TimedBody implements HttpResponse.BodySubscriber<TimedBody.Body> {
+    private final HttpResponse.BodySubscriber<byte[]> bytes =
+            HttpResponse.BodySubscribers.ofByteArray();
+    private final Runnable onFirstByte;
+    private volatile long firstByteNanos;
+
+    TimedBody(Runnable onFirstByte) {
+        this.onFirstByte = onFirstByte;
+    }
+
+    record Body(byte[] bytes, long firstByteNanos) {}
+
+    @Override
+    public CompletionStage<Body> getBody() {
+        return bytes.getBody().thenApply(all -> new Body(all, firstByteNanos));
+    }
+
+    @Override
+    public void onSubscribe(Flow.Subscription subscription) {
+        bytes.onSubscribe(subscription);
+    }
+
+    @Override
+    public void onNext(List<ByteBuffer> part) {
+        if (firstByteNanos == 0) {
+            firstByteNanos = System.nanoTime();
+            onFirstByte.run();
+        }
+        bytes.onNext(part);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+        bytes.onError(failure);
+    }
+
+    @Override
+    public void onComplete() {
+        bytes.onComplete();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/local/LocalRun.java
@@ -0,0 +1,178 @@
+package org.tamaracktrack.bench.local;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.tamaracktrack.bench.caller.Caller;
+import org.tamaracktrack.bench.caller.CallerKey;
+import org.tamaracktrack.bench.caller.ModelRequest;
+import org.tamaracktrack.bench.caller.Observation;
+import org.tamaracktrack.bench.caller.Outcome;
+import org.tamaracktrack.bench.caller.ServiceRequest;
+import org.tamaracktrack.bench.stack.CommandResult;
+import org.tamaracktrack.bench.stack.LocalStack;
+import org.tamaracktrack.bench.stack.SampleAccounts;
+import org.tamaracktrack.bench.stack.StackPlan;
+
+/** Starts the sample system, and either stays or tries everything once. */
+public final class LocalRun {
+    private static final int STREAMED_TOKENS = 12;
+
+    private final Path root;
+    private final PrintStream out;
+    private final Caller caller = Caller.of();
+
+    private LocalRun(Path root, PrintStream out) {
+        this.root = root;
+        this.out = out;
+    }
+
+    /**
+     * Returns a run.
+     *
+     * @param root the directory of the project
+     * @param out where to print
+     * @return the run
+     */
+    public static LocalRun of(Path root, PrintStream out) {
+        Objects.requireNonNull(root, "root is null");
+        Objects.requireNonNull(out, "out is null");
+        return new LocalRun(root, out);
+    }
+
+    /**
+     * Runs it.
+     *
+     * @param once whether to try everything and stop; otherwise it stays until interrupted
+     * @return the exit status: 0 when every answer was whole and its own and every stop graceful
+     */
+    public int run(boolean once) {
+        out.println("Starting stand-ins, two entry daemons and four target daemons ...");
+        try (LocalStack stack = LocalStack.start(StackPlan.sample(root, root.resolve(".local")))) {
+            printAddresses(stack);
+            if (!once) {
+                stay();
+                return 0;
+            }
+            boolean answered = tryEverything(stack);
+            printReports(stack);
+            boolean graceful = stop(stack);
+            boolean fitted = checkMemory(stack);
+            out.println(answered && graceful && fitted ? "All well." : "NOT all well.");
+            return answered && graceful && fitted ? 0 : 1;
+        }
+    }
+
+    private void printAddresses(LocalStack stack) {
+        stack.entries()
+                .forEach(entry -> out.println("Callers: http://" + entry.httpAddress() + "/v1"));
+        out.println("Operators: --log-address " + stack.log().address());
+        out.println();
+        out.println("  curl http://" + stack.entry(0).httpAddress() + "/v1/chat/completions \\");
+        out.println("    -H 'Authorization: Bearer " + SampleAccounts.CEVALLOS.key() + "' \\");
+        out.println("    -H 'Content-Type: application/json' \\");
+        out.println(
+                "    -d '{\"model\":\"order-reader\",\"messages\":"
+                        + "[{\"role\":\"user\",\"content\":\"Read order 17\"}]}'");
+        out.println();
+    }
+
+    private void stay() {
+        out.println("Running until interrupted (Ctrl-C).");
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean tryEverything(LocalStack stack) {
+        List<Boolean> good = new ArrayList<>();
+        stack.entries()
+                .forEach(
+                        entry -> {
+                            String address = entry.httpAddress();
+                            String prompt = "Request through " + entry.program().name();
+                            requests(prompt).forEach(r -> good.add(tryModel(address, r)));
+                            calls(prompt).forEach(call -> good.add(tryService(address, call)));
+                        });
+        return good.stream().allMatch(Boolean::booleanValue);
+    }
+
+    private static List<ModelRequest> requests(String prompt) {
+        List<ModelRequest> requests = new ArrayList<>(SampleAccounts.toEveryModel(prompt));
+        SampleAccounts.toEveryModel(prompt + ", streamed").stream()
+                .map(request -> request.streamed(STREAMED_TOKENS))
+                .forEach(requests::add);
+        requests.add(
+                ModelRequest.of(SampleAccounts.CEVALLOS, "order-reader", prompt + ", adapted")
+                        .withAdapter("quito-north"));
+        requests.add(
+                ModelRequest.of(SampleAccounts.CEVALLOS, "note-writer", prompt + ", once")
+                        .once(Optional.of("key of " + prompt)));
+        return requests;
+    }
+
+    private static List<ServiceRequest> calls(String prompt) {
+        CallerKey caller = SampleAccounts.KTIMATOLOGOS;
+        return List.of(
+                SampleAccounts.toService(caller, "GET", "", Optional.empty()),
+                SampleAccounts.toService(caller, "POST", prompt, Optional.empty()),
+                SampleAccounts.toService(caller, "POST", prompt, Optional.of("key of " + prompt)));
+    }
+
+    private boolean tryModel(String address, ModelRequest request) {
+        Observation seen = caller.send(address, request).join();
+        String adapter = request.adapter().map(name -> "+" + name).orElse("");
+        print(request.caller(), request.model() + adapter, seen);
+        return seen.outcome() == Outcome.WHOLE;
+    }
+
+    private boolean tryService(String address, ServiceRequest request) {
+        Observation seen = caller.send(address, request).join();
+        print(request.caller(), request.method() + " " + request.service(), seen);
+        return seen.outcome() == Outcome.WHOLE;
+    }
+
+    private void print(CallerKey account, String what, Observation seen) {
+        out.printf(
+                "%-13s %-26s %-12s %s %s %.1f ms%n",
+                account.account(),
+                what,
+                seen.outcome(),
+                seen.status(),
+                seen.code(),
+                seen.totalMillis());
+    }
+
+    private void printReports(LocalStack stack) {
+        List.of("report", "moves")
+                .forEach(
+                        command -> {
+                            CommandResult result = stack.command(command);
+                            out.println();
+                            out.println(command + " (exit " + result.status() + ")");
+                            out.println(result.output());
+                        });
+    }
+
+    private boolean stop(LocalStack stack) {
+        Map<String, Integer> statuses = stack.stopDaemons();
+        out.println("Exit statuses after SIGTERM: " + statuses);
+        return statuses.values().stream().allMatch(status -> status == 0);
+    }
+
+    private boolean checkMemory(LocalStack stack) {
+        int overcommits =
+                stack.engines().values().stream()
+                        .mapToInt(engine -> engine.ask("/control/state").get("overcommits").asInt())
+                        .sum();
+        out.println("Orders that overcommitted memory: " + overcommits);
+        return overcommits == 0;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/local/package-info.java
@@ -0,0 +1,2 @@
+/** The command that shows the whole system at work. */
+package org.tamaracktrack.bench.local;
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
@@ -0,0 +1,81 @@
+package org.tamaracktrack.bench.stack;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
+
+/**
+ * What to start.
+ *
+ * @param directory where the output of the processes goes
+ * @param document the configuration to publish
+ * @param targets the targets
+ * @param entryDataCentres the data centre of each entry daemon
+ * @param logFlags flags for the log
+ * @param weightFlags flags for the weight store
+ * @param entryFlags further flags for entry daemons
+ * @param targetFlags further flags for target daemons
+ */
+public record StackPlan(
+        Path directory,
+        Path document,
+        List<TargetPlan> targets,
+        List<String> entryDataCentres,
+        List<String> logFlags,
+        List<String> weightFlags,
+        List<String> entryFlags,
+        List<String> targetFlags) {
+
+    /** Checks the arguments. */
+    public StackPlan {
+        Objects.requireNonNull(directory, "directory is null");
+        Objects.requireNonNull(document, "document is null");
+        targets = List.copyOf(targets);
+        entryDataCentres = List.copyOf(entryDataCentres);
+        logFlags = List.copyOf(logFlags);
+        weightFlags = List.copyOf(weightFlags);
+        entryFlags = List.copyOf(entryFlags);
+        targetFlags = List.copyOf(targetFlags);
+    }
+
+    /**
+     * Returns the plan for the sample configuration: three engines and one plain service.
+     *
+     * @param root the directory of the project
+     * @param directory where the output of the processes goes
+     * @return the plan
+     */
+    public static StackPlan sample(Path root, Path directory) {
+        List<String> engine =
+                List.of(
+                        "--accelerator", "a0=24576",
+                        "--cache-mebibytes", "4096",
+                        "--concurrency", "8",
+                        "--token-millis", "4");
+        List<String> checking =
+                Stream.concat(engine.stream(), Stream.of("--checks-fencing")).toList();
+        return new StackPlan(
+                directory,
+                root.resolve("docs/sample-configuration.yaml"),
+                List.of(
+                        new TargetPlan(
+                                "engine-1", "host-1", "quito-1", "engine", "engineOne", checking),
+                        new TargetPlan(
+                                "engine-2", "host-2", "quito-1", "engine", "engineTwo", checking),
+                        new TargetPlan(
+                                "engine-3", "host-3", "quito-2", "engine", "engineThree", engine),
+                        new TargetPlan(
+                                "service-1",
+                                "host-4",
+                                "quito-2",
+                                "service",
+                                "serviceOne",
+                                List.of("--name", "order-book"))),
+                List.of("quito-1", "quito-2"),
+                List.of(),
+                List.of("--mebibytes-per-second", "20000"),
+                List.of("--balancer-lag-millis", "300", "--report-millis", "500"),
+                List.of("--report-millis", "500"));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the whole system as separate processes on one machine. */
+package org.tamaracktrack.bench.stack;
