--- a/bench/src/main/java/org/tamaracktrack/bench/stack/LocalStack.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/LocalStack.java
@@ -318,8 +318,21 @@
      * @return the stand-ins
      */
     public Map<String, StandInProcess> engines() {
+        return ofKind("engine");
+    }
+
+    /**
+     * Returns the plain services by target.
+     *
+     * @return the stand-ins
+     */
+    public Map<String, StandInProcess> services() {
+        return ofKind("service");
+    }
+
+    private Map<String, StandInProcess> ofKind(String kind) {
         return plan.targets().stream()
-                .filter(target -> target.kind().equals("engine"))
+                .filter(target -> target.kind().equals(kind))
                 .collect(Collectors.toMap(TargetPlan::name, target -> standIn(target.name())));
     }
 
--- a/standins/src/main/java/org/tamaracktrack/standins/engine/CompletionHandler.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/engine/CompletionHandler.java
@@ -21,6 +21,7 @@
     private final Batcher batcher;
     private final PrefixCache prefixes;
     private final RunCounter runs;
+    private final RunCounter byPrompt;
     private final Gate gate;
     private final AnswerCutter cutter;
 
@@ -29,12 +30,14 @@
             Batcher batcher,
             PrefixCache prefixes,
             RunCounter runs,
+            RunCounter byPrompt,
             Gate gate,
             AnswerCutter cutter) {
         this.memory = memory;
         this.batcher = batcher;
         this.prefixes = prefixes;
         this.runs = runs;
+        this.byPrompt = byPrompt;
         this.gate = gate;
         this.cutter = cutter;
     }
@@ -50,6 +53,7 @@
         @Override
         public void onStarted() {
             runs.count(call.requestId());
+            byPrompt.count(call.promptHash());
         }
 
         @Override
--- a/standins/src/main/java/org/tamaracktrack/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/engine/EngineStandIn.java
@@ -20,6 +20,7 @@
     private final Gate gate;
     private final AnswerCutter cutter = new AnswerCutter();
     private final RunCounter runs = new RunCounter();
+    private final RunCounter byPrompt = new RunCounter();
     private final OrderHandler orders;
     private final CompletionHandler completions;
     private volatile long loadLagMillis;
@@ -39,7 +40,8 @@
         this.gate = gate;
         this.loadLagMillis = loadLagMillis;
         this.orders = new OrderHandler(memory, orderBook, batcher, weights, unloadMillis, gate);
-        this.completions = new CompletionHandler(memory, batcher, prefixes, runs, gate, cutter);
+        this.completions =
+                new CompletionHandler(memory, batcher, prefixes, runs, byPrompt, gate, cutter);
     }
 
     /**
@@ -87,6 +89,7 @@
     public HttpHandler control() {
         return Handlers.routing()
                 .put("/control/orders", orders::setFaults)
+                .get("/control/orders", orders::showWaiting)
                 .put("/control/freeze", this::freeze)
                 .put("/control/cut", this::cut)
                 .put("/control/load-lag", this::setLoadLag)
@@ -129,6 +132,6 @@
     }
 
     private void runs(HttpServerExchange exchange) throws IOException {
-        Answers.json(exchange, 200, Map.of("runs", runs.runs()));
+        Answers.json(exchange, 200, Map.of("runs", runs.runs(), "byPrompt", byPrompt.runs()));
     }
 }
--- a/standins/src/main/java/org/tamaracktrack/standins/engine/OrderHandler.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/engine/OrderHandler.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.tamaracktrack.standins.http.Answers;
 import org.tamaracktrack.standins.http.Gate;
 
@@ -31,6 +32,7 @@
                         thread.setDaemon(true);
                         return thread;
                     });
+    private final AtomicInteger onTheirWay = new AtomicInteger();
     private volatile String role = "serve";
 
     OrderHandler(
@@ -62,6 +64,10 @@
         Answers.json(exchange, 200, Map.of());
     }
 
+    void showWaiting(HttpServerExchange exchange) throws IOException {
+        Answers.json(exchange, 200, Map.of("onTheirWay", onTheirWay.get()));
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) throws Exception {
         EngineOrder order = Answers.body(exchange, EngineOrder.class);
@@ -88,10 +94,16 @@
 
     private void arriveLate(EngineOrder order, int arrivals, long delayMillis) {
         for (int arrival = 0; arrival < arrivals; arrival++) {
-            executor.schedule(() -> arrive(order), delayMillis, TimeUnit.MILLISECONDS);
+            onTheirWay.incrementAndGet();
+            executor.schedule(() -> arriveAtLast(order), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void arriveAtLast(EngineOrder order) {
+        arrive(order);
+        onTheirWay.decrementAndGet();
+    }
+
     private void arriveNow(HttpServerExchange exchange, EngineOrder order, int arrivals)
             throws IOException {
         Refusal refusal = arrive(order);
--- a/standins/src/main/java/org/tamaracktrack/standins/service/ServiceStandIn.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/service/ServiceStandIn.java
@@ -26,6 +26,7 @@
     private final String name;
     private final RunCounter byRequest = new RunCounter();
     private final RunCounter byKey = new RunCounter();
+    private final RunCounter byBody = new RunCounter();
     private final Gate gate = new Gate();
     private final AnswerCutter cutter = new AnswerCutter();
     private volatile long delayMillis;
@@ -65,6 +66,7 @@
         gate.pass();
         int run = Answers.header(exchange, REQUEST_ID).map(byRequest::count).orElse(1);
         Answers.header(exchange, IDEMPOTENCY_KEY).ifPresent(byKey::count);
+        byBody.count(Sha256.hex(body));
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(delayMillis));
         gate.pass();
         send(exchange, answer(exchange, body, run));
@@ -112,6 +114,12 @@
     }
 
     private void runs(HttpServerExchange exchange) throws IOException {
-        Answers.json(exchange, 200, Map.of("runs", byRequest.runs(), "byKey", byKey.runs()));
+        Answers.json(
+                exchange,
+                200,
+                Map.of(
+                        "runs", byRequest.runs(),
+                        "byKey", byKey.runs(),
+                        "byBody", byBody.runs()));
     }
 }
