--- /dev/null
+++ b/bench/src/test/java/org/tamaracktrack/bench/endtoend/HealthyStack.java
@@ -0,0 +1,119 @@
+package org.tamaracktrack.bench.endtoend;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.extension.AfterEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.ParameterContext;
+import org.junit.jupiter.api.extension.ParameterResolver;
+import org.tamaracktrack.bench.caller.Caller;
+import org.tamaracktrack.bench.caller.ModelRequest;
+import org.tamaracktrack.bench.caller.Outcome;
+import org.tamaracktrack.bench.stack.LocalStack;
+import org.tamaracktrack.bench.stack.SampleAccounts;
+import org.tamaracktrack.bench.stack.StackPlan;
+import org.tamaracktrack.bench.stack.Waiting;
+
+/** One sample system for all end-to-end tests, healed after each. */
+final class HealthyStack implements ParameterResolver, AfterEachCallback {
+    private static final Duration HEAL_LIMIT = Duration.ofSeconds(40);
+    private static final AtomicInteger PROMPTS = new AtomicInteger();
+
+    private record Holder(LocalStack stack) implements ExtensionContext.Store.CloseableResource {
+        @Override
+        public void close() {
+            stack.close();
+        }
+    }
+
+    static String newPrompt() {
+        return "prompt " + PROMPTS.incrementAndGet();
+    }
+
+    private static LocalStack stack(ExtensionContext context) {
+        return context.getRoot()
+                .getStore(ExtensionContext.Namespace.GLOBAL)
+                .getOrComputeIfAbsent(
+                        HealthyStack.class.getName(), key -> new Holder(start()), Holder.class)
+                .stack();
+    }
+
+    private static LocalStack start() {
+        LocalStack stack =
+                LocalStack.start(StackPlan.sample(Path.of(".."), Path.of("target", "stack")));
+        awaitEveryModel(stack);
+        return stack;
+    }
+
+    @Override
+    public boolean supportsParameter(ParameterContext parameter, ExtensionContext context) {
+        return parameter.getParameter().getType() == LocalStack.class;
+    }
+
+    @Override
+    public Object resolveParameter(ParameterContext parameter, ExtensionContext context) {
+        return stack(context);
+    }
+
+    @Override
+    public void afterEach(ExtensionContext context) {
+        LocalStack stack = stack(context);
+        stack.log().tell("/control/outage", "{\"on\":false}");
+        stack.engines()
+                .values()
+                .forEach(
+                        engine ->
+                                engine.tell(
+                                        "/control/orders",
+                                        "{\"lose\":0,\"delayMillis\":0,\"double\":0}"));
+        restartTheDead(stack);
+        stack.awaitReady();
+        awaitEveryModel(stack);
+    }
+
+    private static void restartTheDead(LocalStack stack) {
+        stack.targets()
+                .forEach(
+                        (name, daemon) -> {
+                            daemon.program().resume();
+                            if (!daemon.program().alive()) {
+                                stack.restartTarget(name);
+                            }
+                        });
+        for (int index = 0; index < stack.entries().size(); index++) {
+            stack.entry(index).program().resume();
+            if (!stack.entry(index).program().alive()) {
+                stack.restartEntry(index);
+            }
+        }
+    }
+
+    /** Waits until every model and the service answer through every entry daemon. */
+    static void awaitEveryModel(LocalStack stack) {
+        Caller caller = Caller.of();
+        stack.entries()
+                .forEach(
+                        entry ->
+                                requests()
+                                        .forEach(
+                                                request ->
+                                                        Waiting.until(
+                                                                request.model() + " answers",
+                                                                HEAL_LIMIT,
+                                                                () ->
+                                                                        whole(
+                                                                                caller,
+                                                                                entry.httpAddress(),
+                                                                                request))));
+    }
+
+    private static List<ModelRequest> requests() {
+        return SampleAccounts.toEveryModel(newPrompt());
+    }
+
+    private static boolean whole(Caller caller, String address, ModelRequest request) {
+        return caller.send(address, request).join().outcome() == Outcome.WHOLE;
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/tamaracktrack/bench/endtoend/PathTest.java
@@ -0,0 +1,143 @@
+package org.tamaracktrack.bench.endtoend;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.tamaracktrack.bench.caller.Caller;
+import org.tamaracktrack.bench.caller.CallerKey;
+import org.tamaracktrack.bench.caller.ModelRequest;
+import org.tamaracktrack.bench.caller.Observation;
+import org.tamaracktrack.bench.caller.Outcome;
+import org.tamaracktrack.bench.caller.ServiceRequest;
+import org.tamaracktrack.bench.stack.LocalStack;
+import org.tamaracktrack.bench.stack.RunBook;
+import org.tamaracktrack.bench.stack.SampleAccounts;
+import org.tamaracktrack.standins.http.Sha256;
+
+@Timeout(60)
+@ExtendWith(HealthyStack.class)
+class PathTest {
+    private final Caller caller = Caller.of();
+
+    private void assertWhole(String address, ModelRequest request) {
+        assertWithMessage("%s", request)
+                .that(caller.send(address, request).join().outcome())
+                .isEqualTo(Outcome.WHOLE);
+    }
+
+    @Nested
+    class Models {
+        @Test
+        void shouldAnswerEveryModelThroughEveryEntryDaemon(LocalStack stack) {
+            stack.entries()
+                    .forEach(
+                            entry ->
+                                    SampleAccounts.toEveryModel(HealthyStack.newPrompt())
+                                            .forEach(r -> assertWhole(entry.httpAddress(), r)));
+        }
+
+        @Test
+        void shouldStreamToTheEnd(LocalStack stack) {
+            SampleAccounts.toEveryModel(HealthyStack.newPrompt())
+                    .forEach(r -> assertWhole(stack.entry(0).httpAddress(), r.streamed(30)));
+        }
+
+        @Test
+        void shouldUseTheAdapterThatIsAskedFor(LocalStack stack) {
+            ModelRequest request =
+                    ModelRequest.of(
+                                    SampleAccounts.CEVALLOS,
+                                    "order-reader",
+                                    HealthyStack.newPrompt())
+                            .withAdapter("quito-south");
+            assertWhole(stack.entry(1).httpAddress(), request);
+        }
+
+        @Test
+        void shouldHideTheModelsOfOtherAccounts(LocalStack stack) {
+            ModelRequest request =
+                    ModelRequest.of(
+                            SampleAccounts.CEVALLOS, "history-writer", HealthyStack.newPrompt());
+            Observation seen = caller.send(stack.entry(0).httpAddress(), request).join();
+            assertThat(seen.outcome()).isEqualTo(Outcome.NOT_RUN);
+            assertThat(seen.code()).isEqualTo("UNKNOWN_MODEL");
+        }
+
+        @Test
+        void shouldRefuseAWrongKey(LocalStack stack) {
+            ModelRequest request =
+                    ModelRequest.of(
+                            new CallerKey("cevallos", "wrong"),
+                            "order-reader",
+                            HealthyStack.newPrompt());
+            Observation seen = caller.send(stack.entry(0).httpAddress(), request).join();
+            assertThat(seen.status()).isEqualTo(401);
+        }
+    }
+
+    @Nested
+    class Services {
+        @Test
+        void shouldPassOnMethodPathAndBody(LocalStack stack) {
+            List.of("GET", "POST", "PUT", "DELETE")
+                    .forEach(
+                            method -> {
+                                String body = method.equals("GET") ? "" : HealthyStack.newPrompt();
+                                ServiceRequest call =
+                                        SampleAccounts.toService(
+                                                SampleAccounts.KTIMATOLOGOS,
+                                                method,
+                                                body,
+                                                Optional.empty());
+                                String address = stack.entry(0).httpAddress();
+                                assertWithMessage(method)
+                                        .that(caller.send(address, call).join().outcome())
+                                        .isEqualTo(Outcome.WHOLE);
+                            });
+        }
+    }
+
+    @Nested
+    class IdempotencyKeys {
+        @Test
+        void shouldRunOnceWhenTheSameKeyComesThroughTwoEntryDaemonsAtOnce(LocalStack stack) {
+            // A caller's library repeats a call through the balancer while the first attempt is
+            // still under way, so both entry daemons hold the same key at the same time. The
+            // first claim in the log wins; the other call is told so and is not run.
+            IntStream.range(0, 10).forEach(round -> assertRunsOnce(stack, "key-" + round));
+        }
+
+        private void assertRunsOnce(LocalStack stack, String key) {
+            ServiceRequest call =
+                    SampleAccounts.toService(
+                            SampleAccounts.CEVALLOS,
+                            "POST",
+                            HealthyStack.newPrompt(),
+                            Optional.of(key));
+            List<Observation> seen =
+                    stack.entries().stream()
+                            .map(entry -> caller.send(entry.httpAddress(), call))
+                            .toList()
+                            .stream()
+                            .map(future -> future.join())
+                            .toList();
+            assertThat(RunBook.of(stack).runsOf(Sha256.hex(call.body()))).isEqualTo(1);
+            assertWithMessage("%s", seen)
+                    .that(seen.stream().filter(s -> s.outcome() == Outcome.WHOLE).count())
+                    .isEqualTo(1);
+            assertThat(
+                            seen.stream()
+                                    .filter(s -> s.outcome() != Outcome.WHOLE)
+                                    .map(Observation::code)
+                                    .toList())
+                    .containsAnyOf("KEY_IN_USE", "KEY_ALREADY_RAN");
+        }
+    }
+}
