--- a/bench/src/main/java/org/tamaracktrack/bench/local/LocalRun.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/local/LocalRun.java
@@ -49,7 +49,8 @@
      * Runs it.
      *
      * @param once whether to try everything and stop; otherwise it stays until interrupted
-     * @return the exit status: 0 when every answer was whole and its own and every stop graceful
+     * @return the exit status: 0 when every answer was whole and its own, every report printed and
+     *     every stop graceful
      */
     public int run(boolean once) {
         out.println("Starting stand-ins, two entry daemons and four target daemons ...");
@@ -60,11 +61,12 @@
                 return 0;
             }
             boolean answered = tryEverything(stack);
-            printReports(stack);
+            boolean reported = printReports(stack);
             boolean graceful = stop(stack);
             boolean fitted = checkMemory(stack);
-            out.println(answered && graceful && fitted ? "All well." : "NOT all well.");
-            return answered && graceful && fitted ? 0 : 1;
+            boolean good = answered && reported && graceful && fitted;
+            out.println(good ? "All well." : "NOT all well.");
+            return good ? 0 : 1;
         }
     }
 
@@ -150,15 +152,13 @@
                 seen.totalMillis());
     }
 
-    private void printReports(LocalStack stack) {
-        List.of("report", "moves")
-                .forEach(
-                        command -> {
-                            CommandResult result = stack.command(command);
-                            out.println();
-                            out.println(command + " (exit " + result.status() + ")");
-                            out.println(result.output());
-                        });
+    private boolean printReports(LocalStack stack) {
+        return List.of("report", "moves").stream()
+                        .map(stack::command)
+                        .peek(result -> out.println(System.lineSeparator() + result.output()))
+                        .mapToInt(CommandResult::status)
+                        .sum()
+                == 0;
     }
 
     private boolean stop(LocalStack stack) {
