--- a/core/src/test/java/org/tamaracktrack/core/membership/MembershipTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/membership/MembershipTest.java
@@ -27,7 +27,12 @@
                 offset,
                 0,
                 new LogEntry.OwnershipTaken(
-                        TARGET, owner, HOST, DataCentreId.of("quito-1"), "127.0.0.1:" + offset));
+                        TARGET,
+                        owner,
+                        HOST,
+                        DataCentreId.of("quito-1"),
+                        "127.0.0.1:" + offset,
+                        offset));
     }
 
     @BeforeEach
