--- a/daemon/src/main/java/org/tamaracktrack/daemon/configuration/FollowedConfiguration.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/configuration/FollowedConfiguration.java
@@ -106,7 +106,11 @@
         control.post(() -> apply(register.offer(version, document)));
     }
 
-    @Override
+    /**
+     * Returns a snapshot of the configuration in force, to be appended before older records expire.
+     *
+     * @return the snapshot; empty while nothing was read from the log
+     */
     public Optional<ConfigurationSnapshot> snapshot() {
         return register.snapshot();
     }
