Keep a broken stream from looking whole, and let a newcomer in while the log is out

Cause: (1) on a connection that is closed after its answer (every connection while the daemon drains) Undertow marks the end of a body of unknown length by closing alone; a stream that was broken off then looked whole to the caller. Seen in DrainTest: 'expected data: 1, data: [DONE]; but was data: 1' and no error at the caller. (2) an entry daemon that starts during an outage of the log had its configuration from a peer and no target. Change: (1) a body of unknown length is always chunked; (2) OwnershipQuery and OwnershipOffer: entry daemons tell each other who owns which target; the log's offsets still decide. Ruled out: keeping connections persistent while draining, since callers would stay on a daemon that leaves.

--- a/core/src/main/java/org/tamaracktrack/core/membership/Membership.java
+++ b/core/src/main/java/org/tamaracktrack/core/membership/Membership.java
@@ -12,6 +12,7 @@
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.log.LogEntry;
 import org.tamaracktrack.core.log.LogRecord;
+import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.core.retry.Backoff;
 
 /**
@@ -55,6 +56,7 @@
     }
 
     private static final class Peer {
+        private LogEntry.OwnershipTaken taken;
         private IncarnationId owner;
         private HostId host;
         private String address;
@@ -70,10 +72,11 @@
             own(taken, offset);
         }
 
-        private void own(LogEntry.OwnershipTaken taken, long newOffset) {
-            owner = taken.owner();
-            host = taken.host();
-            address = taken.address();
+        private void own(LogEntry.OwnershipTaken newTaken, long newOffset) {
+            taken = newTaken;
+            owner = newTaken.owner();
+            host = newTaken.host();
+            address = newTaken.address();
             offset = newOffset;
             link = Link.CLOSED;
             announcedLeaving = false;
@@ -125,6 +128,36 @@
         return List.of(new MembershipAction.Retire(taken.target(), former));
     }
 
+    /**
+     * Returns what another daemon needs to know to reach the targets.
+     *
+     * @return the owner in force of each target
+     */
+    public List<Message.Owned> owned() {
+        return peers.entrySet().stream()
+                .map(
+                        entry ->
+                                new Message.Owned(
+                                        entry.getValue().offset,
+                                        entry.getValue().taken,
+                                        drains.getOrDefault(entry.getKey(), false)))
+                .collect(Collectors.toList());
+    }
+
+    /**
+     * Takes what another daemon knows, while the log can't be read. The log's own records, read
+     * later, go before it by their offsets.
+     *
+     * @param owned the owners that it knows
+     * @return what to do
+     */
+    public List<MembershipAction> offered(List<Message.Owned> owned) {
+        owned.forEach(each -> drains.putIfAbsent(each.taken().target(), each.draining()));
+        return owned.stream()
+                .flatMap(each -> taken(each.taken(), each.offset()).stream())
+                .collect(Collectors.toList());
+    }
+
     /**
      * The host list was read. While it can't be read, what it said last holds.
      *
--- a/core/src/main/java/org/tamaracktrack/core/message/Message.java
+++ b/core/src/main/java/org/tamaracktrack/core/message/Message.java
@@ -15,6 +15,7 @@
 import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.id.RequestClassId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.log.LogEntry;
 
 /** A message between two daemons. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -33,6 +34,8 @@
     @JsonSubTypes.Type(value = Message.Leaving.class, name = "leaving"),
     @JsonSubTypes.Type(value = Message.ConfigurationQuery.class, name = "configurationQuery"),
     @JsonSubTypes.Type(value = Message.ConfigurationOffer.class, name = "configurationOffer"),
+    @JsonSubTypes.Type(value = Message.OwnershipQuery.class, name = "ownershipQuery"),
+    @JsonSubTypes.Type(value = Message.OwnershipOffer.class, name = "ownershipOffer"),
 })
 public sealed interface Message {
 
@@ -214,6 +217,37 @@
      */
     record ConfigurationOffer(long version, String document) implements Message {}
 
+    /** Entry to entry: send what the ownership stream says, since the log can't be read. */
+    record OwnershipQuery() implements Message {}
+
+    /**
+     * Entry to entry: who owns which target.
+     *
+     * @param owned the owner in force of each target known at the sender
+     */
+    record OwnershipOffer(List<Owned> owned) implements Message {
+
+        /** Copies the list. */
+        public OwnershipOffer {
+            owned = List.copyOf(owned);
+        }
+    }
+
+    /**
+     * The owner in force of a target.
+     *
+     * @param offset the offset of the record
+     * @param taken the record
+     * @param draining whether an operator asked the target to leave
+     */
+    record Owned(long offset, LogEntry.OwnershipTaken taken, boolean draining) {
+
+        /** Checks the arguments. */
+        public Owned {
+            Objects.requireNonNull(taken, "taken is null");
+        }
+    }
+
     /**
      * A target's load at one moment.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
@@ -13,6 +13,7 @@
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.HostId;
+import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.log.LogStream;
 import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
@@ -86,8 +87,11 @@
                 runtime.transport()
                         .listen(
                                 runtime.settings().peerAddress(),
-                                ConfigurationPeers.of(
-                                        runtime.configuration(), runtime.incarnation()));
+                                EntryPeers.of(
+                                        runtime.configuration(),
+                                        runtime.incarnation(),
+                                        runtime.control(),
+                                        targets));
         this.duties = Duties.start(runtime, targets, placement);
         this.counters =
                 CounterPublisher.start(
@@ -122,7 +126,8 @@
                 runtime.log(),
                 LogStream.OWNERSHIP,
                 control,
-                RecordListener.of(LogStream.OWNERSHIP, targets::onOwnership));
+                OwnershipAsker.start(
+                        runtime.transport(), control, runtime.settings().peers(), targets));
         LogFollower.start(
                 runtime.log(),
                 LogStream.PLAN,
@@ -181,6 +186,11 @@
         return targets;
     }
 
+    /** Whether a target may get new work; for the control thread. */
+    boolean accepts(String target) {
+        return targets.accepts(TargetId.of(target));
+    }
+
     @Override
     public InetSocketAddress peerAddress() {
         return peerAddress;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
@@ -82,6 +82,10 @@
                 () -> runner.noTarget(attempt, ErrorCode.NO_TARGET, NO_TARGET_RETRY_MILLIS));
     }
 
+    boolean accepts(TargetId target) {
+        return membership.accepts(target, ControlThread.nowMillis());
+    }
+
     void ended(TargetId target) {
         table.ended(target);
     }
@@ -94,6 +98,14 @@
         carryOut(membership.handle(record));
     }
 
+    void onOwnershipOffered(List<Message.Owned> owned) {
+        carryOut(membership.offered(owned));
+    }
+
+    List<Message.Owned> owned() {
+        return membership.owned();
+    }
+
     void onPlan(LogRecord record) {
         plans.handle(record).ifPresent(plan -> table.plan(plan.placements()));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
@@ -9,6 +9,7 @@
 import org.tamaracktrack.core.id.IncarnationId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.message.Message;
+import org.tamaracktrack.daemon.configuration.ConfigurationAnswers;
 import org.tamaracktrack.daemon.configuration.ConfigurationSource;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.frame.Connection;
@@ -25,6 +26,7 @@
     private final ControlThread control;
     private final IncarnationId incarnation;
     private final ConfigurationSource configuration;
+    private final ConfigurationAnswers answers;
     private final EntryMetrics metrics;
     private TargetDirectory directory;
 
@@ -38,6 +40,7 @@
         this.control = control;
         this.incarnation = incarnation;
         this.configuration = configuration;
+        this.answers = ConfigurationAnswers.of(configuration);
         this.metrics = metrics;
     }
 
@@ -92,12 +95,11 @@
 
         @Override
         public void onMessage(Connection connection, Message message) {
+            if (answers.handle(connection, message)) {
+                return;
+            }
             if (message instanceof Message.Hello hello) {
                 onHello(connection, hello);
-            } else if (message instanceof Message.ConfigurationQuery query) {
-                answer(connection, query);
-            } else if (message instanceof Message.ConfigurationOffer offer) {
-                configuration.offer(offer.version(), offer.document());
             } else {
                 link.ifPresent(open -> onAnswer(open, message));
             }
@@ -116,17 +118,6 @@
             control.post(() -> directory.onOpened(opened));
         }
 
-        private void answer(Connection connection, Message.ConfigurationQuery query) {
-            configuration
-                    .current()
-                    .filter(current -> current.version() > query.haveVersion())
-                    .ifPresent(
-                            current ->
-                                    connection.send(
-                                            new Message.ConfigurationOffer(
-                                                    current.version(), current.document())));
-        }
-
         private void onAnswer(TargetLink open, Message message) {
             control.post(() -> directory.onHeard(open));
             if (message instanceof Message.Refused refused) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
@@ -119,6 +119,11 @@
     public void head(int status, Map<String, String> headers) {
         if (!done) {
             putHead(status, headers);
+            // On a connection that is closed after its answer Undertow marks the end of a body of
+            // unknown length by closing; a stream that broke would then look whole. Chunked, a
+            // missing last chunk shows.
+            exchange.getResponseHeaders()
+                    .put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/CallerHandlerTest.java
@@ -0,0 +1,190 @@
+package org.tamaracktrack.daemon.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.message.Message;
+
+@Timeout(60)
+class CallerHandlerTest {
+    private EntryFixture entry;
+
+    @BeforeEach
+    void start() {
+        entry = EntryFixture.start();
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+    }
+
+    private void assertRefused(HttpRequest.Builder request, ErrorCode code) {
+        HttpResponse<String> answer = entry.call(request);
+
+        assertThat(answer.body()).contains("\"code\":\"" + code + "\"");
+        assertThat(answer.body()).contains("\"ran\":\"no\"");
+        assertThat(answer.statusCode()).isEqualTo(code.status());
+    }
+
+    private static HttpRequest.BodyPublisher body(String text) {
+        return HttpRequest.BodyPublishers.ofString(text);
+    }
+
+    @Nested
+    class BadInput {
+        @Test
+        void shouldRefuseWhenTheKeyIsWrong() {
+            assertRefused(
+                    entry.completion("").setHeader("Authorization", "Bearer nobody"),
+                    ErrorCode.UNAUTHENTICATED);
+        }
+
+        @Test
+        void shouldRefuseWhenTheBodyIsMalformed() {
+            assertRefused(
+                    entry.request("/v1/completions").POST(body("{\"model\":")),
+                    ErrorCode.BAD_REQUEST);
+            assertRefused(
+                    entry.request("/v1/completions").POST(body("[1]")), ErrorCode.BAD_REQUEST);
+            assertRefused(
+                    entry.request("/v1/completions")
+                            .POST(body("{\"model\":\"approval\",\"max_tokens\":-1}")),
+                    ErrorCode.BAD_REQUEST);
+        }
+
+        @Test
+        void shouldRefuseWhenTheBodyIsTooLarge() {
+            assertRefused(
+                    entry.request("/v1/completions").POST(body("x".repeat(10_001))),
+                    ErrorCode.BODY_TOO_LARGE);
+        }
+
+        @Test
+        void shouldRefuseWhenTheAccountHasNoSuchModelAdapterServiceOrClass() {
+            assertRefused(
+                    entry.request("/v1/completions").POST(body("{\"model\":\"history\"}")),
+                    ErrorCode.UNKNOWN_MODEL);
+            assertRefused(
+                    entry.request("/v1/completions").POST(body("{\"model\":\"approval+x y\"}")),
+                    ErrorCode.UNKNOWN_ADAPTER);
+            assertRefused(entry.request("/v1/services/none/x").GET(), ErrorCode.UNKNOWN_SERVICE);
+            assertRefused(
+                    entry.completion("").header("X-Request-Class", "best"),
+                    ErrorCode.UNKNOWN_CLASS);
+        }
+
+        @Test
+        void shouldRefuseWhenThePathOrMethodIsWrong() {
+            assertRefused(entry.request("/v2/completions").GET(), ErrorCode.NOT_FOUND);
+            assertRefused(entry.request("/v1/completions").GET(), ErrorCode.METHOD_NOT_ALLOWED);
+        }
+
+        // More connections than are allowed, each with a request: the others go on being served.
+        @Test
+        void shouldRefuseConnectionsOverTheLimitAndServeTheRest() throws Exception {
+            List<Socket> flood = new ArrayList<>();
+            for (int count = 0; count < 40; count++) {
+                Socket socket = new Socket("127.0.0.1", entry.front.address().getPort());
+                socket.getOutputStream()
+                        .write(
+                                "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                flood.add(socket);
+            }
+            List<String> firstLines = new ArrayList<>();
+            for (Socket socket : flood) {
+                firstLines.add(new String(socket.getInputStream().readNBytes(12)));
+            }
+            for (Socket socket : flood) {
+                socket.close();
+            }
+
+            assertThat(firstLines).contains("HTTP/1.1 401");
+            assertThat(firstLines).contains("HTTP/1.1 503");
+            assertThat(firstLines.stream().filter("HTTP/1.1 401"::equals).count()).isAtMost(20);
+            EntryFixture.await(
+                    () -> entry.call(entry.request("/v1/models").GET()).statusCode() == 200);
+        }
+    }
+
+    @Nested
+    class Refusals {
+        @Test
+        void shouldSayNotRunWithATimeWhenNothingServesTheModel() {
+            HttpResponse<String> answer = entry.call(entry.completion(""));
+
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.body()).contains("NO_TARGET");
+            assertThat(answer.headers().firstValue("retry-after")).hasValue("1");
+        }
+
+        @Test
+        void shouldGoElsewhereWhenATargetRefuses() {
+            FakeTarget refusing = entry.target("engine-1");
+            FakeTarget serving = entry.target("engine-2");
+            refusing.behave((c, submit) -> refusing.refuse(c, submit, ErrorCode.OVERLOADED));
+            serving.behave((c, submit) -> serving.whole(c, submit, "here"));
+            entry.join(refusing, serving);
+
+            IntStream.range(0, 8)
+                    .forEach(
+                            any ->
+                                    assertThat(entry.call(entry.completion("")).body())
+                                            .isEqualTo("here"));
+        }
+
+        @Test
+        void shouldPassTheReasonOnWhenEveryTargetRefuses() {
+            FakeTarget refusing = entry.target("engine-1");
+            refusing.behave((c, submit) -> refusing.refuse(c, submit, ErrorCode.CANNOT_MEET_CLASS));
+            entry.join(refusing);
+
+            assertRefused(entry.completion(""), ErrorCode.CANNOT_MEET_CLASS);
+        }
+
+        @Test
+        void shouldHoldAnAccountToItsRate() {
+            HttpRequest.Builder slow =
+                    entry.request("/v1/services/charges/x")
+                            .GET()
+                            .setHeader("Authorization", "Bearer " + EntryFixture.OTHER_KEY);
+            entry.call(slow);
+
+            assertRefused(slow, ErrorCode.ACCOUNT_LIMIT);
+        }
+    }
+
+    @Nested
+    class Leaving {
+        // The target's daemon was told to stop and says so; requests already sent there are
+        // finished, and from then on nothing new goes there.
+        @Test
+        void shouldSendNothingMoreWhenATargetAnnouncesThatItLeaves() throws Exception {
+            FakeTarget leaving = entry.target("engine-1");
+            FakeTarget staying = entry.target("engine-2");
+            staying.behave((c, submit) -> staying.whole(c, submit, "x"));
+            entry.join(leaving, staying);
+            leaving.takeOpened().send(new Message.Leaving(TargetId.of("engine-1")));
+            EntryFixture.await(
+                    () -> entry.onControl(() -> entry.role.accepts("engine-1") ? 1 : 0) == 0);
+
+            IntStream.range(0, 20).forEach(any -> entry.call(entry.completion("")));
+
+            assertThat(leaving.pollSubmit(50)).isEmpty();
+        }
+    }
+}
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
@@ -170,13 +170,13 @@
     private static Map<ClientAccountId, Configuration.ClientAccount> accounts(ServiceId charges) {
         return Map.of(
                 ClientAccountId.of("andina"),
-                account("andina", KEY, MODEL, charges),
+                account("andina", KEY, MODEL, charges, 50),
                 ClientAccountId.of("ktima"),
-                account("ktima", OTHER_KEY, ModelId.of("history"), charges));
+                account("ktima", OTHER_KEY, ModelId.of("history"), charges, 0.1));
     }
 
     private static Configuration.ClientAccount account(
-            String name, String key, ModelId model, ServiceId charges) {
+            String name, String key, ModelId model, ServiceId charges, double rate) {
         return new Configuration.ClientAccount(
                 ClientAccountId.of(name),
                 TemplateId.of("store"),
@@ -189,7 +189,7 @@
                 true,
                 1,
                 10,
-                50,
+                rate,
                 10);
     }
 
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/FakeTarget.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/FakeTarget.java
@@ -139,8 +139,9 @@
     @Override
     public void onMessage(Connection connection, Message message) {
         if (message instanceof Message.Submit submit) {
+            Behaviour inForce = behaviour;
             submits.add(new Arrived(connection, submit));
-            behaviour.answer(connection, submit);
+            inForce.answer(connection, submit);
         } else if (message instanceof Message.LoadQuery) {
             connection.send(new Message.LoadReport(load(false)));
         } else {
