Report, list moves, show the status and drain from the command line

Cause: operators answer who got what, and take targets out, from their shell. Ruled out: judging silence and leases by the clock of the operator's host; the newest record's time is used. A CSV report has no place for its span, so that goes to the error stream. Change: tamaracktrack report, moves, status, drain.

--- a/cli/src/main/java/org/tamaracktrack/cli/CommandLine.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/CommandLine.java
@@ -11,10 +11,14 @@
 import java.util.stream.Collectors;
 import org.tamaracktrack.cli.command.Command;
 import org.tamaracktrack.cli.command.DiffCommand;
+import org.tamaracktrack.cli.command.DrainCommand;
 import org.tamaracktrack.cli.command.Environment;
 import org.tamaracktrack.cli.command.HistoryCommand;
+import org.tamaracktrack.cli.command.MovesCommand;
 import org.tamaracktrack.cli.command.PublishCommand;
+import org.tamaracktrack.cli.command.ReportCommand;
 import org.tamaracktrack.cli.command.ShowCommand;
+import org.tamaracktrack.cli.command.StatusCommand;
 import org.tamaracktrack.cli.command.ValidateCommand;
 import org.tamaracktrack.core.error.TamaracktrackException;
 
@@ -58,7 +62,11 @@
                         new DiffCommand(),
                         new PublishCommand(),
                         new ShowCommand(),
-                        new HistoryCommand()));
+                        new HistoryCommand(),
+                        new ReportCommand(),
+                        new MovesCommand(),
+                        new StatusCommand(),
+                        new DrainCommand()));
     }
 
     /**
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/ReportOutput.java
@@ -0,0 +1,34 @@
+package org.tamaracktrack.cli.command;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.cli.output.OutputFormat;
+import org.tamaracktrack.cli.output.Table;
+import org.tamaracktrack.cli.report.ReportTables;
+
+/** Writes a table of a report together with the span for which it holds. */
+final class ReportOutput {
+    private ReportOutput() {}
+
+    // A table without its span would be taken for the whole truth; as CSV it has no place for it,
+    // so there the span goes to the error stream.
+    static void write(Environment environment, Output output, ReportTables tables, Table table) {
+        if (output.format() == OutputFormat.JSON) {
+            Map<String, Object> result = new LinkedHashMap<>(tables.span());
+            result.put("rows", table.asMaps());
+            output.json(result);
+            return;
+        }
+        output.table(table);
+        tables.spanLines()
+                .forEach(
+                        line -> {
+                            if (output.format() == OutputFormat.CSV) {
+                                environment.errors().println(line);
+                            } else {
+                                output.line(line);
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/StatusCommand.java
@@ -0,0 +1,211 @@
+package org.tamaracktrack.cli.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tamaracktrack.cli.ExitCode;
+import org.tamaracktrack.cli.log.ConfigurationLog;
+import org.tamaracktrack.cli.log.OwnershipLog;
+import org.tamaracktrack.cli.log.Patience;
+import org.tamaracktrack.cli.log.StreamReader;
+import org.tamaracktrack.cli.output.Output;
+import org.tamaracktrack.cli.output.OutputFormat;
+import org.tamaracktrack.cli.output.Table;
+import org.tamaracktrack.core.config.Configuration.Target;
+import org.tamaracktrack.core.config.InForce;
+import org.tamaracktrack.core.lease.Duty;
+import org.tamaracktrack.core.lease.Lease;
+import org.tamaracktrack.core.log.LogEntry.DrainRequested;
+import org.tamaracktrack.core.log.LogEntry.PlanPublished;
+import org.tamaracktrack.core.log.LogStream;
+import org.tamaracktrack.core.placement.PlanRegister;
+import org.tamaracktrack.link.http.HttpCall;
+import org.tamaracktrack.link.http.HttpCallException;
+import org.tamaracktrack.link.log.LogClient;
+
+/** Shows the parts of the system, as the log and the entry daemons know them. */
+@Parameters(commandDescription = "targets and their owners, duties, plan, and entry daemons")
+public final class StatusCommand implements Command {
+    private static final long ENTRY_TIMEOUT_MILLIS = 2_000;
+    private static final int OK = 200;
+
+    @Parameter(
+            names = "--entry",
+            order = 10,
+            description = "an entry daemon's HTTP address, to ask whether it is ready; repeatable")
+    private List<String> entries = new ArrayList<>();
+
+    @ParametersDelegate private final LogOptions log = new LogOptions();
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    private record Plan(PlanRegister register, long newestMillis) {}
+
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "tamaracktrack status",
+                "tamaracktrack status --entry 10.0.0.1:8080 --entry 10.0.0.2:8080");
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return common.helpWanted();
+    }
+
+    @Override
+    public ExitCode run(Environment environment) {
+        Output output = common.output(environment);
+        LogClient client = log.log(environment);
+        Patience patience = log.patience(environment);
+        ConfigurationLog configuration = ConfigurationLog.of(client);
+        configuration.readToEnd(patience);
+        Optional<InForce> inForce = configuration.inForce();
+        OwnershipLog ownership = OwnershipLog.of(client);
+        ownership.readToEnd(patience);
+        Plan plan = plan(client, patience);
+        Map<String, Table> tables = new LinkedHashMap<>();
+        tables.put("targets", targets(inForce, ownership));
+        tables.put("duties", duties(plan));
+        if (!entries.isEmpty()) {
+            tables.put("entries", entries(environment));
+        }
+        write(output, inForce, plan, tables);
+        return ExitCode.OK;
+    }
+
+    private static void write(
+            Output output, Optional<InForce> inForce, Plan plan, Map<String, Table> tables) {
+        long version = inForce.map(InForce::version).orElse(-1L);
+        if (output.format() == OutputFormat.JSON) {
+            Map<String, Object> result = new LinkedHashMap<>();
+            result.put("configurationVersion", version);
+            result.put("planOffset", plan.register().inForceOffset());
+            tables.forEach((name, table) -> result.put(name, table.asMaps()));
+            output.json(result);
+            return;
+        }
+        output.line(
+                version < 0
+                        ? "no configuration was published yet"
+                        : "configuration: version " + version);
+        output.line(
+                plan.register()
+                        .inForce()
+                        .map(found -> describe(found, plan.register().inForceOffset()))
+                        .orElse("plan: none"));
+        tables.values()
+                .forEach(
+                        table -> {
+                            output.line("");
+                            output.table(table);
+                        });
+    }
+
+    private static String describe(PlanPublished plan, long offset) {
+        return "plan: offset %d, %d copies, for configuration %d"
+                .formatted(offset, plan.placements().size(), plan.configurationVersion());
+    }
+
+    private static Plan plan(LogClient client, Patience patience) {
+        PlanRegister register = PlanRegister.empty();
+        AtomicLong newestMillis = new AtomicLong();
+        StreamReader.of(
+                        client,
+                        LogStream.PLAN,
+                        record -> {
+                            newestMillis.accumulateAndGet(record.appendedAtMillis(), Math::max);
+                            register.handle(record);
+                        })
+                .readToEnd(patience);
+        return new Plan(register, newestMillis.get());
+    }
+
+    private static Table targets(Optional<InForce> inForce, OwnershipLog ownership) {
+        Table table =
+                Table.of(
+                        "target",
+                        "kind",
+                        "data centre",
+                        "host",
+                        "endpoint",
+                        "owner",
+                        "address",
+                        "fencing",
+                        "leaving");
+        inForce.stream()
+                .flatMap(found -> found.configuration().targets().values().stream())
+                .sorted((one, other) -> one.id().compareTo(other.id()))
+                .forEach(target -> addTarget(table, target, ownership));
+        return table;
+    }
+
+    private static void addTarget(Table table, Target target, OwnershipLog ownership) {
+        Optional<OwnershipLog.Owner> owner = ownership.owner(target.id());
+        table.row(
+                target.id(),
+                target.kind(),
+                target.dataCentre(),
+                target.host(),
+                target.endpoint(),
+                owner.map(found -> found.record().owner().value()).orElse("none"),
+                owner.map(found -> found.record().address()).orElse("-"),
+                owner.map(OwnershipLog.Owner::fencing).orElse(-1L),
+                ownership
+                        .drain(target.id())
+                        .filter(DrainRequested::leaving)
+                        .map(drain -> "asked by " + drain.operator())
+                        .orElse("no"));
+    }
+
+    private static Table duties(Plan plan) {
+        Table table = Table.of("duty", "holder", "term", "lease");
+        Arrays.stream(Duty.values()).forEach(duty -> addDuty(table, plan, duty));
+        return table;
+    }
+
+    // Whether a lease is in force is judged by the newest record's time, since the clock of the
+    // operator's host says nothing about the log's.
+    private static void addDuty(Table table, Plan plan, Duty duty) {
+        Optional<Lease> last = plan.register().leases().last(duty);
+        table.row(
+                duty.text(),
+                last.map(lease -> lease.holder().value()).orElse("none"),
+                last.map(Lease::term).orElse(-1L),
+                last.map(lease -> lease.inForceAt(plan.newestMillis()) ? "in force" : "lapsed")
+                        .orElse("-"));
+    }
+
+    private Table entries(Environment environment) {
+        Table table = Table.of("entry", "ready");
+        entries.forEach(entry -> table.row(entry, readiness(environment, entry)));
+        return table;
+    }
+
+    private static String readiness(Environment environment, String entry) {
+        InetSocketAddress address = Addresses.parse("--entry", entry);
+        try {
+            int status =
+                    environment
+                            .links()
+                            .http()
+                            .call(HttpCall.get(address, "/readyz", ENTRY_TIMEOUT_MILLIS))
+                            .status();
+            return status == OK ? "yes" : "no, status " + status;
+        } catch (HttpCallException failure) {
+            return "unreachable, " + failure.failure().text();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/tamaracktrack/cli/report/ReportTables.java
@@ -0,0 +1,207 @@
+package org.tamaracktrack.cli.report;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.tamaracktrack.cli.output.Table;
+import org.tamaracktrack.core.id.ClientAccountId;
+import org.tamaracktrack.core.id.RequestClassId;
+import org.tamaracktrack.core.report.CounterName;
+import org.tamaracktrack.core.report.Report;
+import org.tamaracktrack.core.report.RequestOutcome;
+
+/** Tables of a report: who got what, the moves, and the span for which they hold. */
+public final class ReportTables {
+    private final Report report;
+
+    private record RowKey(ClientAccountId account, String destination, RequestClassId requestClass)
+            implements Comparable<RowKey> {
+        private static final Comparator<RowKey> ORDER =
+                Comparator.comparing(RowKey::account)
+                        .thenComparing(RowKey::destination)
+                        .thenComparing(RowKey::requestClass);
+
+        @Override
+        public int compareTo(RowKey other) {
+            return ORDER.compare(this, other);
+        }
+    }
+
+    private ReportTables(Report report) {
+        this.report = report;
+    }
+
+    /**
+     * Returns the tables of a report.
+     *
+     * @param report the report
+     * @return the tables
+     */
+    public static ReportTables of(Report report) {
+        return new ReportTables(report);
+    }
+
+    /**
+     * Returns who got what.
+     *
+     * @param account only this client account, if given
+     * @return one row for each account, model or service, and class
+     */
+    public Table service(Optional<ClientAccountId> account) {
+        Map<RowKey, ServiceRow> rows = new TreeMap<>();
+        report.counters()
+                .forEach(
+                        (name, count) ->
+                                CounterName.parse(name)
+                                        .ifPresent(parsed -> add(rows, parsed, count)));
+        Table table =
+                Table.of(
+                        "account",
+                        "model",
+                        "class",
+                        "offered",
+                        "in class",
+                        "late",
+                        "refused",
+                        "unknown",
+                        "failed",
+                        "cancelled",
+                        "in progress",
+                        "prompt tokens",
+                        "answer tokens",
+                        "attainment",
+                        "refused by reason");
+        rows.forEach(
+                (key, row) -> {
+                    if (account.map(key.account()::equals).orElse(true)) {
+                        addRow(table, key, row);
+                    }
+                });
+        return table;
+    }
+
+    private static void add(Map<RowKey, ServiceRow> rows, CounterName name, long count) {
+        if (name instanceof CounterName.Requests requests) {
+            RowKey key =
+                    new RowKey(requests.account(), requests.destination(), requests.requestClass());
+            rows.computeIfAbsent(key, absent -> new ServiceRow()).add(requests.outcome(), count);
+        } else if (name instanceof CounterName.Tokens tokens) {
+            RowKey key =
+                    new RowKey(tokens.account(), tokens.model().value(), tokens.requestClass());
+            rows.computeIfAbsent(key, absent -> new ServiceRow()).add(tokens.kind(), count);
+        }
+    }
+
+    private static void addRow(Table table, RowKey key, ServiceRow row) {
+        table.row(
+                key.account(),
+                key.destination(),
+                key.requestClass(),
+                row.count(RequestOutcome.Kind.OFFERED),
+                row.count(RequestOutcome.Kind.IN_CLASS),
+                row.count(RequestOutcome.Kind.LATE),
+                row.count(RequestOutcome.Kind.REFUSED),
+                row.count(RequestOutcome.Kind.UNKNOWN),
+                row.count(RequestOutcome.Kind.FAILED),
+                row.count(RequestOutcome.Kind.CANCELLED),
+                row.inProgress(),
+                row.promptTokens(),
+                row.answerTokens(),
+                row.attainment(),
+                row.refusalReasons());
+    }
+
+    /**
+     * Returns the moves.
+     *
+     * @return one row for each target, kind and cause
+     */
+    public Table moves() {
+        Table table = Table.of("target", "kind", "cause", "moves");
+        report.counters().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(
+                        entry ->
+                                CounterName.parse(entry.getKey())
+                                        .filter(CounterName.Moves.class::isInstance)
+                                        .map(CounterName.Moves.class::cast)
+                                        .ifPresent(
+                                                moves ->
+                                                        table.row(
+                                                                moves.target(),
+                                                                moves.kind().text(),
+                                                                moves.cause().text(),
+                                                                entry.getValue())));
+        return table;
+    }
+
+    /**
+     * Returns the span and what is missing from it, for JSON.
+     *
+     * @return the span
+     */
+    public Map<String, Object> span() {
+        Map<String, Object> span = new LinkedHashMap<>();
+        span.put("from", time(report.fromMillis()));
+        span.put("completeTo", time(report.completeToMillis()));
+        span.put("complete", report.complete());
+        span.put("recordsLost", report.recordsLost());
+        span.put(
+                "missing",
+                report.missing().stream()
+                        .map(
+                                missing ->
+                                        Map.of(
+                                                "process",
+                                                missing.incarnation().value(),
+                                                "knownTo",
+                                                time(missing.lastTakenMillis())))
+                        .toList());
+        return span;
+    }
+
+    /**
+     * Returns the span and what is missing from it, for people.
+     *
+     * @return the lines
+     */
+    public List<String> spanLines() {
+        List<String> lines = new ArrayList<>();
+        if (report.completeToMillis().isEmpty()) {
+            lines.add("no process has reported yet");
+            return lines;
+        }
+        lines.add(
+                "from %s to %s: %s"
+                        .formatted(
+                                time(report.fromMillis()),
+                                time(report.completeToMillis()),
+                                report.complete() ? "complete" : "NOT complete"));
+        if (report.recordsLost()) {
+            lines.add("records expired before a roll-up covered them; earlier counts are lost");
+        }
+        report.missing()
+                .forEach(
+                        missing ->
+                                lines.add(
+                                        "missing: %s ended without a last record; counted to %s"
+                                                .formatted(
+                                                        missing.incarnation(),
+                                                        time(missing.lastTakenMillis()))));
+        return lines;
+    }
+
+    private static String time(OptionalLong millis) {
+        return millis.isPresent() ? time(millis.getAsLong()) : "unknown";
+    }
+
+    private static String time(long millis) {
+        return Instant.ofEpochMilli(millis).toString();
+    }
+}
--- a/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -20,7 +21,13 @@
 import org.tamaracktrack.cli.log.FakeLog;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.HostId;
+import org.tamaracktrack.core.id.IncarnationId;
 import org.tamaracktrack.core.id.PublicationId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.log.LogEntry;
+import org.tamaracktrack.core.log.LogStream;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.tamaracktrack.link.log.LogClient;
 
@@ -208,4 +215,116 @@
             assertThat(errors()).contains("expired");
         }
     }
+
+    @Nested
+    class Reports {
+        private void count(String process, long sequence, boolean last, Map<String, Long> sums) {
+            log.write(
+                    LogStream.REPORTS,
+                    new LogEntry.CountersPublished(
+                            IncarnationId.of(process),
+                            "entry",
+                            sequence,
+                            500,
+                            900 + sequence,
+                            last,
+                            sums));
+        }
+
+        @Test
+        void shouldSumProcessesAndSayTheSpan() {
+            Map<String, Long> counters =
+                    Map.of(
+                            "requests|store|reader|fast|offered",
+                            10L,
+                            "requests|store|reader|fast|in_class",
+                            7L,
+                            "requests|store|reader|fast|refused:OVERLOADED",
+                            1L,
+                            "requests|store|reader|fast|cancelled",
+                            2L,
+                            "tokens|store|reader|fast|prompt",
+                            30L);
+            count("entry-1", 1, true, counters);
+            count("entry-2", 1, true, counters);
+            count("entry-2", 1, true, counters);
+
+            assertThat(run("report", "--output", "csv")).isEqualTo(ExitCode.OK);
+
+            assertThat(output().lines().toList().get(1))
+                    .isEqualTo("store,reader,fast,20,14,0,2,0,0,4,0,60,0,87.5%,OVERLOADED:2");
+            assertThat(errors()).contains("complete");
+            assertThat(run("report", "--account", "other", "--output", "csv"))
+                    .isEqualTo(ExitCode.OK);
+            assertThat(output().lines().count()).isEqualTo(1);
+        }
+
+        @Test
+        void shouldSayNotCompleteWhenAProcessFellSilent() {
+            count("entry-1", 1, false, Map.of("requests|store|reader|fast|offered", 10L));
+            log.pass(400_000);
+            count("entry-2", 1, false, Map.of());
+            log.pass(9_000);
+            LongStream.range(2, 30)
+                    .forEach(
+                            sequence -> {
+                                log.pass(9_000);
+                                count("entry-2", sequence, false, Map.of());
+                            });
+
+            assertThat(run("report")).isEqualTo(ExitCode.OK);
+            assertThat(output()).contains("NOT complete");
+            assertThat(output()).contains("missing: entry-1");
+        }
+
+        @Test
+        void shouldListMovesByTargetKindAndCause() {
+            count("target-1", 1, true, Map.of("moves|engine-1|load_model|home", 4L));
+
+            assertThat(run("moves", "--output", "csv")).isEqualTo(ExitCode.OK);
+            assertThat(output().lines().toList().get(1)).isEqualTo("engine-1,load_model,home,4");
+        }
+    }
+
+    @Nested
+    class Targets {
+        @Test
+        void shouldShowOwnersAndDrainRequests() {
+            run("publish", SAMPLE);
+            log.write(
+                    LogStream.OWNERSHIP,
+                    new LogEntry.OwnershipTaken(
+                            TargetId.of("engine-1"),
+                            IncarnationId.of("target-host-1-a"),
+                            HostId.of("host-1"),
+                            DataCentreId.of("quito-1"),
+                            "10.0.0.1:7000"));
+            run("drain", "engine-1", "--operator", "rosa");
+
+            assertThat(run("status", "--output", "json")).isEqualTo(ExitCode.OK);
+
+            assertThat(output()).contains("\"address\":\"10.0.0.1:7000\"");
+            assertThat(output()).contains("\"leaving\":\"asked by rosa\"");
+            assertThat(output()).contains("\"configurationVersion\":0");
+        }
+
+        @Test
+        void shouldAskOnceWhenTheAnswerWasLost() {
+            run("publish", SAMPLE);
+            log.fail(List.of(FakeLog.Fault.ANSWER_LOST));
+
+            assertThat(run("drain", "engine-1")).isEqualTo(ExitCode.OK);
+            assertThat(log.records(LogStream.OWNERSHIP)).hasSize(1);
+            assertThat(run("drain", "engine-1", "--cancel")).isEqualTo(ExitCode.OK);
+            assertThat(log.records(LogStream.OWNERSHIP)).hasSize(2);
+        }
+
+        @Test
+        void shouldRefuseWhenThereIsNoSuchTarget() {
+            run("publish", SAMPLE);
+
+            assertThat(run("drain", "engine-9")).isEqualTo(ExitCode.NOT_FOUND);
+            assertThat(errors()).contains("no target engine-9");
+        }
+    }
 }
--- a/cli/src/test/java/org/tamaracktrack/cli/log/FakeLog.java
+++ b/cli/src/test/java/org/tamaracktrack/cli/log/FakeLog.java
@@ -31,6 +31,7 @@
     private Runnable other = () -> {};
     private boolean readable = true;
     private long firstOffset;
+    private long passedMillis;
 
     public FakeLog fail(List<Fault> next) {
         faults.addAll(next);
@@ -45,6 +46,10 @@
         readable = value;
     }
 
+    public void pass(long millis) {
+        passedMillis += millis;
+    }
+
     public void expireBefore(long offset) {
         firstOffset = offset;
     }
@@ -55,8 +60,9 @@
 
     public Appended write(LogStream stream, LogEntry entry) {
         List<LogRecord> records = records(stream);
-        records.add(LogRecord.of(records.size(), 1_000L + records.size(), entry));
-        return new Appended(records.size() - 1, 1_000L + records.size() - 1);
+        long now = 1_000L + records.size() + passedMillis;
+        records.add(LogRecord.of(records.size(), now, entry));
+        return new Appended(records.size() - 1, now);
     }
 
     @Override
