Fuzz the reader of documents

Cause: a daemon reads whatever stands in the log, so no document may raise or freeze. Change: random drops and values of other types, sizes and depths at every place of the sample document; misspelt keys in any set of sections; a document as large as may be.

--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/config/ConfigurationReaderFuzzTest.java
@@ -0,0 +1,227 @@
+package org.tamaracktrack.core.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.math.BigDecimal;
+import java.math.BigInteger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationReaderFuzzTest {
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+
+    /** One change of the document at the place that a number picks. */
+    record Mutation(int place, boolean drop, Object value) {}
+
+    private record Place(Object container, Object key) {}
+
+    @Provide
+    Arbitrary<List<Mutation>> mutations() {
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 1_000),
+                        Arbitraries.integers().between(0, 3).map(choice -> choice == 0),
+                        values())
+                .as(Mutation::new)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(12);
+    }
+
+    private static Arbitrary<Object> values() {
+        List<Object> fixed = new ArrayList<>();
+        fixed.addAll(
+                Arrays.asList(
+                        null,
+                        "",
+                        "a b",
+                        "${engineOne}",
+                        "${nothing}",
+                        "x${engineOne}y${",
+                        "$${}",
+                        "reader",
+                        "x".repeat(100_000),
+                        "127.0.0.1:99999",
+                        -1,
+                        0,
+                        Long.MAX_VALUE,
+                        Long.MIN_VALUE,
+                        Double.NaN,
+                        Double.POSITIVE_INFINITY,
+                        1.5,
+                        BigInteger.ONE.shiftLeft(100_000),
+                        new BigDecimal("1E+1000000000"),
+                        true,
+                        List.of(),
+                        Map.of()));
+        fixed.add(new Object());
+        fixed.add(nested(20));
+        fixed.add(nested(50_000));
+        fixed.add(wide());
+        return Arbitraries.integers().between(0, fixed.size() - 1).map(fixed::get);
+    }
+
+    private static Object nested(int depth) {
+        Object value = "end";
+        for (int level = 0; level < depth; level++) {
+            value = level % 2 == 0 ? SampleDocument.map("k", value) : SampleDocument.list(value);
+        }
+        return value;
+    }
+
+    private static Map<String, Object> wide() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int index = 0; index < 2_000; index++) {
+            map.put("key " + index, index);
+        }
+        return map;
+    }
+
+    private static void collect(Object value, List<Place> places) {
+        if (places.size() > 1_000) {
+            return;
+        }
+        if (value instanceof Map<?, ?> map) {
+            map.keySet()
+                    .forEach(
+                            key -> {
+                                places.add(new Place(map, key));
+                                collect(map.get(key), places);
+                            });
+        } else if (value instanceof ArrayList<?> list) {
+            for (int index = 0; index < list.size(); index++) {
+                places.add(new Place(list, index));
+                collect(list.get(index), places);
+            }
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void mutate(Map<String, Object> tree, Mutation mutation) {
+        List<Place> places = new ArrayList<>();
+        tree.forEach(
+                (key, value) -> {
+                    places.add(new Place(tree, key));
+                    if (value instanceof LinkedHashMap<?, ?> && places.size() < 1_000) {
+                        collect(value, places);
+                    }
+                });
+        if (places.isEmpty()) {
+            return;
+        }
+        Place place = places.get(mutation.place() % places.size());
+        if (place.container() instanceof Map<?, ?>) {
+            Map<String, Object> map = (Map<String, Object>) place.container();
+            if (mutation.drop()) {
+                map.remove(place.key());
+            } else {
+                map.put((String) place.key(), mutation.value());
+            }
+        } else {
+            List<Object> list = (List<Object>) place.container();
+            list.set((int) place.key(), mutation.value());
+        }
+    }
+
+    // A daemon reads whatever stands in the log. An exception would end its control task and leave
+    // it with an old configuration; a document that takes for ever would freeze it.
+    @Property(seed = "90210", tries = 2000)
+    void shouldAcceptOrNameProblemsWhateverTheDocument(
+            @ForAll("mutations") List<Mutation> mutations) {
+        Map<String, Object> tree = SampleDocument.tree();
+        mutations.forEach(mutation -> mutate(tree, mutation));
+
+        long startNanos = System.nanoTime();
+        ConfigurationReading reading = ConfigurationReader.read(tree);
+
+        assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isLessThan(LIMIT);
+        if (reading instanceof ConfigurationReading.Rejected rejected) {
+            assertThat(rejected.problems()).isNotEmpty();
+            rejected.problems()
+                    .forEach(problem -> assertThat(problem.found().length()).isLessThan(500));
+        }
+        assertThat(ConfigurationReader.read(tree)).isEqualTo(reading);
+    }
+
+    // Every problem is to be reported at once: an operator who mends all that is named must not be
+    // told of more that was there before. Each dropped or misspelt value is named by its path.
+    @Property(seed = "777", tries = 300)
+    void shouldNameEveryMisspeltKeyAtOnce(@ForAll("subsetOfSections") List<String> sections) {
+        Map<String, Object> tree = SampleDocument.tree();
+        sections.forEach(section -> SampleDocument.at(tree, section.split("/")).put("zz", 1));
+
+        ConfigurationReading reading = ConfigurationReader.read(tree);
+
+        if (!sections.isEmpty()) {
+            List<String> paths =
+                    ((ConfigurationReading.Rejected) reading)
+                            .problems().stream().map(Problem::path).toList();
+            assertThat(paths)
+                    .containsExactlyElementsIn(
+                            sections.stream()
+                                    .distinct()
+                                    .map(section -> section.replace('/', '.') + ".zz")
+                                    .toList());
+        }
+    }
+
+    @Provide
+    Arbitrary<List<String>> subsetOfSections() {
+        return Arbitraries.of(
+                        "weightStore",
+                        "classes/batch",
+                        "models/reader",
+                        "adapters/north",
+                        "services/orders",
+                        "targets/engine-1",
+                        "targets/engine-1/accelerators/a0",
+                        "targets/service-1",
+                        "templates/customer",
+                        "accounts/north-stores",
+                        "accounts/north-stores/parameters")
+                .list()
+                .uniqueElements();
+    }
+
+    @Test
+    void shouldEndInTimeWhenTheDocumentIsAsLargeAsItMayBe() {
+        Map<String, Object> tree = SampleDocument.tree();
+        Map<String, Object> models = SampleDocument.at(tree, "models");
+        Map<String, Object> accounts = SampleDocument.at(tree, "accounts");
+        Map<String, Object> targets = SampleDocument.at(tree, "targets");
+        Map<String, Object> engine = SampleDocument.at(tree, "targets", "engine-2");
+        for (int index = 0; index < 20_000; index++) {
+            models.put("m" + index, SampleDocument.map("version", "1", "memoryMebibytes", 20_000));
+        }
+        for (int index = 0; index < 5_000; index++) {
+            Map<String, Object> target = new LinkedHashMap<>(engine);
+            target.put("endpoint", "10.0.%d.%d:80".formatted(index / 250, index % 250));
+            targets.put("t" + index, target);
+            accounts.put(
+                    "a" + index,
+                    SampleDocument.map(
+                            "template",
+                            "customer",
+                            "parameters",
+                            SampleDocument.map(
+                                    "key",
+                                    "%064x".formatted(index),
+                                    "models",
+                                    SampleDocument.list("m" + index))));
+        }
+        assertTimeoutPreemptively(
+                Duration.ofSeconds(20),
+                () -> assertThat(ConfigurationReader.read(tree)).isNotNull());
+    }
+}
