--- a/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
@@ -298,7 +298,8 @@
                             IncarnationId.of("target-host-1-a"),
                             HostId.of("host-1"),
                             DataCentreId.of("quito-1"),
-                            "10.0.0.1:7000"));
+                            "10.0.0.1:7000",
+                            0));
             run("drain", "engine-1", "--operator", "rosa");
 
             assertThat(run("status", "--output", "json")).isEqualTo(ExitCode.OK);
