Make room for a waiting model that busy ones hold, and test the target role

Cause: TargetRoleTest.shouldSwapModelsWhenTheyDoNotFitTogether failed: a request for a model was refused for good while the only model it could replace was in use (17 of 18 passed). Change: nothing new starts on the busy model once the pace of loads allows a swap, so it falls idle and goes; a model that a longer waiting request needs is kept. Versions change one home after the other, old one first, since an engine holds one version of a model. Waiting requests are counted per class instead of searched for.

--- a/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
@@ -35,6 +35,7 @@
     private final Map<AttemptId, Running> running = new HashMap<>();
     private final Map<ClientAccountId, Integer> runningByAccount = new HashMap<>();
     private final Map<ClientAccountId, Integer> waitingByAccount = new HashMap<>();
+    private final Map<RequestClassId, Integer> waitingByClass = new HashMap<>();
     private final ServiceTimes times = ServiceTimes.empty();
     private final WaitEstimate estimate = WaitEstimate.of(times);
     private Set<Need> ready = Set.of();
@@ -91,6 +92,7 @@
         }
         waiting.put(work.attempt(), work);
         waitingByAccount.merge(work.account(), 1, Integer::sum);
+        waitingByClass.merge(work.requestClass(), 1, Integer::sum);
         enqueue(work);
     }
 
@@ -98,10 +100,7 @@
         if (nowMillis >= work.firstTokenByMillis()) {
             return Optional.of(refuse(work, ErrorCode.DEADLINE_BEFORE_START, -1));
         }
-        long classWaiting =
-                waiting.values().stream()
-                        .filter(each -> each.requestClass().equals(work.requestClass()))
-                        .count();
+        int classWaiting = waitingByClass.getOrDefault(work.requestClass(), 0);
         if (classWaiting >= limits.limitsOf(work.requestClass()).queueLimit()) {
             return Optional.of(refuse(work, ErrorCode.OVERLOADED, waitOfNew(work)));
         }
@@ -153,6 +152,8 @@
         unmet.remove(work.attempt());
         waitingByAccount.computeIfPresent(
                 work.account(), (id, count) -> count == 1 ? null : count - 1);
+        waitingByClass.computeIfPresent(
+                work.requestClass(), (id, count) -> count == 1 ? null : count - 1);
         ClassQueue queue = classes.get(work.requestClass());
         if (queue != null) {
             queue.remove(work);
--- a/core/src/main/java/org/tamaracktrack/core/target/Residency.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/Residency.java
@@ -22,6 +22,7 @@
 public final class Residency {
     private static final String CAUSE_REQUEST = "request";
     private static final String CAUSE_VERSION = "version";
+    private static final long TURN_MILLIS = 10_000;
 
     private final ResidencyView view;
     private final Room room;
@@ -93,6 +94,7 @@
         if (!possible) {
             impossible.add(need);
         }
+        room.keep(need.model());
     }
 
     private boolean model(ModelId id, String cause) {
@@ -102,7 +104,20 @@
         Configuration.Model model = modelOf(id);
         Optional<AcceleratorId> accelerator = room.now(model.memoryMebibytes());
         accelerator.ifPresent(where -> load(model, where, cause));
-        return accelerator.isPresent() || room.make(model.memoryMebibytes(), cause);
+        return accelerator.isPresent()
+                || room.make(model.memoryMebibytes(), cause)
+                || waitForBusy(model.memoryMebibytes());
+    }
+
+    // A model in steady use would keep its memory for ever, and those waiting for another would
+    // never be served. Nothing new starts on it, so that it falls idle and can go; how often that
+    // happens is bounded by the pace of loads.
+    private boolean waitForBusy(long mebibytes) {
+        Optional<Set<ModelId>> busy = room.busy(mebibytes);
+        if (view.mayMove()) {
+            busy.ifPresent(heldBack::addAll);
+        }
+        return busy.isPresent();
     }
 
     private boolean hasCopy(ModelId id) {
@@ -225,38 +240,23 @@
                 .forEach(this::replace);
     }
 
-    // With room for both, the new version is ready before the old one goes, and the model stays
-    // reachable throughout. Without, the old one goes first. Either way running requests end first:
-    // an unload under them would cut their answers.
+    // An engine holds one version of a model at a time, so the old one goes first. Running requests
+    // end before that: an unload under them would cut their answers. Homes of the same model take
+    // turns, or it would be gone everywhere while the new version loads.
     private void replace(EngineInventory.ModelState old) {
-        Configuration.Model model = modelOf(old.model());
-        boolean isNewReady = isReady(model);
-        if (!isNewReady && (isLoading(model.id()) || isPresent(model))) {
-            return;
-        }
-        Optional<AcceleratorId> accelerator = room.now(model.memoryMebibytes());
-        if (!isNewReady && accelerator.isPresent()) {
-            load(model, accelerator.get(), CAUSE_VERSION);
-            return;
-        }
-        if (!isNewReady && room.make(model.memoryMebibytes(), CAUSE_VERSION)) {
+        if (view.configuredForMillis() < turnOf(old.model()) * TURN_MILLIS) {
             return;
         }
         heldBack.add(old.model());
-        if (!view.isModelInUse(old.model())) {
+        if (!view.isModelInUse(old.model()) && !room.isChanging(old)) {
             room.unload(old, CAUSE_VERSION);
         }
     }
 
-    private boolean isPresent(Configuration.Model model) {
-        return view.inventory().copiesOf(model.id()).stream()
-                .anyMatch(copy -> copy.version().equals(model.version()));
-    }
-
-    private boolean isReady(Configuration.Model model) {
-        return view.inventory().copiesOf(model.id()).stream()
-                .filter(EngineInventory.ModelState::isReady)
-                .anyMatch(copy -> copy.version().equals(model.version()));
+    private long turnOf(ModelId model) {
+        return view.homesOf(model).stream()
+                .filter(home -> home.compareTo(view.target()) < 0)
+                .count();
     }
 
     private Configuration.Model modelOf(ModelId id) {
--- a/core/src/main/java/org/tamaracktrack/core/target/ResidencyView.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/ResidencyView.java
@@ -18,23 +18,27 @@
  *
  * @param target the target
  * @param configuration the configuration in force
+ * @param configuredForMillis how long that configuration has been in force here
  * @param plan the placement plan in force, if there is one
  * @param inventory what the engine has in memory
  * @param free memory that is neither committed nor reserved
  * @param underWay changes ordered and not yet seen
  * @param unmet needs of waiting requests, longest waiting first
  * @param inUse needs of running requests
+ * @param mayMove whether the pace allows a load on the target's own account now
  * @param lastUsedMillis when each need was last used, by the monotonic clock
  */
 public record ResidencyView(
         TargetId target,
         Configuration configuration,
+        long configuredForMillis,
         Optional<LogEntry.PlanPublished> plan,
         EngineInventory inventory,
         Map<AcceleratorId, Long> free,
         List<Change> underWay,
         Set<Need> unmet,
         Set<Need> inUse,
+        boolean mayMove,
         Map<Need, Long> lastUsedMillis) {
 
     /** Checks the arguments. */
@@ -58,6 +62,13 @@
         return placementsHere().stream().map(LogEntry.Placement::model).collect(Collectors.toSet());
     }
 
+    Set<TargetId> homesOf(ModelId model) {
+        return placements().stream()
+                .filter(placement -> placement.model().equals(model))
+                .map(LogEntry.Placement::target)
+                .collect(Collectors.toSet());
+    }
+
     boolean isPlacedElsewhere(ModelId model) {
         return placements().stream()
                 .anyMatch(
@@ -74,10 +85,6 @@
         return inUse.stream().anyMatch(need -> need.model().equals(model));
     }
 
-    boolean isModelAwaited(ModelId model) {
-        return unmet.stream().anyMatch(need -> need.model().equals(model));
-    }
-
     long lastUsedMillis(ModelId model) {
         return lastUsedMillis.entrySet().stream()
                 .filter(entry -> entry.getKey().model().equals(model))
--- a/core/src/main/java/org/tamaracktrack/core/target/Room.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/Room.java
@@ -3,12 +3,16 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.admission.Need;
 import org.tamaracktrack.core.id.AcceleratorId;
+import org.tamaracktrack.core.id.ModelId;
 
 /** Finds room for loads within one decision, by unloading what may be unloaded. */
 final class Room {
@@ -16,6 +20,7 @@
     private final Map<AcceleratorId, Long> free = new HashMap<>();
     private final Map<AcceleratorId, Long> becomingFree = new HashMap<>();
     private final List<Change> unloads = new ArrayList<>();
+    private final Set<ModelId> kept = new HashSet<>();
 
     private Room(ResidencyView view) {
         this.view = view;
@@ -97,24 +102,29 @@
         free.merge(accelerator, -mebibytes, Long::sum);
     }
 
-    /** Makes room on some accelerator; false when it can't be made. */
+    /** Keeps a model for the rest of this decision, since a longer waiting request needs it. */
+    void keep(ModelId model) {
+        kept.add(model);
+    }
+
+    /** Makes room on some accelerator; false when it can't be made now. */
     boolean make(long mebibytes, String cause) {
         Optional<AcceleratorId> best =
                 free.keySet().stream()
-                        .filter(accelerator -> victims(accelerator, mebibytes).isPresent())
+                        .filter(accelerator -> victims(accelerator, mebibytes, false).isPresent())
                         .min(
                                 Comparator.<AcceleratorId>comparingInt(
                                                 accelerator ->
-                                                        victims(accelerator, mebibytes)
+                                                        victims(accelerator, mebibytes, false)
                                                                 .orElseThrow()
                                                                 .size())
                                         .thenComparing(Comparator.naturalOrder()));
         return best.isPresent() && make(best.get(), mebibytes, cause);
     }
 
-    /** Makes room on one accelerator; false when it can't be made. */
+    /** Makes room on one accelerator; false when it can't be made now. */
     boolean make(AcceleratorId accelerator, long mebibytes, String cause) {
-        Optional<List<EngineInventory.ModelState>> victims = victims(accelerator, mebibytes);
+        Optional<List<EngineInventory.ModelState>> victims = victims(accelerator, mebibytes, false);
         victims.ifPresent(
                 copies -> {
                     copies.forEach(copy -> unload(copy, cause));
@@ -123,6 +133,19 @@
         return victims.isPresent();
     }
 
+    /** The models whose running requests must end before there can be room, if that would do. */
+    Optional<Set<ModelId>> busy(long mebibytes) {
+        return free.keySet().stream()
+                .sorted()
+                .flatMap(accelerator -> victims(accelerator, mebibytes, true).stream())
+                .min(Comparator.comparingInt(List::size))
+                .map(
+                        copies ->
+                                copies.stream()
+                                        .map(EngineInventory.ModelState::model)
+                                        .collect(Collectors.toSet()));
+    }
+
     void unload(EngineInventory.ModelState copy, String cause) {
         unloads.add(
                 new Change(
@@ -138,10 +161,10 @@
 
     // Empty when there is no room to be made; an empty list when enough is becoming free already.
     private Optional<List<EngineInventory.ModelState>> victims(
-            AcceleratorId accelerator, long mebibytes) {
+            AcceleratorId accelerator, long mebibytes, boolean alsoInUse) {
         long room = free.getOrDefault(accelerator, 0L) + becomingFree.getOrDefault(accelerator, 0L);
         List<EngineInventory.ModelState> victims = new ArrayList<>();
-        for (EngineInventory.ModelState copy : evictable(accelerator)) {
+        for (EngineInventory.ModelState copy : evictable(accelerator, alsoInUse)) {
             if (room >= mebibytes) {
                 break;
             }
@@ -154,13 +177,14 @@
     // What the plan in force places here stays: it may be the last copy, and only the planner has
     // seen whether another is ready. A copy that has a place elsewhere goes before one that has
     // none, since that one is reachable only by loading it again.
-    private List<EngineInventory.ModelState> evictable(AcceleratorId accelerator) {
+    private List<EngineInventory.ModelState> evictable(
+            AcceleratorId accelerator, boolean alsoInUse) {
         return view.inventory().models().stream()
                 .filter(copy -> copy.accelerator().equals(accelerator))
                 .filter(EngineInventory.ModelState::isReady)
                 .filter(copy -> !view.placedHere().contains(copy.model()))
-                .filter(copy -> !view.isModelInUse(copy.model()))
-                .filter(copy -> !view.isModelAwaited(copy.model()))
+                .filter(copy -> alsoInUse || !view.isModelInUse(copy.model()))
+                .filter(copy -> !kept.contains(copy.model()))
                 .filter(copy -> !isLeaving(copy))
                 .filter(copy -> !isChanging(copy))
                 .sorted(
@@ -172,7 +196,7 @@
                 .toList();
     }
 
-    private boolean isChanging(EngineInventory.ModelState copy) {
+    boolean isChanging(EngineInventory.ModelState copy) {
         return view.underWay().stream()
                 .anyMatch(
                         change ->
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/EngineKeeper.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/EngineKeeper.java
@@ -61,6 +61,7 @@
     private final LoadTimes loadTimes = LoadTimes.empty();
     private Configuration configuration;
     private InetSocketAddress address;
+    private long configuredAtMillis;
     private LoadPace pace;
     private Optional<LogEntry.PlanPublished> plan = Optional.empty();
     private Set<ModelId> heldBack = Set.of();
@@ -139,6 +140,7 @@
 
     void configure(Configuration now, Configuration.Target nowTarget) {
         configuration = now;
+        configuredAtMillis = ControlThread.nowMillis();
         address = Endpoint.parse(nowTarget.endpoint());
         pace = LoadPace.of(now, ControlThread.nowMillis());
     }
@@ -213,6 +215,9 @@
         } else if (action instanceof OrderAction.NotMoved notMoved) {
             retryDelays.failed(notMoved.change(), ControlThread.nowMillis());
             meters.event("orders.without.effect");
+        } else if (action instanceof OrderAction.Contended contended) {
+            meters.event("memory.contended");
+            LOG.warnf("event=memory-contended what=%s", contended.failure().getMessage());
         } else if (action instanceof OrderAction.Breach breach) {
             meters.event("invariant.breaches");
             LOG.errorf("event=invariant-breach what=%s", breach.failure().getMessage());
@@ -282,12 +287,14 @@
         return new ResidencyView(
                 target,
                 configuration,
+                ControlThread.nowMillis() - configuredAtMillis,
                 plan,
                 inventory,
                 orders.free(),
                 orders.changesUnderWay(),
                 submissions.admission().unmetNeeds(),
                 submissions.inUse(),
+                pace.waitMillis(ControlThread.nowMillis()) == 0,
                 submissions.lastUsedMillis());
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/Submissions.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/Submissions.java
@@ -249,6 +249,9 @@
     private void forget(Attempt attempt) {
         attempts.remove(attempt.submit().attempt());
         handle(new AdmissionMessage.Ended(attempt.submit().attempt(), attempt.tokens()));
+        if (!admission.unmetNeeds().isEmpty()) {
+            onUnmetNeed.run();
+        }
     }
 
     private void cancel(Attempt attempt, ErrorCode code) {
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeConnection.java
@@ -0,0 +1,61 @@
+package org.tamaracktrack.daemon.target;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.message.Message;
+import org.tamaracktrack.link.frame.Connection;
+
+/** The entry daemon's end, as the target sees it. */
+final class FakeConnection implements Connection {
+    private static final long LIMIT_SECONDS = 10;
+
+    private final BlockingQueue<Message> sent = new LinkedBlockingQueue<>();
+    private volatile boolean open = true;
+
+    @Override
+    public boolean send(Message message) {
+        return open && sent.add(message);
+    }
+
+    @Override
+    public void close() {
+        open = false;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return open;
+    }
+
+    @Override
+    public String remote() {
+        return "test";
+    }
+
+    /** Waits for the next message of a type, passing over load reports and others. */
+    <T extends Message> T next(Class<T> type) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        try {
+            while (true) {
+                Message message = sent.poll(end - System.nanoTime(), TimeUnit.NANOSECONDS);
+                if (message == null) {
+                    throw TamaracktrackException.of(
+                            ErrorCode.INTERNAL, "no " + type.getSimpleName() + " came");
+                }
+                if (type.isInstance(message)) {
+                    return type.cast(message);
+                }
+            }
+        } catch (InterruptedException interrupted) {
+            throw TamaracktrackException.of(ErrorCode.INTERNAL, "interrupted", interrupted);
+        }
+    }
+
+    /** Counts the messages of a type that have been sent and not taken. */
+    long waiting(Class<? extends Message> type) {
+        return sent.stream().filter(type::isInstance).count();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
@@ -0,0 +1,179 @@
+package org.tamaracktrack.daemon.target;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.id.AcceleratorId;
+import org.tamaracktrack.core.id.OrderId;
+import org.tamaracktrack.core.target.EngineInventory;
+import org.tamaracktrack.core.target.EngineOrder;
+import org.tamaracktrack.core.target.OrderKind;
+import org.tamaracktrack.link.codec.Codecs;
+import org.tamaracktrack.link.http.HttpAnswer;
+import org.tamaracktrack.link.http.HttpCall;
+import org.tamaracktrack.link.http.HttpCallException;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.tamaracktrack.link.http.HttpFailure;
+import org.tamaracktrack.link.http.HttpListener;
+import org.tamaracktrack.link.http.HttpStream;
+
+/** An engine behind the HTTP port: orders take effect at once, answers come as a test says. */
+final class FakeHttp implements HttpCaller {
+    private static final AcceleratorId ACCELERATOR = AcceleratorId.of("a0");
+    private static final long CAPACITY = 1_000;
+    private static final long LIMIT_SECONDS = 10;
+
+    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+    private final List<EngineInventory.ModelState> models = new ArrayList<>();
+    private final List<EngineInventory.OrderState> orders = new ArrayList<>();
+    private long highestFencing;
+    private volatile boolean reachable = true;
+
+    /** A request that reached the engine, and the test's hold on its answer. */
+    static final class Call implements HttpStream {
+        private final HttpCall request;
+        private final HttpListener listener;
+        private volatile boolean paused;
+        private volatile boolean cancelled;
+
+        private Call(HttpCall request, HttpListener listener) {
+            this.request = request;
+            this.listener = listener;
+        }
+
+        HttpCall request() {
+            return request;
+        }
+
+        boolean isPaused() {
+            return paused;
+        }
+
+        boolean isCancelled() {
+            return cancelled;
+        }
+
+        Call head(int status, String contentType) {
+            listener.onHead(status, Map.of("content-type", contentType));
+            return this;
+        }
+
+        Call bytes(String text) {
+            listener.onBytes(text.getBytes(StandardCharsets.UTF_8));
+            return this;
+        }
+
+        void end() {
+            listener.onEnd();
+        }
+
+        void fail(HttpFailure failure) {
+            listener.onFailure(failure);
+        }
+
+        @Override
+        public void pause() {
+            paused = true;
+        }
+
+        @Override
+        public void resume() {
+            paused = false;
+        }
+
+        @Override
+        public void cancel() {
+            if (!cancelled) {
+                cancelled = true;
+                listener.onFailure(HttpFailure.CANCELLED);
+            }
+        }
+    }
+
+    void reachable(boolean now) {
+        reachable = now;
+    }
+
+    /** Waits for the next request to the engine or service. */
+    Call nextCall() {
+        try {
+            Call call = calls.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+            if (call == null) {
+                throw TamaracktrackException.of(ErrorCode.INTERNAL, "no call came");
+            }
+            return call;
+        } catch (InterruptedException interrupted) {
+            throw TamaracktrackException.of(ErrorCode.INTERNAL, "interrupted", interrupted);
+        }
+    }
+
+    boolean isQuiet() {
+        return calls.isEmpty();
+    }
+
+    @Override
+    public HttpStream stream(HttpCall request, BooleanSupplier maySend, HttpListener listener) {
+        Call call = new Call(request, listener);
+        if (!reachable || !maySend.getAsBoolean()) {
+            listener.onFailure(HttpFailure.NOT_SENT);
+        } else {
+            calls.add(call);
+        }
+        return call;
+    }
+
+    @Override
+    public synchronized HttpAnswer call(HttpCall request) {
+        if (!reachable) {
+            throw HttpCallException.of(HttpFailure.NOT_SENT, "unreachable");
+        }
+        if (request.path().equals("/admin/orders")) {
+            take(Codecs.decode(Codecs.json(), request.body(), EngineOrder.class));
+            return new HttpAnswer(202, Map.of(), new byte[0]);
+        }
+        return new HttpAnswer(200, Map.of(), Codecs.encode(Codecs.json(), inventory()));
+    }
+
+    private void take(EngineOrder order) {
+        highestFencing = Math.max(highestFencing, order.fencing());
+        orders.add(new EngineInventory.OrderState(order.orderId(), EngineInventory.Outcome.DONE));
+        if (order.kind() == OrderKind.LOAD_MODEL) {
+            models.add(
+                    new EngineInventory.ModelState(
+                            order.model().orElseThrow(),
+                            order.version().orElseThrow(),
+                            order.accelerator().orElseThrow(),
+                            order.mebibytes(),
+                            EngineInventory.Residence.READY,
+                            List.of()));
+        } else if (order.kind() == OrderKind.UNLOAD_MODEL) {
+            models.removeIf(copy -> copy.model().equals(order.model().orElseThrow()));
+        }
+    }
+
+    private EngineInventory inventory() {
+        long used = models.stream().mapToLong(EngineInventory.ModelState::totalMebibytes).sum();
+        return new EngineInventory(
+                highestFencing,
+                "serve",
+                List.of(new EngineInventory.AcceleratorState(ACCELERATOR, CAPACITY, used)),
+                models,
+                orders);
+    }
+
+    synchronized List<OrderId> orders() {
+        return orders.stream().map(EngineInventory.OrderState::orderId).toList();
+    }
+
+    @Override
+    public void close() {
+        reachable = false;
+    }
+}
