--- a/bench/src/main/java/org/tamaracktrack/bench/Main.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/Main.java
@@ -4,9 +4,11 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
+import java.util.List;
 import org.tamaracktrack.bench.local.LocalRun;
+import org.tamaracktrack.bench.measure.Measurements;
 
-/** Runs the whole system on one machine: {@code local}. */
+/** Runs the whole system on one machine: {@code local}, {@code measure}. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
@@ -20,6 +22,14 @@
         private String root = ".";
     }
 
+    private static final class MeasureFlags {
+        @Parameter(names = "--root", description = "the directory of the project")
+        private String root = ".";
+
+        @Parameter(names = "--what", description = "cost, footprint, recovery; may be repeated")
+        private List<String> what = List.of("cost", "footprint", "recovery");
+    }
+
     /**
      * Runs the program.
      *
@@ -27,7 +37,12 @@
      */
     public static void main(String[] arguments) {
         LocalFlags local = new LocalFlags();
-        JCommander commander = JCommander.newBuilder().addCommand("local", local).build();
+        MeasureFlags measure = new MeasureFlags();
+        JCommander commander =
+                JCommander.newBuilder()
+                        .addCommand("local", local)
+                        .addCommand("measure", measure)
+                        .build();
         commander.setProgramName("bench");
         try {
             commander.parse(arguments);
@@ -39,6 +54,10 @@
             commander.usage();
             System.exit(EXIT_USAGE);
         }
+        if (commander.getParsedCommand().equals("measure")) {
+            Measurements.run(Path.of(measure.root), System.out, measure.what);
+            System.exit(0);
+        }
         System.exit(LocalRun.of(Path.of(local.root), System.out).run(local.once));
     }
 }
--- a/bench/src/main/java/org/tamaracktrack/bench/caller/Caller.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/caller/Caller.java
@@ -74,6 +74,21 @@
                 (status, body) -> AnswerCheck.check(request, status, body));
     }
 
+    /**
+     * Calls a plain service itself, without the system between.
+     *
+     * @param address IP number and port of the service
+     * @param request the call
+     * @return what the caller saw
+     */
+    public CompletableFuture<Observation> sendDirect(String address, ServiceRequest request) {
+        Objects.requireNonNull(request, "request is null");
+        return send(
+                request.toDirectHttp(address),
+                () -> {},
+                (status, body) -> AnswerCheck.check(request, status, body));
+    }
+
     private CompletableFuture<Observation> send(
             HttpRequest request, Runnable onFirstByte, BiFunction<Integer, byte[], Outcome> check) {
         long start = System.nanoTime();
--- a/bench/src/main/java/org/tamaracktrack/bench/caller/ServiceRequest.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/caller/ServiceRequest.java
@@ -39,7 +39,21 @@
      * @return the call
      */
     public HttpRequest toHttp(String address) {
-        URI uri = URI.create("http://" + address + "/v1/services/" + service + path);
+        return http("http://" + address + "/v1/services/" + service + path);
+    }
+
+    /**
+     * Returns the call as HTTP to the service itself.
+     *
+     * @param address IP number and port of the service
+     * @return the call
+     */
+    public HttpRequest toDirectHttp(String address) {
+        return http("http://" + address + path);
+    }
+
+    private HttpRequest http(String url) {
+        URI uri = URI.create(url);
         HttpRequest.BodyPublisher content =
                 body.isEmpty()
                         ? HttpRequest.BodyPublishers.noBody()
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the running system. */
+package org.tamaracktrack.bench.measure;
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
@@ -27,6 +27,8 @@
         List<String> entryFlags,
         List<String> targetFlags) {
 
+    private static final double SAMPLE_TOKEN_MILLIS = 4;
+
     /** Checks the arguments. */
     public StackPlan {
         Objects.requireNonNull(directory, "directory is null");
@@ -47,12 +49,24 @@
      * @return the plan
      */
     public static StackPlan sample(Path root, Path directory) {
+        return sample(root, directory, SAMPLE_TOKEN_MILLIS);
+    }
+
+    /**
+     * Returns the plan for the sample configuration with engines of another speed.
+     *
+     * @param root the directory of the project
+     * @param directory where the output of the processes goes
+     * @param tokenMillis time for one token of a batch of one
+     * @return the plan
+     */
+    public static StackPlan sample(Path root, Path directory, double tokenMillis) {
         List<String> engine =
                 List.of(
                         "--accelerator", "a0=24576",
                         "--cache-mebibytes", "4096",
                         "--concurrency", "8",
-                        "--token-millis", "4");
+                        "--token-millis", Double.toString(tokenMillis));
         List<String> checking =
                 Stream.concat(engine.stream(), Stream.of("--checks-fencing")).toList();
         return new StackPlan(
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/Web.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/Web.java
@@ -30,7 +30,22 @@
      * @return its text if the status is 200
      */
     public static Optional<String> get(String address, String path) {
-        HttpRequest request = request(address, path).build();
+        return get(request(address, path).build());
+    }
+
+    /**
+     * Reads a page that needs a key.
+     *
+     * @param address IP number and port
+     * @param path the path
+     * @param key the client account's key
+     * @return its text if the status is 200
+     */
+    public static Optional<String> get(String address, String path, String key) {
+        return get(request(address, path).header("Authorization", "Bearer " + key).build());
+    }
+
+    private static Optional<String> get(HttpRequest request) {
         try {
             HttpResponse<String> answer = send(request);
             return answer.statusCode() == OK ? Optional.of(answer.body()) : Optional.empty();
--- a/standins/src/main/java/org/tamaracktrack/standins/http/CallerWatch.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/http/CallerWatch.java
@@ -41,8 +41,8 @@
     }
 
     private synchronized void read(ByteBuffer unused, Runnable onGone) {
+        // Reads may be resumed for the next request by now, so they are not to be suspended here.
         if (stopped) {
-            source.suspendReads();
             return;
         }
         try {
