--- a/bench/src/main/java/org/tamaracktrack/bench/Main.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/Main.java
@@ -1,23 +1,82 @@
 package org.tamaracktrack.bench;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
+import java.util.List;
+import org.tamaracktrack.bench.local.LocalRun;
+import org.tamaracktrack.bench.measure.Measurements;
+import org.tamaracktrack.bench.slope.Slopes;
 import org.tamaracktrack.bench.trace.TraceFlags;
 
-/** Entry point of the program. */
+/** Measures the system on one machine: the running processes, or its decisions alone. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
     private Main() {}
 
+    /** A command; its fields are its flags. */
+    private interface Command {
+        int run();
+    }
+
+    private static final class Local implements Command {
+        @Parameter(names = "--once", description = "send requests, print a report, and stop")
+        private boolean once;
+
+        @Parameter(names = "--root", description = "the directory of the project")
+        private String root = ".";
+
+        @Override
+        public int run() {
+            return LocalRun.of(Path.of(root), System.out).run(once);
+        }
+    }
+
+    private static final class Measure implements Command {
+        @Parameter(names = "--root", description = "the directory of the project")
+        private String root = ".";
+
+        @Parameter(names = "--what", description = "cost, footprint, recovery; may be repeated")
+        private List<String> what = List.of("cost", "footprint", "recovery");
+
+        @Override
+        public int run() {
+            Measurements.run(Path.of(root), System.out, what);
+            return 0;
+        }
+    }
+
+    private static final class Trace extends TraceFlags implements Command {
+        @Override
+        public int run() {
+            print();
+            return 0;
+        }
+    }
+
+    private static final class Slope implements Command {
+        @Override
+        public int run() {
+            Slopes.of(System.out).run();
+            return 0;
+        }
+    }
+
     /**
      * Runs the program.
      *
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        TraceFlags trace = new TraceFlags();
-        JCommander commander = JCommander.newBuilder().addCommand("placement-trace", trace).build();
+        JCommander commander =
+                JCommander.newBuilder()
+                        .addCommand("local", new Local())
+                        .addCommand("measure", new Measure())
+                        .addCommand("placement-trace", new Trace())
+                        .addCommand("slopes", new Slope())
+                        .build();
         commander.setProgramName("bench");
         try {
             commander.parse(arguments);
@@ -29,6 +88,7 @@
             commander.usage();
             System.exit(EXIT_USAGE);
         }
-        trace.run();
+        JCommander parsed = commander.getCommands().get(commander.getParsedCommand());
+        System.exit(((Command) parsed.getObjects().get(0)).run());
     }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/FakeTarget.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/FakeTarget.java
@@ -64,7 +64,8 @@
                         incarnation,
                         HostId.of("host-" + target),
                         DataCentreId.of("quito-1"),
-                        "127.0.0.1:" + address.getPort()));
+                        "127.0.0.1:" + address.getPort(),
+                        0));
     }
 
     Message.Load load(boolean leaving) {
@@ -138,8 +139,9 @@
     @Override
     public void onMessage(Connection connection, Message message) {
         if (message instanceof Message.Submit submit) {
+            Behaviour inForce = behaviour;
             submits.add(new Arrived(connection, submit));
-            behaviour.answer(connection, submit);
+            inForce.answer(connection, submit);
         } else if (message instanceof Message.LoadQuery) {
             connection.send(new Message.LoadReport(load(false)));
         } else {
