--- a/bench/src/main/java/org/tamaracktrack/bench/slope/Cost.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/slope/Cost.java
@@ -54,6 +54,8 @@
 
     /** Returns the heap that an object holds, from the heap in use with it and without it. */
     static long retainedBytes(Supplier<?> make) {
+        make.get();
+        sink = null;
         long before = usedBytes();
         Object held = make.get();
         long after = usedBytes();
--- a/core/src/main/java/org/tamaracktrack/core/placement/DemandEstimator.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/DemandEstimator.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.tamaracktrack.core.id.IncarnationId;
@@ -29,6 +30,7 @@
 
     private final Map<IncarnationId, CountersPublished> latest = new HashMap<>();
     private final Map<ModelId, Averages> models = new TreeMap<>();
+    private final Map<String, Optional<CounterName>> names = new HashMap<>();
     private final Averages all = new Averages();
     private long firstMillis = -1;
     private long newestMillis;
@@ -109,7 +111,7 @@
         if (increase <= 0) {
             return;
         }
-        CounterName.parse(text)
+        names.computeIfAbsent(text, CounterName::parse)
                 .ifPresent(
                         name -> {
                             if (name instanceof CounterName.Requests requests) {
--- a/core/src/main/java/org/tamaracktrack/core/placement/ExpectedService.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/ExpectedService.java
@@ -63,7 +63,7 @@
         ModelDemand demand = view.demand(model);
         splits.getOrDefault(model, Map.of())
                 .forEach((target, share) -> add(target, demand, -share));
-        Map<TargetId, Double> split = split(layout.homes(model), loads);
+        Map<TargetId, Double> split = split(layout.homes(model), Map.of());
         split.forEach((target, share) -> add(target, demand, share));
         splits.put(model, split);
     }
@@ -72,17 +72,17 @@
         loads.put(target, loads.getOrDefault(target, Load.NONE).plus(demand, share));
     }
 
-    private Map<TargetId, Double> split(List<TargetId> targets, Map<TargetId, Load> others) {
+    private Map<TargetId, Double> split(List<TargetId> targets, Map<TargetId, Load> changed) {
         Map<TargetId, Double> split = new TreeMap<>();
-        targets.forEach(target -> split.put(target, room(target, others)));
+        targets.forEach(target -> split.put(target, room(target, changed)));
         double total = split.values().stream().mapToDouble(Double::doubleValue).sum();
         split.replaceAll((target, room) -> room / total);
         return split;
     }
 
-    private double room(TargetId target, Map<TargetId, Load> others) {
+    private double room(TargetId target, Map<TargetId, Load> changed) {
         double slots = slots(target);
-        double taken = others.getOrDefault(target, Load.NONE).slots();
+        double taken = load(target, changed).slots();
         return Math.max(LEAST_ROOM * Math.max(1, slots), slots - taken);
     }
 
@@ -91,8 +91,11 @@
         return configured == null || !view.usable(target) ? 0 : configured.concurrency();
     }
 
-    private double lost(TargetId target, Map<TargetId, Load> at) {
-        Load load = at.getOrDefault(target, Load.NONE);
+    private double lost(TargetId target) {
+        return lost(target, loads.getOrDefault(target, Load.NONE));
+    }
+
+    private double lost(TargetId target, Load load) {
         return load.requestsPerSecond() * ErlangLoss.of(slots(target), load.slots());
     }
 
@@ -125,34 +128,29 @@
      */
     double gain(ModelId added, TargetId target, List<ModelId> dropped) {
         Map<TargetId, Load> after = new HashMap<>();
-        Map<TargetId, Load> seen = new HashMap<>(loads);
-        dropped.forEach(model -> move(model, without(layout.homes(model), target), seen, after));
-        move(added, with(layout.homes(added), target), seen, after);
-        return after.keySet().stream()
-                .mapToDouble(one -> lost(one, loads) - lost(one, after))
+        dropped.forEach(model -> move(model, without(layout.homes(model), target), after));
+        move(added, with(layout.homes(added), target), after);
+        return after.entrySet().stream()
+                .mapToDouble(one -> lost(one.getKey()) - lost(one.getKey(), one.getValue()))
                 .sum();
     }
 
-    private void move(
-            ModelId model,
-            List<TargetId> targets,
-            Map<TargetId, Load> seen,
-            Map<TargetId, Load> after) {
+    private void move(ModelId model, List<TargetId> targets, Map<TargetId, Load> after) {
         ModelDemand demand = view.demand(model);
         splits.getOrDefault(model, Map.of())
-                .forEach((one, share) -> change(one, demand, -share, seen, after));
-        split(targets, seen).forEach((one, share) -> change(one, demand, share, seen, after));
-    }
-
-    private static void change(
-            TargetId target,
-            ModelDemand demand,
-            double share,
-            Map<TargetId, Load> seen,
-            Map<TargetId, Load> after) {
-        Load load = seen.getOrDefault(target, Load.NONE).plus(demand, share);
-        seen.put(target, load);
-        after.put(target, load);
+                .forEach((one, share) -> change(one, demand, -share, after));
+        split(targets, after).forEach((one, share) -> change(one, demand, share, after));
+    }
+
+    private void change(
+            TargetId target, ModelDemand demand, double share, Map<TargetId, Load> after) {
+        after.put(target, load(target, after).plus(demand, share));
+    }
+
+    /** What is offered to a target; what a change would make of it goes before what it is. */
+    private Load load(TargetId target, Map<TargetId, Load> changed) {
+        Load after = changed.get(target);
+        return after == null ? loads.getOrDefault(target, Load.NONE) : after;
     }
 
     private static List<TargetId> without(List<TargetId> targets, TargetId target) {
--- a/core/src/test/java/org/tamaracktrack/core/placement/PlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/placement/PlannerTest.java
@@ -265,4 +265,44 @@
                                 .count())
                 .isAtLeast(2);
     }
+
+    // The operator raises the weight of a move. On the same demand the system must then move no
+    // more
+    // than before, or the setting would mean nothing.
+    @Property(seed = "46", tries = 8)
+    void shouldMoveNoMoreWhenMovesWeighMore(@ForAll @LongRange(max = 1_000_000) long seed) {
+        int cheap = movesAt(0.1, seed);
+        int dear = movesAt(100, seed);
+        int priceless = movesAt(100_000, seed);
+
+        assertThat(dear).isAtMost(cheap);
+        assertThat(priceless).isAtMost(dear);
+    }
+
+    private static int movesAt(double moveCost, long seed) {
+        Configuration priced = PlacementFixture.configuration(TARGETS, ROOM, MODELS, moveCost);
+        FakeTargets targets = new FakeTargets(priced, seed);
+        Planner planner = Planner.of(PlacementKind.HYSTERESIS.policy().orElseThrow(), 15_000);
+        Random random = new Random(seed);
+        Map<ModelId, ModelDemand> demand = new HashMap<>();
+        List<Placement> plan = List.of();
+        int settled = 0;
+        for (int second = 0; second < 600; second++) {
+            if (second == SETTLE_SECONDS) {
+                settled = targets.moves();
+            }
+            if (second > SETTLE_SECONDS && random.nextInt(15) == 0) {
+                double slots = random.nextInt(30);
+                demand.put(
+                        PlacementFixture.model(random.nextInt(MODELS)),
+                        new ModelDemand(slots, slots, slots));
+            }
+            plan =
+                    planner.next(
+                            plan,
+                            new PlanningView(second * 1_000L, priced, targets.statuses(), demand));
+            targets.follow(plan);
+        }
+        return targets.moves() - settled;
+    }
 }
