--- a/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
@@ -11,6 +11,9 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.lease.Duty;
+import org.tamaracktrack.daemon.configuration.ConfigurationMetrics;
+import org.tamaracktrack.daemon.configuration.ConfigurationSnapshotter;
 import org.tamaracktrack.daemon.configuration.FollowedConfiguration;
 import org.tamaracktrack.daemon.configuration.PeerAsker;
 import org.tamaracktrack.daemon.entry.EntryRole;
@@ -23,7 +26,6 @@
 import org.tamaracktrack.daemon.settings.IpAddresses;
 import org.tamaracktrack.daemon.settings.Settings;
 import org.tamaracktrack.daemon.target.TargetRole;
-import org.tamaracktrack.link.frame.FrameTransport;
 import org.tamaracktrack.link.frame.XnioFrameTransport;
 import org.tamaracktrack.link.hosts.HttpHostListClient;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -52,9 +54,18 @@
     static DaemonProcess start(DaemonSettings settings) {
         IncarnationId incarnation = incarnation(settings.settings());
         LOG.infof("event=start incarnation=%s %s", incarnation, settings.describe());
-        DaemonRuntime runtime = runtime(settings.settings(), incarnation);
+        ControlThread control = ControlThread.of("control");
+        HttpCaller http = UndertowHttpCaller.of();
+        LogClient log = HttpLogClient.of(http, settings.settings().logAddress());
+        FollowedConfiguration configuration = FollowedConfiguration.start(log, control);
+        DaemonRuntime runtime =
+                runtime(settings.settings(), incarnation, control, http, log, configuration);
+        ConfigurationMetrics.register(configuration, runtime.metrics());
+        PeerAsker.start(configuration, runtime.transport(), control, settings.settings().peers());
         if (settings.settings().role() == Settings.Role.ENTRY) {
             EntryRole entry = EntryRole.start(runtime, settings.routing(), settings.placement());
+            ConfigurationSnapshotter.start(
+                    configuration, log, control, () -> entry.holds(Duty.REPORTER));
             return new DaemonProcess(runtime, entry, front(runtime, entry, entry.callers()));
         }
         TargetRole target = TargetRole.start(runtime);
@@ -71,20 +82,20 @@
                         + Long.toHexString(ThreadLocalRandom.current().nextLong()));
     }
 
-    private static DaemonRuntime runtime(Settings settings, IncarnationId incarnation) {
-        ControlThread control = ControlThread.of("control");
-        HttpCaller http = UndertowHttpCaller.of();
-        LogClient log = HttpLogClient.of(http, settings.logAddress());
-        FrameTransport transport = XnioFrameTransport.of(settings.sharedSecret());
-        FollowedConfiguration configuration = FollowedConfiguration.start(log, control);
-        PeerAsker.start(configuration, transport, control, settings.peers());
+    private static DaemonRuntime runtime(
+            Settings settings,
+            IncarnationId incarnation,
+            ControlThread control,
+            HttpCaller http,
+            LogClient log,
+            FollowedConfiguration configuration) {
         return new DaemonRuntime(
                 settings,
                 incarnation,
                 control,
                 log,
                 settings.hostListAddress().map(address -> HttpHostListClient.of(http, address)),
-                transport,
+                XnioFrameTransport.of(settings.sharedSecret()),
                 http,
                 new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
                 configuration);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
@@ -14,6 +14,7 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.HostId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.lease.Duty;
 import org.tamaracktrack.core.log.LogStream;
 import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
@@ -181,6 +182,16 @@
         return handler;
     }
 
+    /**
+     * Returns whether this daemon may act on a duty now. For any thread.
+     *
+     * @param duty the duty
+     * @return true while its lease can be trusted
+     */
+    public boolean holds(Duty duty) {
+        return duties.holds(duty);
+    }
+
     /** What is known of the targets; for the control thread. */
     TargetView targets() {
         return targets;
