--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
@@ -9,9 +9,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
@@ -45,10 +47,18 @@
         CallerConnection created = new CallerConnection(open);
         connection.putAttachment(KEY, created);
         open.incrementAndGet();
-        connection.addCloseListener(closed -> connection.getIoThread().execute(created::closed));
+        connection.addCloseListener(closed -> created.closedOn(connection.getIoThread()));
         return created;
     }
 
+    private void closedOn(XnioIoThread thread) {
+        try {
+            thread.execute(this::closed);
+        } catch (RejectedExecutionException stopped) {
+            closed();
+        }
+    }
+
     private void closed() {
         open.decrementAndGet();
         onClosed.run();
