--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/cost/DecisionCosts.java
@@ -0,0 +1,234 @@
+package org.tamaracktrack.bench.cost;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.IntConsumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.tamaracktrack.core.admission.AdmissionAction;
+import org.tamaracktrack.core.admission.AdmissionLimits;
+import org.tamaracktrack.core.admission.AdmissionMessage;
+import org.tamaracktrack.core.admission.FairAdmission;
+import org.tamaracktrack.core.admission.Need;
+import org.tamaracktrack.core.admission.Work;
+import org.tamaracktrack.core.config.Configuration;
+import org.tamaracktrack.core.id.AcceleratorId;
+import org.tamaracktrack.core.id.AttemptId;
+import org.tamaracktrack.core.id.ClientAccountId;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.OrderId;
+import org.tamaracktrack.core.id.RequestClassId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.log.LogEntry;
+import org.tamaracktrack.core.memory.MemoryLedger;
+import org.tamaracktrack.core.target.EngineInventory;
+import org.tamaracktrack.core.target.Residency;
+import org.tamaracktrack.core.target.ResidencyView;
+
+/** Prints the processor time of admission, ledger and residency decisions at several sizes. */
+public final class DecisionCosts {
+    private static final RequestClassId CLASS = RequestClassId.of("interactive");
+    private static final IncarnationId ENTRY = IncarnationId.of("entry");
+    private static final AcceleratorId ACCELERATOR = AcceleratorId.of("a0");
+    private static final TargetId TARGET = TargetId.of("t0");
+    private static final int ROUNDS = 7;
+    private static final long PATIENCE_MILLIS = 1_000_000_000;
+
+    private DecisionCosts() {}
+
+    /**
+     * Runs the measurement.
+     *
+     * @param arguments none
+     */
+    public static void main(String[] arguments) {
+        System.out.printf("%-34s %10s %12s %12s%n", "decision", "size", "median_us", "spread_us");
+        List.of(10, 100, 1_000).forEach(DecisionCosts::admission);
+        List.of(10, 100, 1_000).forEach(DecisionCosts::ticks);
+        List.of(10, 100, 1_000).forEach(DecisionCosts::ledger);
+        List.of(26, 260, 1_100).forEach(DecisionCosts::residency);
+    }
+
+    private static void report(String name, int size, int count, IntConsumer decision) {
+        List<Double> micros =
+                IntStream.range(0, ROUNDS)
+                        .mapToObj(
+                                round -> {
+                                    long from = System.nanoTime();
+                                    IntStream.range(0, count).forEach(decision);
+                                    return (System.nanoTime() - from) / 1_000.0 / count;
+                                })
+                        .skip(2)
+                        .sorted(Comparator.naturalOrder())
+                        .toList();
+        System.out.printf(
+                "%-34s %10d %12.2f %12.2f%n",
+                name,
+                size,
+                micros.get(micros.size() / 2),
+                micros.get(micros.size() - 1) - micros.get(0));
+    }
+
+    private static Work work(Random random, long number, int accounts) {
+        return new Work(
+                AttemptId.of(ENTRY, number, 0),
+                ClientAccountId.of("account-" + random.nextInt(accounts)),
+                CLASS,
+                1 + random.nextInt(500),
+                0,
+                PATIENCE_MILLIS,
+                Optional.empty());
+    }
+
+    private static FairAdmission busy(int accounts, Random random) {
+        AdmissionLimits limits =
+                new AdmissionLimits(
+                        8,
+                        Map.of(CLASS, new AdmissionLimits.ClassLimits(1, 100_000)),
+                        IntStream.range(0, accounts)
+                                .mapToObj(index -> ClientAccountId.of("account-" + index))
+                                .collect(
+                                        Collectors.toMap(
+                                                Function.identity(),
+                                                id ->
+                                                        new AdmissionLimits.AccountLimits(
+                                                                1, 100_000, 100_000))));
+        FairAdmission admission = FairAdmission.of(limits);
+        IntStream.range(0, 2 * accounts + 8)
+                .forEach(
+                        index ->
+                                admission.handle(
+                                        new AdmissionMessage.Arrived(work(random, index, accounts)),
+                                        0));
+        return admission;
+    }
+
+    // One arrival and one end, with two waiting requests for each account.
+    private static void admission(int accounts) {
+        Random random = new Random(7);
+        FairAdmission admission = busy(accounts, random);
+        ArrayDeque<AttemptId> running = new ArrayDeque<>();
+        IntStream.range(0, 8).forEach(index -> running.add(AttemptId.of(ENTRY, index, 0)));
+        long[] number = {1_000_000};
+        report(
+                "arrival and end, by accounts",
+                accounts,
+                20_000,
+                unused -> {
+                    admission.handle(
+                            new AdmissionMessage.Arrived(work(random, number[0]++, accounts)), 1);
+                    admission
+                            .handle(
+                                    new AdmissionMessage.Ended(running.poll(), OptionalInt.of(250)),
+                                    2)
+                            .stream()
+                            .filter(action -> action instanceof AdmissionAction.Start)
+                            .forEach(action -> running.add(action.work().attempt()));
+                });
+    }
+
+    private static void ticks(int accounts) {
+        FairAdmission admission = busy(accounts, new Random(7));
+        report(
+                "tick over waiting requests",
+                admission.queued(),
+                accounts >= 1_000 ? 20 : 500,
+                unused -> admission.handle(new AdmissionMessage.Tick(), 3));
+    }
+
+    private static void ledger(int orders) {
+        MemoryLedger ledger = MemoryLedger.empty();
+        ledger.commit(ACCELERATOR, 10_000_000, 0);
+        IntStream.range(0, orders)
+                .forEach(index -> ledger.reserve(OrderId.of("o" + index), ACCELERATOR, 10));
+        OrderId one = OrderId.of("one");
+        report(
+                "reserve and release, by orders",
+                orders,
+                20_000,
+                unused -> {
+                    ledger.reserve(one, ACCELERATOR, 10);
+                    ledger.release(one);
+                });
+    }
+
+    // A twentieth of the models resident and placed here, and three needs unmet.
+    private static void residency(int models) {
+        Map<ModelId, Configuration.Model> configured =
+                IntStream.range(0, models)
+                        .mapToObj(index -> ModelId.of("m" + index))
+                        .collect(
+                                Collectors.toMap(
+                                        Function.identity(),
+                                        id -> new Configuration.Model(id, "1", 100)));
+        List<ModelId> ids = configured.keySet().stream().sorted().toList();
+        int here = Math.max(1, models / 20);
+        ResidencyView view = view(configured, ids, here);
+        report("residency, by models", models, 500, unused -> Residency.decide(view));
+    }
+
+    private static ResidencyView view(
+            Map<ModelId, Configuration.Model> configured, List<ModelId> ids, int here) {
+        List<EngineInventory.ModelState> copies =
+                ids.stream()
+                        .limit(here)
+                        .map(
+                                id ->
+                                        new EngineInventory.ModelState(
+                                                id,
+                                                "1",
+                                                ACCELERATOR,
+                                                100,
+                                                EngineInventory.Residence.READY,
+                                                List.of()))
+                        .toList();
+        List<LogEntry.Placement> placements =
+                IntStream.range(0, ids.size())
+                        .mapToObj(
+                                index ->
+                                        new LogEntry.Placement(
+                                                ids.get(index),
+                                                index < here ? TARGET : TargetId.of("t1"),
+                                                List.of(),
+                                                "home"))
+                        .toList();
+        Set<Need> unmet =
+                ids.stream().skip(here).limit(3).map(Need::of).collect(Collectors.toSet());
+        return new ResidencyView(
+                TARGET,
+                new Configuration(
+                        1,
+                        new Configuration.WeightStoreLimits(1, 1),
+                        1,
+                        Map.of(),
+                        configured,
+                        Map.of(),
+                        Map.of(),
+                        Map.of(),
+                        Map.of()),
+                0,
+                Optional.of(new LogEntry.PlanPublished(ENTRY, 0, 0, placements)),
+                new EngineInventory(
+                        1,
+                        "serve",
+                        List.of(
+                                new EngineInventory.AcceleratorState(
+                                        ACCELERATOR, 100L * here, 100L * here)),
+                        copies,
+                        List.of()),
+                Map.of(ACCELERATOR, 0L),
+                List.of(),
+                unmet,
+                Set.of(),
+                true,
+                Map.of());
+    }
+}
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/PeerHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/PeerHandler.java
@@ -6,7 +6,7 @@
 import java.util.function.Supplier;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.message.Message;
-import org.tamaracktrack.daemon.configuration.ConfigurationSource;
+import org.tamaracktrack.daemon.configuration.ConfigurationAnswers;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.frame.Connection;
 import org.tamaracktrack.link.frame.ConnectionHandler;
@@ -15,7 +15,7 @@
 final class PeerHandler implements ConnectionHandler {
     private final ControlThread control;
     private final Submissions submissions;
-    private final ConfigurationSource configuration;
+    private final ConfigurationAnswers answers;
     private final Supplier<Message.Hello> hello;
     private final Supplier<Message.Load> load;
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
@@ -23,12 +23,12 @@
     private PeerHandler(
             ControlThread control,
             Submissions submissions,
-            ConfigurationSource configuration,
+            ConfigurationAnswers answers,
             Supplier<Message.Hello> hello,
             Supplier<Message.Load> load) {
         this.control = control;
         this.submissions = submissions;
-        this.configuration = configuration;
+        this.answers = answers;
         this.hello = hello;
         this.load = load;
     }
@@ -36,11 +36,11 @@
     static PeerHandler of(
             ControlThread control,
             Submissions submissions,
-            ConfigurationSource configuration,
+            ConfigurationAnswers answers,
             Supplier<Message.Hello> hello,
             Supplier<Message.Load> load) {
         Objects.requireNonNull(submissions, "submissions is null");
-        return new PeerHandler(control, submissions, configuration, hello, load);
+        return new PeerHandler(control, submissions, answers, hello, load);
     }
 
     @Override
@@ -55,6 +55,9 @@
 
     @Override
     public void onMessage(Connection connection, Message message) {
+        if (answers.handle(connection, message)) {
+            return;
+        }
         if (message instanceof Message.Submit submit) {
             submissions.submit(connection, submit);
         } else if (message instanceof Message.Credit credit) {
@@ -63,30 +66,6 @@
             submissions.cancel(cancel.attempt());
         } else if (message instanceof Message.LoadQuery) {
             control.post(() -> connection.send(new Message.LoadReport(load.get())));
-        } else if (message instanceof Message.ConfigurationQuery query) {
-            offer(connection, query.haveVersion());
-        } else if (message instanceof Message.ConfigurationOffer offer) {
-            configuration.offer(offer.version(), offer.document());
-        } else if (message instanceof Message.Hello theirs) {
-            askIfNewer(connection, theirs.configurationVersion());
-        }
-    }
-
-    private void offer(Connection connection, long haveVersion) {
-        configuration
-                .current()
-                .filter(inForce -> inForce.version() > haveVersion)
-                .ifPresent(
-                        inForce ->
-                                connection.send(
-                                        new Message.ConfigurationOffer(
-                                                inForce.version(), inForce.document())));
-    }
-
-    private void askIfNewer(Connection connection, long theirVersion) {
-        long ours = configuration.current().map(ConfigurationSource.Versioned::version).orElse(-1L);
-        if (theirVersion > ours) {
-            connection.send(new Message.ConfigurationQuery(ours));
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
@@ -24,6 +24,7 @@
 import org.tamaracktrack.core.log.LogStream;
 import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.core.placement.PlanRegister;
+import org.tamaracktrack.daemon.configuration.ConfigurationAnswers;
 import org.tamaracktrack.daemon.configuration.ConfigurationSource;
 import org.tamaracktrack.daemon.counters.CounterPublisher;
 import org.tamaracktrack.daemon.counters.Counters;
@@ -62,7 +63,7 @@
     private volatile boolean ready;
     private volatile boolean stopping;
 
-    private TargetRole(DaemonRuntime runtime, TargetId target) {
+    private TargetRole(DaemonRuntime runtime, TargetId target, AdmissionKind admission) {
         this.runtime = runtime;
         this.target = target;
         this.meters = TargetMeters.of(runtime.metrics());
@@ -70,7 +71,7 @@
         this.submissions =
                 Submissions.of(
                         runtime.control(),
-                        AdmissionKind.FAIR.policy(NO_LIMITS),
+                        admission.policy(NO_LIMITS),
                         dispatcher,
                         this::load,
                         meters);
@@ -78,7 +79,7 @@
                 PeerHandler.of(
                         runtime.control(),
                         submissions,
-                        runtime.configuration(),
+                        ConfigurationAnswers.of(runtime.configuration()),
                         this::hello,
                         this::load);
         this.ownershipLog = OwnershipLog.of(runtime.log());
@@ -93,14 +94,27 @@
     }
 
     /**
-     * Starts the role.
+     * Starts the role with fair admission.
      *
      * @param runtime the parts it is built from
      * @return the running role
      * @throws TamaracktrackException with {@code INVALID_SETTINGS} when the settings name no target
      */
     public static TargetRole start(DaemonRuntime runtime) {
+        return start(runtime, AdmissionKind.FAIR);
+    }
+
+    /**
+     * Starts the role.
+     *
+     * @param runtime the parts it is built from
+     * @param admission the admission policy
+     * @return the running role
+     * @throws TamaracktrackException with {@code INVALID_SETTINGS} when the settings name no target
+     */
+    public static TargetRole start(DaemonRuntime runtime, AdmissionKind admission) {
         Objects.requireNonNull(runtime, "runtime is null");
+        Objects.requireNonNull(admission, "admission is null");
         TargetId target =
                 runtime.settings()
                         .target()
@@ -109,7 +123,7 @@
                                         TamaracktrackException.of(
                                                 ErrorCode.INVALID_SETTINGS,
                                                 "a target daemon needs a target"));
-        TargetRole role = new TargetRole(runtime, target);
+        TargetRole role = new TargetRole(runtime, target, admission);
         role.begin();
         return role;
     }
