--- a/core/src/main/java/org/tamaracktrack/core/routing/EstimatedWaitPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/routing/EstimatedWaitPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -100,12 +101,13 @@
     }
 
     private static Optional<Scored> nearestOfTwo(List<Scored> scored, long seed) {
-        List<Scored> local = nearest(scored);
-        List<Scored> remote =
+        Map<Boolean, List<Scored>> byPlace =
                 scored.stream()
-                        .filter(choice -> !local.contains(choice))
-                        .collect(Collectors.toList());
-        return Stream.of(betterOfTwo(local, seed), betterOfTwo(remote, ~seed))
+                        .collect(
+                                Collectors.partitioningBy(
+                                        choice -> choice.candidate().distanceMillis() == 0));
+        return Stream.of(
+                        betterOfTwo(byPlace.get(true), seed), betterOfTwo(byPlace.get(false), ~seed))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(EstimatedWaitPolicy::costWithDistance));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tamaracktrack.core.config.Configuration;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -18,7 +19,6 @@
 
 /** Takes callers' HTTP requests: reads and checks them, and starts their runs. */
 final class CallerHandler implements HttpHandler {
-    private static final long BODY_MILLIS = 15_000;
     private static final byte[] NOTHING = {};
 
     private final ConfigurationSource configuration;
@@ -45,8 +45,9 @@
      *
      * @param bodyBytes the largest body
      * @param connections how many connections are served at once
+     * @param bodyMillis how long a body may take to arrive
      */
-    record CallerLimits(int bodyBytes, int connections) {}
+    record CallerLimits(int bodyBytes, int connections, long bodyMillis) {}
 
     static CallerHandler of(
             ConfigurationSource configuration,
@@ -136,26 +137,40 @@
             Configuration.ClientAccount account) {
         exchange.setMaxEntitySize(limits.bodyBytes());
         exchange.getRequestReceiver().setMaxBufferSize(limits.bodyBytes());
+        AtomicBoolean over = new AtomicBoolean();
         // A caller that sends its body a byte at a time would hold its connection and buffer for
         // as long as it likes.
         XnioExecutor.Key timer =
                 exchange.getIoThread()
                         .executeAfter(
-                                () -> IoUtils.safeClose(exchange.getConnection()),
-                                BODY_MILLIS,
+                                () -> {
+                                    if (over.compareAndSet(false, true)) {
+                                        answerError(exchange, channel, tooSlow());
+                                    }
+                                },
+                                limits.bodyMillis(),
                                 TimeUnit.MILLISECONDS);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (same, body) -> {
                             timer.remove();
-                            start(exchange, channel, http.withBody(body), current, account);
+                            if (over.compareAndSet(false, true)) {
+                                start(exchange, channel, http.withBody(body), current, account);
+                            }
                         },
                         (same, failure) -> {
                             timer.remove();
-                            answerError(exchange, channel, bodyFailure(failure));
+                            if (over.compareAndSet(false, true)) {
+                                answerError(exchange, channel, bodyFailure(failure));
+                            }
                         });
     }
 
+    private static TamaracktrackException tooSlow() {
+        return TamaracktrackException.of(
+                ErrorCode.REQUEST_TOO_SLOW, "the body did not arrive in time");
+    }
+
     private static TamaracktrackException bodyFailure(IOException failure) {
         return TamaracktrackException.of(
                 ErrorCode.BODY_TOO_LARGE, "the body is larger than this server takes", failure);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
@@ -33,6 +33,7 @@
     private static final Logger LOG = Logger.getLogger(EntryRole.class);
     private static final long TICK_MILLIS = 100;
     private static final long HOST_LIST_MILLIS = 1_000;
+    private static final long BODY_MILLIS = 15_000;
     private static final long POLL_MILLIS = 20;
     private static final long LAST_RECORDS_MILLIS = 2_000;
     private static final String SOURCE = "entry";
@@ -82,7 +83,8 @@
                         AccountRates.empty(),
                         new CallerHandler.CallerLimits(
                                 runtime.settings().maximumBodyBytes(),
-                                runtime.settings().maximumConnections()));
+                                runtime.settings().maximumConnections(),
+                                BODY_MILLIS));
         this.peerAddress =
                 runtime.transport()
                         .listen(
@@ -186,6 +188,11 @@
         return targets;
     }
 
+    /** What the daemon does for its requests. */
+    RequestServices services() {
+        return services;
+    }
+
     /** Whether a target may get new work; for the control thread. */
     boolean accepts(String target) {
         return targets.accepts(TargetId.of(target));
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/CallerHandlerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/CallerHandlerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -17,6 +18,7 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.message.Message;
+import org.tamaracktrack.daemon.operations.HttpFront;
 
 @Timeout(60)
 class CallerHandlerTest {
@@ -93,6 +95,32 @@
             assertRefused(entry.request("/v1/completions").GET(), ErrorCode.METHOD_NOT_ALLOWED);
         }
 
+        // The caller sends its head and half of its body and then nothing: it is told so, and its
+        // connection is closed, so that it holds nothing.
+        @Test
+        void shouldAnswerAndCloseWhenABodyDoesNotArriveInTime() throws Exception {
+            CallerHandler hasty =
+                    CallerHandler.of(
+                            entry.configuration,
+                            entry.role.services(),
+                            AccountRates.empty(),
+                            new CallerHandler.CallerLimits(1_000, 10, 100));
+            try (HttpFront front =
+                            HttpFront.start(new InetSocketAddress("127.0.0.1", 0), 10, hasty);
+                    Socket caller = new Socket("127.0.0.1", front.address().getPort())) {
+                String head =
+                        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                                + EntryFixture.KEY
+                                + "\r\nContent-Length: 50\r\n\r\n{\"model\"";
+                caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+
+                String answer = new String(caller.getInputStream().readAllBytes());
+
+                assertThat(answer).startsWith("HTTP/1.1 408");
+                assertThat(answer).contains("REQUEST_TOO_SLOW");
+            }
+        }
+
         // More connections than are allowed, each with a request: the others go on being served.
         @Test
         void shouldRefuseConnectionsOverTheLimitAndServeTheRest() throws Exception {
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
@@ -57,6 +57,7 @@
     final MemoryLog log;
     final FrameTransport transport = XnioFrameTransport.of(SECRET);
     final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    final ConfigurationSource configuration;
     final EntryRole role;
     final HttpFront front;
     private final ControlThread control = ControlThread.of("control");
@@ -66,6 +67,7 @@
 
     private EntryFixture(MemoryLog log, String name, Configuration configuration) {
         this.log = log;
+        this.configuration = new Fixed(configuration);
         DaemonRuntime runtime =
                 new DaemonRuntime(
                         settings(),
@@ -76,7 +78,7 @@
                         transport,
                         http,
                         metrics,
-                        new Fixed(configuration));
+                        this.configuration);
         role = EntryRole.start(runtime, RoutingKind.ESTIMATED_WAIT, PlacementKind.LRU);
         front =
                 HttpFront.start(
