Report an answer as served when its caller has it whole

A channel with nothing left to write ends inside the batch of actions, when the request's state has ended and its settlement has not been carried out. A caller that closed right after its last event was cancelled. Ruled out: settling before ending the answer, which would only move the order that the report depends on. Failing first (RequestRunnerTest, 4 of 6 red): shouldReportServedWhenTheChannel EndsAtOnce 'expected in_class but was failed'; ...WhenTheCallerClosesAfterItHasEverything 'but was cancelled'. After: RequestRunnerTest 6/6, WholeAnswersTest, CallerHandlerTest, SettingsParserTest green.

--- a/core/src/main/java/org/tamaracktrack/core/routing/EstimatedWaitPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/routing/EstimatedWaitPolicy.java
@@ -107,7 +107,8 @@
                                 Collectors.partitioningBy(
                                         choice -> choice.candidate().distanceMillis() == 0));
         return Stream.of(
-                        betterOfTwo(byPlace.get(true), seed), betterOfTwo(byPlace.get(false), ~seed))
+                        betterOfTwo(byPlace.get(true), seed),
+                        betterOfTwo(byPlace.get(false), ~seed))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(EstimatedWaitPolicy::costWithDistance));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
@@ -38,13 +38,11 @@
     private final long deadlineAtMillis;
     private Optional<TargetLink> link = Optional.empty();
     private OptionalLong claim = OptionalLong.empty();
-    private Optional<Message.Finished> finished = Optional.empty();
-    private Optional<ExchangeAction.AnswerError> error = Optional.empty();
-    private boolean cut;
+    private final RequestRecord record = RequestRecord.empty();
     private boolean gone;
     private boolean answerSent;
     private boolean answered;
-    private boolean settled;
+    private int batches;
     private boolean over;
 
     private RequestRunner(
@@ -156,19 +154,24 @@
     private void note(Message message) {
         if (message instanceof Message.Chunk) {
             times.firstPart(ControlThread.nowMillis());
+            if (gone) {
+                record.missed();
+            }
         } else if (message instanceof Message.Finished last) {
-            finished = Optional.of(last);
+            record.finished(last);
         }
     }
 
     @Override
     public void onWritten(int bytes) {
+        record.written(bytes);
         handle(new ExchangeEvent.CallerRead(bytes));
     }
 
     @Override
     public void onGone() {
-        gone = !answered;
+        gone = true;
+        record.gone();
         services.metrics().event(EntryMetrics.Event.CALLER_GONE);
         handle(new ExchangeEvent.CallerGone());
         if (!exchange.ended()) {
@@ -191,7 +194,9 @@
     }
 
     private void carryOut(List<ExchangeAction> actions) {
+        batches++;
         actions.forEach(this::carryOut);
+        batches--;
         endIfOver();
     }
 
@@ -223,19 +228,21 @@
                 !(action instanceof ExchangeAction.AnswerHead
                         || action instanceof ExchangeAction.AnswerPart);
         if (action instanceof ExchangeAction.AnswerWhole whole) {
+            record.passed(whole.body().length);
             channel.whole(whole.status(), withTarget(whole.headers()), whole.body());
         } else if (action instanceof ExchangeAction.AnswerHead head) {
             channel.head(head.status(), withTarget(head.headers()));
         } else if (action instanceof ExchangeAction.AnswerPart part) {
+            record.passed(part.bytes().length);
             channel.part(part.bytes());
         } else if (action instanceof ExchangeAction.AnswerEnd) {
             channel.end();
         } else if (action instanceof ExchangeAction.AnswerError failed) {
-            error = Optional.of(failed);
+            record.error(failed);
             services.metrics().error(failed.code());
             channel.error(CallerError.of(failed.code(), failed.ran(), failed.retryAfterMillis()));
         } else {
-            cut = true;
+            record.cut();
             services.metrics().event(EntryMetrics.Event.CALLER_CUT);
             channel.cut();
         }
@@ -319,7 +326,6 @@
     }
 
     private void settle(Ran ran) {
-        settled = true;
         claim.ifPresent(number -> services.settle(number, ran));
     }
 
@@ -333,8 +339,10 @@
         LOG.errorf("event=answer-fault code=%s detail=%s", breach.code(), breach.detail());
     }
 
+    // A channel may end in the middle of a batch of actions, and the state is ahead of what has
+    // been carried out; reported then, a request that is being settled would count as failed.
     private void endIfOver() {
-        if (!over && answered && exchange.ended()) {
+        if (!over && batches == 0 && answered && exchange.ended()) {
             over = true;
             services.inProgress().remove(this);
             report();
@@ -343,28 +351,17 @@
 
     private void report() {
         EntryMetrics metrics = services.metrics();
-        Optional<Message.Finished> whole =
-                finished.filter(last -> error.isEmpty() && !cut && !gone && settled);
-        if (whole.isPresent()) {
-            long now = ControlThread.nowMillis();
-            boolean inClass = times.finished(metrics, request, whole.get(), now);
-            metrics.count(request, inClass ? RequestOutcome.IN_CLASS : RequestOutcome.LATE);
-            metrics.tokens(request, whole.get().promptTokens(), whole.get().answerTokens());
-            link.ifPresent(
-                    open -> services.served(open.target(), times.runMillis(now, whole.get())));
-        } else {
-            metrics.count(request, outcome());
-        }
+        record.served()
+                .ifPresentOrElse(
+                        this::reportServed, () -> metrics.count(request, record.otherwise()));
     }
 
-    private RequestOutcome outcome() {
-        if (error.isPresent()) {
-            return switch (error.get().ran()) {
-                case NO -> RequestOutcome.refused(error.get().code());
-                case UNKNOWN -> RequestOutcome.UNKNOWN;
-                case YES -> RequestOutcome.FAILED;
-            };
-        }
-        return gone && !cut ? RequestOutcome.CANCELLED : RequestOutcome.FAILED;
+    private void reportServed(Message.Finished finished) {
+        EntryMetrics metrics = services.metrics();
+        long now = ControlThread.nowMillis();
+        boolean inClass = times.finished(metrics, request, finished, now);
+        metrics.count(request, inClass ? RequestOutcome.IN_CLASS : RequestOutcome.LATE);
+        metrics.tokens(request, finished.promptTokens(), finished.answerTokens());
+        link.ifPresent(open -> services.served(open.target(), times.runMillis(now, finished)));
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonFlags.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonFlags.java
@@ -57,6 +57,9 @@
     @Parameter(names = "--placement", description = "hysteresis, static, lru or greedy")
     String placement;
 
+    @Parameter(names = "--admission", description = "fair or fifo")
+    String admission;
+
     @Parameter(names = "--check-settings", description = "check the settings and exit")
     boolean checkSettings;
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import org.tamaracktrack.core.admission.AdmissionKind;
 import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
 
@@ -11,10 +12,15 @@
  * @param settings the settings
  * @param routing how an entry daemon chooses targets
  * @param placement how an entry daemon that plans places models
+ * @param admission how a target daemon admits waiting requests
  * @param checkOnly whether to stop after the check
  */
 public record DaemonSettings(
-        Settings settings, RoutingKind routing, PlacementKind placement, boolean checkOnly) {
+        Settings settings,
+        RoutingKind routing,
+        PlacementKind placement,
+        AdmissionKind admission,
+        boolean checkOnly) {
 
     /** Checks the arguments. */
     public DaemonSettings {
@@ -59,6 +65,8 @@
                 + " routing="
                 + routing.text()
                 + " placement="
-                + placement.name().toLowerCase(Locale.ROOT);
+                + placement.name().toLowerCase(Locale.ROOT)
+                + " admission="
+                + admission.text();
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/settings/SettingsParser.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/settings/SettingsParser.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.tamaracktrack.core.admission.AdmissionKind;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.HostId;
@@ -169,7 +170,8 @@
                                 flags.maximumConnections,
                                 DEFAULT_CONNECTIONS));
         checkTimes(settings);
-        return new DaemonSettings(settings, routing(flags), placement(flags), checkOnly(flags));
+        return new DaemonSettings(
+                settings, routing(flags), placement(flags), admission(flags), checkOnly(flags));
     }
 
     private void checkTarget(Optional<Settings.Role> role, Optional<TargetId> target) {
@@ -212,6 +214,15 @@
                 .orElse(PlacementKind.HYSTERESIS);
     }
 
+    private AdmissionKind admission(DaemonFlags flags) {
+        return value(
+                        "--admission",
+                        flags.admission,
+                        text -> AdmissionKind.valueOf(text.toUpperCase(Locale.ROOT)),
+                        "fair, fifo")
+                .orElse(AdmissionKind.FAIR);
+    }
+
     private boolean checkOnly(DaemonFlags flags) {
         return flags.checkSettings
                 || "true".equals(environment.get(ENVIRONMENT_PREFIX + "CHECK_SETTINGS"));
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
@@ -127,7 +127,7 @@
         public void offer(long version, String document) {}
     }
 
-    private static Configuration configuration(long totalMillis) {
+    static Configuration configuration(long totalMillis) {
         Configuration.RequestClass requestClass =
                 new Configuration.RequestClass(CLASS, 1_000, 100, totalMillis, 1, 100);
         ServiceId charges = ServiceId.of("charges");
