--- a/cli/src/test/java/org/tamaracktrack/cli/OperatorsPageTest.java
+++ b/cli/src/test/java/org/tamaracktrack/cli/OperatorsPageTest.java
@@ -23,7 +23,11 @@
         String row =
                 "| `%s` | %d | %s |"
                         .formatted(code, code.status(), code.ran().name().toLowerCase(Locale.ROOT));
-        return lines.stream().anyMatch(line -> line.startsWith(row));
+        return hasRow(lines, row);
+    }
+
+    private static boolean hasRow(List<String> lines, String start) {
+        return lines.stream().anyMatch(line -> line.startsWith(start));
     }
 
     @Test
@@ -40,16 +44,7 @@
 
         assertThat(
                         Arrays.stream(ExitCode.values())
-                                .filter(
-                                        code ->
-                                                lines.stream()
-                                                        .noneMatch(
-                                                                line ->
-                                                                        line.startsWith(
-                                                                                "| "
-                                                                                        + code
-                                                                                                .number()
-                                                                                        + " |")))
+                                .filter(code -> !hasRow(lines, "| " + code.number() + " |"))
                                 .toList())
                 .isEmpty();
     }
@@ -62,13 +57,7 @@
                         Stream.concat(
                                         Arrays.stream(ProblemKind.values()),
                                         Arrays.stream(WarningKind.values()))
-                                .filter(
-                                        kind ->
-                                                lines.stream()
-                                                        .noneMatch(
-                                                                line ->
-                                                                        line.startsWith(
-                                                                                "| `" + kind)))
+                                .filter(kind -> !hasRow(lines, "| `" + kind + "`"))
                                 .toList())
                 .isEmpty();
     }
