Try placements of any document in a moment, and share the commands' options

Cause: the largest document took 3.0 s of a 5 s limit, a flake on a busy machine; and it was refused as too large, so that its warnings were never tried. Nine commands repeated the same options. Ruled out: a longer limit alone; the search for room looked at every accelerator for every model. BasicCommand and LogCommand hold the options.

--- a/cli/src/main/java/org/tamaracktrack/cli/command/DiffCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/DiffCommand.java
@@ -17,10 +17,8 @@
 
 /** Compares a document with the one in force. */
 @Parameters(commandDescription = "compare a document with the one in force")
-public final class DiffCommand implements Command {
+public final class DiffCommand extends LogCommand {
     @ParametersDelegate private final DocumentOptions document = new DocumentOptions();
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
     @Override
     public String name() {
@@ -34,18 +32,13 @@
                 "tamaracktrack diff configuration.yaml --output json");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
-        Output output = common.output(environment);
+        Output output = output(environment);
         // Through the same text form as the published one, so that 1 and 1L are no difference.
         Map<String, Object> wanted =
                 Documents.parseJson(Documents.canonicalJson(document.document()));
-        InForce inForce = log.inForce(environment);
+        InForce inForce = log().inForce(environment);
         List<Change> changes =
                 DocumentDifference.between(Documents.parseJson(inForce.document()), wanted);
         Table table = Table.of("path", "in force", "file");
--- a/cli/src/main/java/org/tamaracktrack/cli/command/DrainCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/DrainCommand.java
@@ -2,7 +2,6 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -20,16 +19,13 @@
 
 /** Asks a target to leave, or takes the request back. */
 @Parameters(commandDescription = "ask a target to take no new work, or take the request back")
-public final class DrainCommand implements Command {
+public final class DrainCommand extends LogCommand {
     @Parameter(required = true, description = "TARGET: the target's name")
     private List<String> targets = new ArrayList<>();
 
     @Parameter(names = "--cancel", order = 10, description = "let the target take work again")
     private boolean cancel;
 
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
-
     @Override
     public String name() {
         return "drain";
@@ -40,17 +36,12 @@
         return List.of("tamaracktrack drain engine-1", "tamaracktrack drain engine-1 --cancel");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
-        Output output = common.output(environment);
+        Output output = output(environment);
         TargetId target = target(environment);
-        DrainRequested wanted = new DrainRequested(target, !cancel, log.operator(environment));
-        request(log.log(environment), log.patience(environment), wanted);
+        DrainRequested wanted = new DrainRequested(target, !cancel, log().operator(environment));
+        request(log().log(environment), log().patience(environment), wanted);
         if (output.format() == OutputFormat.JSON) {
             output.json(Map.of("target", target.value(), "leaving", wanted.leaving()));
         }
@@ -67,7 +58,7 @@
                     ErrorCode.INVALID_SETTINGS, "give one TARGET, not " + targets);
         }
         TargetId target = TargetId.of(targets.get(0));
-        if (!log.inForce(environment).configuration().targets().containsKey(target)) {
+        if (!log().inForce(environment).configuration().targets().containsKey(target)) {
             throw TamaracktrackException.of(
                     ErrorCode.NOT_FOUND,
                     "no target " + target + " in force; `tamaracktrack status` lists them");
--- a/cli/src/main/java/org/tamaracktrack/cli/command/MovesCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/MovesCommand.java
@@ -1,7 +1,6 @@
 package org.tamaracktrack.cli.command;
 
 import com.beust.jcommander.Parameters;
-import com.beust.jcommander.ParametersDelegate;
 import java.util.List;
 import org.tamaracktrack.cli.ExitCode;
 import org.tamaracktrack.cli.log.ReportLog;
@@ -9,10 +8,7 @@
 
 /** Says which loads, unloads and role changes were spent. */
 @Parameters(commandDescription = "loads, unloads and role changes, by target, kind and cause")
-public final class MovesCommand implements Command {
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
-
+public final class MovesCommand extends LogCommand {
     @Override
     public String name() {
         return "moves";
@@ -23,16 +19,12 @@
         return List.of("tamaracktrack moves", "tamaracktrack moves --output json");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
         ReportTables tables =
-                ReportTables.of(ReportLog.read(log.log(environment), log.patience(environment)));
-        ReportOutput.write(environment, common.output(environment), tables, tables.moves());
+                ReportTables.of(
+                        ReportLog.read(log().log(environment), log().patience(environment)));
+        ReportOutput.write(environment, output(environment), tables, tables.moves());
         return ExitCode.OK;
     }
 }
--- a/cli/src/main/java/org/tamaracktrack/cli/command/PublishCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/PublishCommand.java
@@ -25,7 +25,7 @@
 
 /** Publishes a document and says what came of it after having read it back. */
 @Parameters(commandDescription = "publish a document; the verdict is read back from the log")
-public final class PublishCommand implements Command {
+public final class PublishCommand extends LogCommand {
     private static final String BASED_ON = "--based-on";
 
     @ParametersDelegate private final DocumentOptions document = new DocumentOptions();
@@ -47,9 +47,6 @@
             description = "the identifier of an earlier try whose outcome is unknown")
     private String publication;
 
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
-
     @Override
     public String name() {
         return "publish";
@@ -63,21 +60,16 @@
                 "tamaracktrack publish configuration.yaml --parameter engineOne=10.0.0.1:8000");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
-        Output output = common.output(environment);
+        Output output = output(environment);
         Map<String, Object> tree = document.document();
         if (ConfigurationReader.read(tree) instanceof ConfigurationReading.Rejected rejected) {
             ReadingOutput.rejected(output, rejected.problems());
             return ExitCode.INVALID;
         }
-        LogClient client = log.log(environment);
-        Patience patience = log.patience(environment);
+        LogClient client = log().log(environment);
+        Patience patience = log().patience(environment);
         ConfigurationLog configuration = ConfigurationLog.of(client);
         configuration.readToEnd(patience);
         Publication wanted = publication(environment, configuration, tree);
@@ -98,7 +90,7 @@
                         .map(PublicationId::of)
                         .orElseGet(environment.publications());
         return new Publication(
-                id, base, Documents.canonicalJson(tree), log.operator(environment), note);
+                id, base, Documents.canonicalJson(tree), log().operator(environment), note);
     }
 
     private static ExitCode report(Output output, Publication wanted, ConfigurationEvent outcome) {
--- a/cli/src/main/java/org/tamaracktrack/cli/command/ReportCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/ReportCommand.java
@@ -2,7 +2,6 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.beust.jcommander.ParametersDelegate;
 import java.util.List;
 import java.util.Optional;
 import org.tamaracktrack.cli.ExitCode;
@@ -12,13 +11,10 @@
 
 /** Says who got what. */
 @Parameters(commandDescription = "who got what, by client account, model and class")
-public final class ReportCommand implements Command {
+public final class ReportCommand extends LogCommand {
     @Parameter(names = "--account", order = 10, description = "only this client account")
     private String account;
 
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
-
     @Override
     public String name() {
         return "report";
@@ -31,17 +27,13 @@
                 "tamaracktrack report --account cevallos --output csv > cevallos.csv");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
         ReportTables tables =
-                ReportTables.of(ReportLog.read(log.log(environment), log.patience(environment)));
+                ReportTables.of(
+                        ReportLog.read(log().log(environment), log().patience(environment)));
         Optional<ClientAccountId> only = Optional.ofNullable(account).map(ClientAccountId::of);
-        ReportOutput.write(environment, common.output(environment), tables, tables.service(only));
+        ReportOutput.write(environment, output(environment), tables, tables.service(only));
         return ExitCode.OK;
     }
 }
--- a/cli/src/main/java/org/tamaracktrack/cli/command/ShowCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/ShowCommand.java
@@ -1,7 +1,6 @@
 package org.tamaracktrack.cli.command;
 
 import com.beust.jcommander.Parameters;
-import com.beust.jcommander.ParametersDelegate;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,10 +14,7 @@
 
 /** Shows the document in force. */
 @Parameters(commandDescription = "show the document in force, ready to be edited and published")
-public final class ShowCommand implements Command {
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
-
+public final class ShowCommand extends LogCommand {
     @Override
     public String name() {
         return "show";
@@ -30,15 +26,10 @@
                 "tamaracktrack show > configuration.yaml", "tamaracktrack show --output json");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
-        Output output = common.output(environment);
-        InForce inForce = log.inForce(environment);
+        Output output = output(environment);
+        InForce inForce = log().inForce(environment);
         Map<String, Object> tree = Documents.parseJson(inForce.document());
         if (output.format() == OutputFormat.JSON) {
             Map<String, Object> result = new LinkedHashMap<>();
--- a/cli/src/main/java/org/tamaracktrack/cli/command/StatusCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/StatusCommand.java
@@ -2,7 +2,6 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.beust.jcommander.ParametersDelegate;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -33,7 +32,7 @@
 
 /** Shows the parts of the system, as the log and the entry daemons know them. */
 @Parameters(commandDescription = "targets and their owners, duties, plan, and entry daemons")
-public final class StatusCommand implements Command {
+public final class StatusCommand extends LogCommand {
     private static final long ENTRY_TIMEOUT_MILLIS = 2_000;
     private static final int OK = 200;
 
@@ -43,9 +42,6 @@
             description = "an entry daemon's HTTP address, to ask whether it is ready; repeatable")
     private List<String> entries = new ArrayList<>();
 
-    @ParametersDelegate private final LogOptions log = new LogOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
-
     private record Plan(PlanRegister register, long newestMillis) {}
 
     @Override
@@ -60,16 +56,11 @@
                 "tamaracktrack status --entry 10.0.0.1:8080 --entry 10.0.0.2:8080");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
-        Output output = common.output(environment);
-        LogClient client = log.log(environment);
-        Patience patience = log.patience(environment);
+        Output output = output(environment);
+        LogClient client = log().log(environment);
+        Patience patience = log().patience(environment);
         ConfigurationLog configuration = ConfigurationLog.of(client);
         configuration.readToEnd(patience);
         Optional<InForce> inForce = configuration.inForce();
--- a/cli/src/main/java/org/tamaracktrack/cli/command/ValidateCommand.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/command/ValidateCommand.java
@@ -10,9 +10,8 @@
 
 /** Checks a document without publishing it. */
 @Parameters(commandDescription = "check a document whole, without the log")
-public final class ValidateCommand implements Command {
+public final class ValidateCommand extends BasicCommand {
     @ParametersDelegate private final DocumentOptions document = new DocumentOptions();
-    @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
     @Override
     public String name() {
@@ -26,14 +25,9 @@
                 "tamaracktrack validate configuration.yaml --parameter share=3 --output json");
     }
 
-    @Override
-    public boolean helpWanted() {
-        return common.helpWanted();
-    }
-
     @Override
     public ExitCode run(Environment environment) {
-        Output output = common.output(environment);
+        Output output = output(environment);
         ConfigurationReading reading = ConfigurationReader.read(document.document());
         if (reading instanceof ConfigurationReading.Accepted accepted) {
             ReadingOutput.accepted(output, accepted.warnings());
--- a/core/src/main/java/org/tamaracktrack/core/config/ConfigurationWarnings.java
+++ b/core/src/main/java/org/tamaracktrack/core/config/ConfigurationWarnings.java
@@ -6,45 +6,48 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.BinaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import org.tamaracktrack.core.config.Configuration.Accelerator;
 import org.tamaracktrack.core.config.Configuration.ClientAccount;
 import org.tamaracktrack.core.config.Configuration.Model;
 import org.tamaracktrack.core.config.Configuration.Target;
 import org.tamaracktrack.core.config.Configuration.TargetKind;
 import org.tamaracktrack.core.id.DataCentreId;
-import org.tamaracktrack.core.id.ModelId;
-import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.id.ServiceId;
 
 /** Finds what a valid configuration cannot keep. */
 final class ConfigurationWarnings {
+    private static final Comparator<Target> BY_CONCURRENCY =
+            Comparator.comparingInt(Target::concurrency).thenComparing(Target::id);
+
     private final Configuration configuration;
-    private final List<Room> rooms;
+    private final long shares;
+    private final Optional<Target> largestEngine;
+    private final Map<ServiceId, Target> largestOfService = new HashMap<>();
     private final List<Warning> warnings = new ArrayList<>();
 
-    /** Free memory of one accelerator during a trial placement. */
-    private static final class Room {
-        private final Target target;
-        private long freeMebibytes;
-
-        private Room(Target target, Accelerator accelerator) {
-            this.target = target;
-            this.freeMebibytes = CrossChecks.usable(accelerator);
-        }
-    }
-
     private ConfigurationWarnings(Configuration configuration) {
         this.configuration = configuration;
-        this.rooms =
+        this.shares =
+                configuration.accounts().values().stream().mapToLong(ClientAccount::share).sum();
+        this.largestEngine =
                 configuration.targets().values().stream()
-                        .sorted(Comparator.comparing(Target::id))
-                        .flatMap(
-                                target ->
-                                        target.accelerators().stream()
-                                                .map(accelerator -> new Room(target, accelerator)))
-                        .toList();
+                        .filter(target -> target.kind() == TargetKind.ENGINE)
+                        .max(BY_CONCURRENCY);
+        configuration
+                .targets()
+                .values()
+                .forEach(
+                        target ->
+                                target.service()
+                                        .ifPresent(
+                                                service ->
+                                                        largestOfService.merge(
+                                                                service,
+                                                                target,
+                                                                BinaryOperator.maxBy(
+                                                                        BY_CONCURRENCY))));
     }
 
     static List<Warning> of(Configuration configuration) {
@@ -57,18 +60,10 @@
         return List.copyOf(found.warnings);
     }
 
-    // Largest first into the first accelerator with room: not always the best packing, so the
-    // message says that it is the placement that was tried.
     private void checkResidency() {
-        Map<ModelId, TargetId> first = new HashMap<>();
-        List<Model> bySize =
-                configuration.models().values().stream()
-                        .sorted(
-                                Comparator.comparingLong(Model::memoryMebibytes)
-                                        .reversed()
-                                        .thenComparing(Model::id))
-                        .toList();
-        List<Model> left = bySize.stream().filter(model -> place(model, first).isEmpty()).toList();
+        TrialPlacement placement = TrialPlacement.of(configuration);
+        List<Model> models = List.copyOf(configuration.models().values());
+        List<Model> left = placement.leftOver(models);
         if (!left.isEmpty()) {
             warn(
                     "models",
@@ -78,8 +73,7 @@
                             + names(left));
             return;
         }
-        List<Model> single =
-                bySize.stream().filter(model -> place(model, first).isEmpty()).toList();
+        List<Model> single = placement.leftOver(models);
         if (!single.isEmpty()) {
             warn(
                     "models",
@@ -88,24 +82,23 @@
         }
     }
 
-    private Optional<Room> place(Model model, Map<ModelId, TargetId> placed) {
-        Optional<Room> room =
-                rooms.stream()
-                        .filter(free -> free.freeMebibytes >= model.memoryMebibytes())
-                        .filter(free -> !free.target.id().equals(placed.get(model.id())))
-                        .findFirst();
-        room.ifPresent(
-                taken -> {
-                    taken.freeMebibytes -= model.memoryMebibytes();
-                    placed.put(model.id(), taken.target.id());
-                });
-        return room;
-    }
-
     private void checkDataCentres() {
+        Map<DataCentreId, Long> largest = new HashMap<>();
+        configuration
+                .targets()
+                .values()
+                .forEach(
+                        target ->
+                                target.accelerators()
+                                        .forEach(
+                                                accelerator ->
+                                                        largest.merge(
+                                                                target.dataCentre(),
+                                                                CrossChecks.usable(accelerator),
+                                                                Math::max)));
         List<Model> single =
                 configuration.models().values().stream()
-                        .filter(model -> dataCentres(model).size() == 1)
+                        .filter(model -> fitting(largest, model) == 1)
                         .sorted(Comparator.comparing(Model::id))
                         .toList();
         if (!single.isEmpty()) {
@@ -118,34 +111,22 @@
         }
     }
 
-    private Set<DataCentreId> dataCentres(Model model) {
-        return configuration.targets().values().stream()
-                .filter(
-                        target ->
-                                target.accelerators().stream()
-                                        .anyMatch(
-                                                accelerator ->
-                                                        CrossChecks.usable(accelerator)
-                                                                >= model.memoryMebibytes()))
-                .map(Target::dataCentre)
-                .collect(Collectors.toSet());
+    private static long fitting(Map<DataCentreId, Long> largest, Model model) {
+        return largest.values().stream().filter(size -> size >= model.memoryMebibytes()).count();
     }
 
     private void checkAccount(ClientAccount account) {
         String path = "accounts." + account.id();
         Optional<Target> largest =
                 Stream.concat(
-                                configuration.targets().values().stream()
-                                        .filter(target -> target.kind() == TargetKind.ENGINE),
-                                configuration.targets().values().stream()
-                                        .filter(
-                                                target ->
-                                                        target.service()
-                                                                .filter(
-                                                                        account.services()
-                                                                                ::contains)
-                                                                .isPresent()))
-                        .max(Comparator.comparingInt(Target::concurrency));
+                                largestEngine.stream(),
+                                account.services().stream()
+                                        .flatMap(
+                                                service ->
+                                                        Optional.ofNullable(
+                                                                largestOfService.get(service))
+                                                                .stream()))
+                        .max(BY_CONCURRENCY);
         largest.ifPresent(target -> checkCap(path, account, target));
         long classQueues =
                 account.classes().stream()
@@ -162,8 +143,6 @@
     }
 
     private void checkCap(String path, ClientAccount account, Target target) {
-        long shares =
-                configuration.accounts().values().stream().mapToLong(ClientAccount::share).sum();
         long part = target.concurrency() * (long) account.share() / shares;
         if (account.cap() < part) {
             warn(
--- a/core/src/main/java/org/tamaracktrack/core/config/CrossChecks.java
+++ b/core/src/main/java/org/tamaracktrack/core/config/CrossChecks.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.config.Configuration.Accelerator;
 import org.tamaracktrack.core.config.Configuration.Adapter;
@@ -9,6 +11,7 @@
 import org.tamaracktrack.core.config.Configuration.Model;
 import org.tamaracktrack.core.config.Configuration.RequestClass;
 import org.tamaracktrack.core.config.Configuration.Target;
+import org.tamaracktrack.core.id.ServiceId;
 
 /** Checks that concern several parts of a configuration together. */
 final class CrossChecks {
@@ -90,17 +93,14 @@
     }
 
     private void checkServices(Configuration configuration) {
+        Set<ServiceId> withTarget =
+                configuration.targets().values().stream()
+                        .flatMap(target -> target.service().stream())
+                        .collect(Collectors.toSet());
         configuration.accounts().values().stream()
                 .flatMap(account -> account.services().stream())
                 .distinct()
-                .filter(
-                        service ->
-                                configuration.targets().values().stream()
-                                        .noneMatch(
-                                                target ->
-                                                        target.service()
-                                                                .filter(service::equals)
-                                                                .isPresent()))
+                .filter(service -> !withTarget.contains(service))
                 .forEach(
                         service ->
                                 problems.add(
