Measure what the path adds and what each daemon uses; add the load experiments

Change: bin/measure on a sample system without the account's rate limit and with all models resident; open-loop load, scenarios, policies, tables and bin/experiment (not run yet). Ruled out: the first try counted the account's rate limit (ACCOUNT_LIMIT) as the path.

--- a/bench/src/main/java/org/tamaracktrack/bench/Main.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/Main.java
@@ -5,10 +5,11 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import java.util.List;
+import org.tamaracktrack.bench.load.Experiments;
 import org.tamaracktrack.bench.local.LocalRun;
 import org.tamaracktrack.bench.measure.Measurements;
 
-/** Runs the whole system on one machine: {@code local}, {@code measure}. */
+/** Runs the whole system on one machine: {@code local}, {@code measure}, {@code experiment}. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
@@ -38,10 +39,12 @@
     public static void main(String[] arguments) {
         LocalFlags local = new LocalFlags();
         MeasureFlags measure = new MeasureFlags();
+        Experiments experiments = new Experiments();
         JCommander commander =
                 JCommander.newBuilder()
                         .addCommand("local", local)
                         .addCommand("measure", measure)
+                        .addCommand("experiment", experiments)
                         .build();
         commander.setProgramName("bench");
         try {
@@ -54,10 +57,12 @@
             commander.usage();
             System.exit(EXIT_USAGE);
         }
-        if (commander.getParsedCommand().equals("measure")) {
-            Measurements.run(Path.of(measure.root), System.out, measure.what);
-            System.exit(0);
-        }
-        System.exit(LocalRun.of(Path.of(local.root), System.out).run(local.once));
+        System.exit(
+                switch (commander.getParsedCommand()) {
+                    case "measure" ->
+                            Measurements.run(Path.of(measure.root), System.out, measure.what);
+                    case "experiment" -> experiments.run(System.out);
+                    default -> LocalRun.of(Path.of(local.root), System.out).run(local.once);
+                });
     }
 }
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/load/Arrival.java
@@ -0,0 +1,18 @@
+package org.tamaracktrack.bench.load;
+
+import java.util.Objects;
+import org.tamaracktrack.bench.caller.ModelRequest;
+
+/**
+ * A request and when it is meant to be sent.
+ *
+ * @param atMillis milliseconds after the start of the load
+ * @param request the request
+ */
+public record Arrival(double atMillis, ModelRequest request) {
+
+    /** Checks the arguments. */
+    public Arrival {
+        Objects.requireNonNull(request, "request is null");
+    }
+}
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/LocalStack.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/LocalStack.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** The whole system on loopback: stand-ins, target daemons and entry daemons, each a process. */
@@ -61,16 +62,24 @@
         startStandIn("weights", "weights", plan.weightFlags());
         startStandIn("hosts", "hosts", hostFlags());
         String weights = weights().address();
-        plan.targets().forEach(target -> startTargetStandIn(target, weights));
+        plan.targets().stream()
+                .collect(Collectors.groupingBy(TargetPlan::process, Collectors.toList()))
+                .forEach((process, targetsOfIt) -> startTargets(process, targetsOfIt, weights));
         standIns.values().forEach(StandInProcess::address);
     }
 
-    private void startTargetStandIn(TargetPlan target, String weights) {
-        List<String> flags = new ArrayList<>(target.flags());
-        if (target.kind().equals("engine")) {
+    private void startTargets(String process, List<TargetPlan> targetsOfIt, String weights) {
+        TargetPlan first = targetsOfIt.get(0);
+        List<String> flags = new ArrayList<>(first.flags());
+        flags.addAll(List.of("--count", Integer.toString(targetsOfIt.size())));
+        if (first.kind().equals("engine")) {
             flags.addAll(List.of("--weights", weights));
         }
-        startStandIn(target.name(), target.kind(), flags);
+        StandInProcess standIn =
+                StandInProcess.start(process, first.kind(), flags, plan.directory());
+        started.add(standIn.program());
+        IntStream.range(0, targetsOfIt.size())
+                .forEach(index -> standIns.put(targetsOfIt.get(index).name(), standIn.at(index)));
     }
 
     private List<String> hostFlags() {
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/SampleAccounts.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/SampleAccounts.java
@@ -1,10 +1,13 @@
 package org.tamaracktrack.bench.stack;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.tamaracktrack.bench.caller.Caller;
 import org.tamaracktrack.bench.caller.CallerKey;
 import org.tamaracktrack.bench.caller.ModelRequest;
+import org.tamaracktrack.bench.caller.Outcome;
 import org.tamaracktrack.bench.caller.ServiceRequest;
 
 /** The client accounts of the sample configuration. */
@@ -59,4 +62,31 @@
             CallerKey caller, String method, String body, Optional<String> key) {
         return new ServiceRequest(caller, SERVICE, method, "/orders?of=" + method, body, key);
     }
+
+    /**
+     * Waits until every model answers through every entry daemon.
+     *
+     * @param stack the running sample system
+     * @param limit how long to wait for each
+     */
+    public static void awaitEveryModel(LocalStack stack, Duration limit) {
+        Caller caller = Caller.of();
+        stack.entries().stream()
+                .map(DaemonProcess::httpAddress)
+                .forEach(address -> awaitEveryModel(caller, address, limit));
+    }
+
+    private static void awaitEveryModel(Caller caller, String address, Duration limit) {
+        toEveryModel("waiting at " + address)
+                .forEach(
+                        request ->
+                                Waiting.until(
+                                        request.model() + " answers",
+                                        limit,
+                                        () -> answers(caller, address, request)));
+    }
+
+    private static boolean answers(Caller caller, String address, ModelRequest request) {
+        return caller.send(address, request).join().outcome() == Outcome.WHOLE;
+    }
 }
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
@@ -74,15 +74,34 @@
                 root.resolve("docs/sample-configuration.yaml"),
                 List.of(
                         new TargetPlan(
-                                "engine-1", "host-1", "quito-1", "engine", "engineOne", checking),
+                                "engine-1",
+                                "host-1",
+                                "quito-1",
+                                "engine-1",
+                                "engine",
+                                "engineOne",
+                                checking),
                         new TargetPlan(
-                                "engine-2", "host-2", "quito-1", "engine", "engineTwo", checking),
+                                "engine-2",
+                                "host-2",
+                                "quito-1",
+                                "engine-2",
+                                "engine",
+                                "engineTwo",
+                                checking),
                         new TargetPlan(
-                                "engine-3", "host-3", "quito-2", "engine", "engineThree", engine),
+                                "engine-3",
+                                "host-3",
+                                "quito-2",
+                                "engine-3",
+                                "engine",
+                                "engineThree",
+                                engine),
                         new TargetPlan(
                                 "service-1",
                                 "host-4",
                                 "quito-2",
+                                "service-1",
                                 "service",
                                 "serviceOne",
                                 List.of("--name", "order-book"))),
@@ -92,4 +111,22 @@
                 List.of("--balancer-lag-millis", "300", "--report-millis", "500"),
                 List.of("--report-millis", "500"));
     }
+
+    /**
+     * Returns the same plan for another configuration.
+     *
+     * @param other the configuration to publish
+     * @return the plan
+     */
+    public StackPlan withDocument(Path other) {
+        return new StackPlan(
+                directory,
+                other,
+                targets,
+                entryDataCentres,
+                logFlags,
+                weightFlags,
+                entryFlags,
+                targetFlags);
+    }
 }
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/StandInProcess.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/StandInProcess.java
@@ -11,13 +11,15 @@
 public final class StandInProcess {
     private static final String MAIN = "org.tamaracktrack.standins.Main";
     private static final String LOOPBACK = "127.0.0.1:";
-    private static final int HEAP_MEBIBYTES = 64;
+    private static final int HEAP_MEBIBYTES = 128;
     private static final Duration START_LIMIT = Duration.ofSeconds(30);
 
     private final RunningProgram program;
+    private final int index;
 
-    private StandInProcess(RunningProgram program) {
+    private StandInProcess(RunningProgram program, int index) {
         this.program = program;
+        this.index = index;
     }
 
     /**
@@ -36,11 +38,23 @@
         arguments.addAll(flags);
         return new StandInProcess(
                 RunningProgram.start(
-                        new JavaProgram(name, MAIN, HEAP_MEBIBYTES, arguments), directory));
+                        new JavaProgram(name, MAIN, HEAP_MEBIBYTES, arguments), directory),
+                0);
     }
 
-    private Map<String, String> ready() {
-        return program.awaitReady(START_LIMIT);
+    /**
+     * Returns another stand-in of the same process.
+     *
+     * @param other its index in the process, from 0
+     * @return the stand-in
+     */
+    public StandInProcess at(int other) {
+        return new StandInProcess(program, other);
+    }
+
+    private String port(String field) {
+        Map<String, String> ready = program.awaitReady(START_LIMIT);
+        return LOOPBACK + ready.get(field).split(",")[index];
     }
 
     /**
@@ -49,11 +63,11 @@
      * @return IP number and port
      */
     public String address() {
-        return LOOPBACK + ready().get("port");
+        return port("port");
     }
 
     private String controlAddress() {
-        return LOOPBACK + ready().get("control");
+        return port("control");
     }
 
     /**
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/TargetPlan.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/TargetPlan.java
@@ -9,6 +9,7 @@
  * @param name the target's name in the configuration
  * @param host its host
  * @param dataCentre the host's data centre
+ * @param process the stand-in process it is in; targets of one kind with the same flags may share
  * @param kind the kind of stand-in: engine or service
  * @param parameter the configuration's parameter that holds its endpoint
  * @param flags flags for its stand-in
@@ -17,6 +18,7 @@
         String name,
         String host,
         String dataCentre,
+        String process,
         String kind,
         String parameter,
         List<String> flags) {
--- a/bench/src/test/java/org/tamaracktrack/bench/endtoend/HealthyStack.java
+++ b/bench/src/test/java/org/tamaracktrack/bench/endtoend/HealthyStack.java
@@ -2,19 +2,14 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.extension.AfterEachCallback;
 import org.junit.jupiter.api.extension.ExtensionContext;
 import org.junit.jupiter.api.extension.ParameterContext;
 import org.junit.jupiter.api.extension.ParameterResolver;
-import org.tamaracktrack.bench.caller.Caller;
-import org.tamaracktrack.bench.caller.ModelRequest;
-import org.tamaracktrack.bench.caller.Outcome;
 import org.tamaracktrack.bench.stack.LocalStack;
 import org.tamaracktrack.bench.stack.SampleAccounts;
 import org.tamaracktrack.bench.stack.StackPlan;
-import org.tamaracktrack.bench.stack.Waiting;
 
 /** One sample system for all end-to-end tests, healed after each. */
 final class HealthyStack implements ParameterResolver, AfterEachCallback {
@@ -90,30 +85,7 @@
         }
     }
 
-    /** Waits until every model and the service answer through every entry daemon. */
     static void awaitEveryModel(LocalStack stack) {
-        Caller caller = Caller.of();
-        stack.entries()
-                .forEach(
-                        entry ->
-                                requests()
-                                        .forEach(
-                                                request ->
-                                                        Waiting.until(
-                                                                request.model() + " answers",
-                                                                HEAL_LIMIT,
-                                                                () ->
-                                                                        whole(
-                                                                                caller,
-                                                                                entry.httpAddress(),
-                                                                                request))));
-    }
-
-    private static List<ModelRequest> requests() {
-        return SampleAccounts.toEveryModel(newPrompt());
-    }
-
-    private static boolean whole(Caller caller, String address, ModelRequest request) {
-        return caller.send(address, request).join().outcome() == Outcome.WHOLE;
+        SampleAccounts.awaitEveryModel(stack, HEAL_LIMIT);
     }
 }
--- a/standins/src/main/java/org/tamaracktrack/standins/Main.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/Main.java
@@ -2,8 +2,12 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.tamaracktrack.standins.engine.EngineFlags;
 import org.tamaracktrack.standins.hosts.HostListFlags;
 import org.tamaracktrack.standins.http.StandInServer;
@@ -56,8 +60,22 @@
 
     private static void run(StandInFlags flags) {
         flags.exitWithParent();
-        StandInServer server =
-                StandInServer.start(flags.create(), flags.port(), flags.controlPort());
-        System.out.println("ready port=" + server.port() + " control=" + server.controlPort());
+        List<StandInServer> servers =
+                IntStream.range(0, flags.count())
+                        .mapToObj(
+                                index ->
+                                        StandInServer.start(
+                                                flags.create(), flags.port(), flags.controlPort()))
+                        .toList();
+        System.out.println(
+                "ready port="
+                        + joined(servers, StandInServer::port)
+                        + " control="
+                        + joined(servers, StandInServer::controlPort));
+    }
+
+    private static String joined(
+            List<StandInServer> servers, Function<StandInServer, Integer> port) {
+        return servers.stream().map(port).map(Object::toString).collect(Collectors.joining(","));
     }
 }
--- a/standins/src/main/java/org/tamaracktrack/standins/StandInFlags.java
+++ b/standins/src/main/java/org/tamaracktrack/standins/StandInFlags.java
@@ -10,6 +10,9 @@
     @Parameter(names = "--control-port", description = "port of the control interface; 0 for any")
     private int controlPort;
 
+    @Parameter(names = "--count", description = "how many of the kind in one process; any ports")
+    private int count = 1;
+
     @Parameter(names = "--parent", description = "id of a process whose end ends this one")
     private long parent;
 
@@ -31,6 +34,15 @@
         return controlPort;
     }
 
+    /**
+     * Returns how many of the kind to run.
+     *
+     * @return how many
+     */
+    public int count() {
+        return count;
+    }
+
     /**
      * Ends this process when its parent ends: a killed test run would otherwise leave its stand-ins
      * behind, holding memory and ports.
