--- a/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/DaemonProcess.java
@@ -68,7 +68,7 @@
                     configuration, log, control, () -> entry.holds(Duty.REPORTER));
             return new DaemonProcess(runtime, entry, front(runtime, entry, entry.callers()));
         }
-        TargetRole target = TargetRole.start(runtime);
+        TargetRole target = TargetRole.start(runtime, settings.admission());
         return new DaemonProcess(
                 runtime, target, front(runtime, target, ResponseCodeHandler.HANDLE_404));
     }
