--- a/core/src/main/java/org/tamaracktrack/core/claim/ClaimRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/claim/ClaimRegister.java
@@ -129,9 +129,9 @@
         owners.values().removeIf(owner -> owner.lastMillis + windowMillis < logMillis);
     }
 
-    // An append whose answer was lost may be made again, and a delayed one may take effect after
-    // its claim was settled. Numbers only grow within an owner, so a number that is not above the
-    // highest seen is a repeat; granting it would run a request that was given up.
+    // An append that was given up may take effect late, after its claim was settled as not run.
+    // Held again, the key would be blocked for the whole window though its caller was told that it
+    // is free. Numbers only grow within an owner, so one not above the highest seen is a repeat.
     private void take(IncarnationId owner, LogEntry.Claim claim) {
         Owner known = owners.computeIfAbsent(owner, key -> new Owner());
         known.lastMillis = logMillis;
--- a/core/src/test/java/org/tamaracktrack/core/claim/ClaimKeeperTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/claim/ClaimKeeperTest.java
@@ -189,6 +189,22 @@
                     .containsExactly(new ClaimAction.Granted(1, 1));
         }
 
+        // The caller was told that nothing ran and that its key is free. Then a repeat of the first
+        // append takes effect, long after: it must not take the key again for nobody.
+        @Test
+        void shouldStayFreeWhenTheAppendTakesEffectAgainAfterItWasSettled() {
+            keeper.caughtUp();
+            LogEntry entry = appended(keeper.claim(request("k", "b"), 0, 0));
+            keeper.appended(ClaimAction.Slot.CLAIMS, ClaimKeeper.AppendOutcome.WRITTEN, 1);
+            keeper.handle(LogRecord.of(0, 100, entry), 2);
+            LogEntry settled = appended(keeper.settle(0, Ran.NO, 4));
+            keeper.handle(LogRecord.of(1, 200, settled), 5);
+
+            keeper.handle(LogRecord.of(2, 300, entry), 6);
+
+            assertThat(refusals(keeper.claim(request("k", "b"), 7, 0))).isEmpty();
+        }
+
         @Test
         void shouldTellAccountsApartWhenTheyUseTheSameKey() {
             keeper.caughtUp();
--- a/core/src/test/java/org/tamaracktrack/core/exchange/ExchangeSchedule.java
+++ b/core/src/test/java/org/tamaracktrack/core/exchange/ExchangeSchedule.java
@@ -36,6 +36,7 @@
     private final List<Message> wire = new ArrayList<>();
     private final ByteArrayOutputStream caller = new ByteArrayOutputStream();
     private Optional<AttemptId> current = Optional.empty();
+    private Optional<ExchangeAction.Route> choosing = Optional.empty();
     private Optional<Ran> settled = Optional.empty();
     private Optional<Object> ending = Optional.empty();
     private long now;
@@ -67,6 +68,7 @@
         }
         carryOut(exchange.handle(new ExchangeEvent.DeadlinePassed(), DEADLINE + 1));
         carryOut(exchange.handle(new ExchangeEvent.GivenUp(), DEADLINE + 2));
+        choosing.ifPresent(this::choose);
         check(settled.isPresent(), "not settled");
         check(exchange.ended(), "not ended");
         return ending;
@@ -85,6 +87,7 @@
                     gone();
                 }
             }
+            case 7, 8 -> choosing.ifPresent(this::choose);
             default -> deliver();
         }
     }
@@ -203,6 +206,15 @@
     private void route(ExchangeAction.Route route) {
         check(route.tried().equals(used), "tried " + route.tried() + " instead of " + used);
         current = Optional.empty();
+        if (random.nextBoolean()) {
+            choosing = Optional.of(route);
+        } else {
+            choose(route);
+        }
+    }
+
+    private void choose(ExchangeAction.Route route) {
+        choosing = Optional.empty();
         TargetId target = TargetId.of("target-" + route.attempt().attempt());
         if (random.nextInt(10) == 0) {
             handle(new ExchangeEvent.NoTarget(route.attempt(), ErrorCode.NO_TARGET, 10));
