--- a/core/src/test/java/org/tamaracktrack/core/claim/ClaimKeeperTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/claim/ClaimKeeperTest.java
@@ -120,6 +120,23 @@
             assertThat(refusals(keeper.claim(request("k", "b"), 0, 1_001 + WINDOW))).isEmpty();
         }
 
+        // A daemon reads claims before its configuration: until it knows the window it forgets
+        // nothing, and from then on it waits for that window and no longer.
+        @Test
+        void shouldGoByTheWindowOfTheConfigurationWhenItComesLater() {
+            ClaimKeeper early =
+                    ClaimKeeper.of(owner, LIMITS, ClaimRegister.UNKNOWN_WINDOW_MILLIS, 0);
+            early.gap(7);
+            early.handle(LogRecord.of(7, 1_000, new LogEntry.ClaimsTaken(owner, List.of())), 0);
+            early.caughtUp();
+            assertThat(refusals(early.claim(request("k", "b"), 0, 1_001 + WINDOW)))
+                    .containsExactly(ErrorCode.CLAIM_UNAVAILABLE);
+
+            early.window(WINDOW);
+
+            assertThat(refusals(early.claim(request("k", "b"), 0, 1_001 + WINDOW))).isEmpty();
+        }
+
         @Test
         void shouldRefuseWhenTheRecordWasTwiceNotWritten() {
             keeper.caughtUp();
@@ -189,6 +206,22 @@
                     .containsExactly(new ClaimAction.Granted(1, 1));
         }
 
+        // The caller was told that nothing ran and that its key is free. Then a repeat of the first
+        // append takes effect, long after: it must not take the key again for nobody.
+        @Test
+        void shouldStayFreeWhenTheAppendTakesEffectAgainAfterItWasSettled() {
+            keeper.caughtUp();
+            LogEntry entry = appended(keeper.claim(request("k", "b"), 0, 0));
+            keeper.appended(ClaimAction.Slot.CLAIMS, ClaimKeeper.AppendOutcome.WRITTEN, 1);
+            keeper.handle(LogRecord.of(0, 100, entry), 2);
+            LogEntry settled = appended(keeper.settle(0, Ran.NO, 4));
+            keeper.handle(LogRecord.of(1, 200, settled), 5);
+
+            keeper.handle(LogRecord.of(2, 300, entry), 6);
+
+            assertThat(refusals(keeper.claim(request("k", "b"), 7, 0))).isEmpty();
+        }
+
         @Test
         void shouldTellAccountsApartWhenTheyUseTheSameKey() {
             keeper.caughtUp();
