Judge waiting requests in one pass over their start order

Change: a tick sorts a class's waiting requests by virtual time once; a start looks at each class once; residency looks the plan up in sets.

--- a/bench/src/main/java/org/tamaracktrack/bench/cost/DecisionCosts.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/cost/DecisionCosts.java
@@ -121,7 +121,7 @@
         report(
                 "arrival and end, by accounts",
                 accounts,
-                20_000,
+                accounts >= 1_000 ? 1_000 : 20_000,
                 unused -> {
                     admission.handle(
                             new AdmissionMessage.Arrived(work(random, number[0]++, accounts)), 1);
@@ -140,7 +140,7 @@
         report(
                 "tick over waiting requests",
                 admission.queued(),
-                accounts >= 1_000 ? 20 : 500,
+                100,
                 unused -> admission.handle(new AdmissionMessage.Tick(), 3));
     }
 
--- a/core/src/main/java/org/tamaracktrack/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ClassQueue.java
@@ -1,11 +1,14 @@
 package org.tamaracktrack.core.admission;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.RequestClassId;
 
@@ -15,6 +18,8 @@
             Comparator.comparingDouble(AccountQueue::virtualTime)
                     .thenComparing(AccountQueue::account);
 
+    private record Tagged(double virtualTime, Work work) {}
+
     private final RequestClassId requestClass;
     private final Map<ClientAccountId, AccountQueue> accounts = new HashMap<>();
     private double virtualTime;
@@ -71,6 +76,24 @@
                 .min(NEXT);
     }
 
+    /** The waiting requests in the order in which they would start if no more came. */
+    List<Work> inStartOrder(ToIntFunction<ClientAccountId> shareOf) {
+        List<Tagged> tagged = new ArrayList<>(waiting);
+        accounts.values().forEach(queue -> tag(queue, shareOf.applyAsInt(queue.account()), tagged));
+        return tagged.stream()
+                .sorted(Comparator.comparingDouble(Tagged::virtualTime))
+                .map(Tagged::work)
+                .toList();
+    }
+
+    private static void tag(AccountQueue queue, int share, List<Tagged> tagged) {
+        double virtualTime = queue.virtualTime();
+        for (Work work : queue.waiting().values()) {
+            tagged.add(new Tagged(virtualTime, work));
+            virtualTime += (double) work.estimatedTokens() / share;
+        }
+    }
+
     Work start(AccountQueue queue, int weight, int share) {
         servedUpTo = Math.max(servedUpTo, queue.virtualTime());
         Work work = queue.removeFirst();
--- a/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.DoubleToLongFunction;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -42,6 +43,8 @@
     private double servedUpTo;
     private AdmissionLimits limits;
 
+    private record Next(ClassQueue queue, AccountQueue account) {}
+
     private record Running(Work work, long startedAtMillis) {}
 
     private FairAdmission(AdmissionLimits limits) {
@@ -233,7 +236,6 @@
                                                                 ErrorCode.DEADLINE_BEFORE_START,
                                                                 -1)),
                                 classes.values().stream()
-                                        .flatMap(queue -> queue.accounts().stream())
                                         .flatMap(queue -> hopeless(queue, nowMillis)))
                         .toList();
         late.stream()
@@ -245,36 +247,39 @@
                         });
     }
 
-    private Stream<AdmissionAction> hopeless(AccountQueue queue, long nowMillis) {
-        List<Work> works = List.copyOf(queue.waiting().values());
-        return IntStream.range(0, works.size())
+    private Stream<AdmissionAction> hopeless(ClassQueue queue, long nowMillis) {
+        List<Work> order = queue.inStartOrder(id -> limits.limitsOf(id).share());
+        DoubleToLongFunction wait =
+                estimate.byRank(limits, classes.values(), running.size(), queue.requestClass());
+        return IntStream.range(0, order.size())
                 .mapToObj(
                         index ->
-                                tooLate(
-                                        works.get(index),
-                                        waitAt(works.get(index), index + 1),
-                                        nowMillis))
+                                tooLate(order.get(index), wait.applyAsLong(index + 1.0), nowMillis))
                 .flatMap(Optional::stream);
     }
 
     private void startWhatFits(long nowMillis, List<AdmissionAction> actions) {
         while (running.size() < limits.concurrency()) {
-            Optional<ClassQueue> next =
+            Optional<Next> next =
                     classes.values().stream()
                             .filter(queue -> queue.waiting() > 0)
-                            .filter(queue -> queue.next(this::underCap).isPresent())
-                            .min(
+                            .sorted(
                                     Comparator.comparingDouble(ClassQueue::virtualTime)
-                                            .thenComparing(ClassQueue::requestClass));
+                                            .thenComparing(ClassQueue::requestClass))
+                            .flatMap(
+                                    queue ->
+                                            queue.next(this::underCap).stream()
+                                                    .map(account -> new Next(queue, account)))
+                            .findFirst();
             if (next.isEmpty()) {
                 return;
             }
-            start(next.get(), nowMillis, actions);
+            start(next.get().queue(), next.get().account(), nowMillis, actions);
         }
     }
 
-    private void start(ClassQueue queue, long nowMillis, List<AdmissionAction> actions) {
-        AccountQueue account = queue.next(this::underCap).orElseThrow();
+    private void start(
+            ClassQueue queue, AccountQueue account, long nowMillis, List<AdmissionAction> actions) {
         servedUpTo = Math.max(servedUpTo, queue.virtualTime());
         Work work =
                 queue.start(
--- a/core/src/main/java/org/tamaracktrack/core/admission/WaitEstimate.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/WaitEstimate.java
@@ -1,6 +1,7 @@
 package org.tamaracktrack.core.admission;
 
 import java.util.Collection;
+import java.util.function.DoubleToLongFunction;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.RequestClassId;
 
@@ -43,7 +44,7 @@
                                                                         .share()
                                                                 / share))
                                 .sum();
-        return waitOfRank(limits, classes, running, requestClass, rank);
+        return byRank(limits, classes, running, requestClass).applyAsLong(rank);
     }
 
     /** Estimates the wait of a request that comes after all that wait in its class. */
@@ -58,20 +59,31 @@
                                 .filter(queue -> queue.requestClass().equals(requestClass))
                                 .mapToInt(ClassQueue::waiting)
                                 .sum();
-        return waitOfRank(limits, classes, running, requestClass, rank);
+        return byRank(limits, classes, running, requestClass).applyAsLong(rank);
     }
 
-    private long waitOfRank(
+    /**
+     * Returns the wait by the place in the start order of a class, from 1. A class gets its part of
+     * the slots, and waits at most for all that waits anywhere.
+     */
+    DoubleToLongFunction byRank(
             AdmissionLimits limits,
             Collection<ClassQueue> classes,
             int running,
-            RequestClassId requestClass,
-            double rank) {
+            RequestClassId requestClass) {
         int slots = Math.max(1, limits.concurrency());
-        double ahead = rank - Math.max(0, slots - running);
-        if (ahead <= 0) {
-            return 0;
-        }
+        int free = Math.max(0, slots - running);
+        int others = waitingInOthers(classes, requestClass);
+        double byShare = millisForEach(limits, classes, requestClass);
+        double byAll = times.meanSlotMillis() / slots;
+        return rank -> {
+            double ahead = rank - free;
+            return ahead <= 0 ? 0 : Math.round(Math.min(ahead * byShare, (ahead + others) * byAll));
+        };
+    }
+
+    private double millisForEach(
+            AdmissionLimits limits, Collection<ClassQueue> classes, RequestClassId requestClass) {
         double weight = limits.limitsOf(requestClass).weight();
         double otherWeights =
                 classes.stream()
@@ -79,14 +91,17 @@
                         .filter(queue -> queue.waiting() > 0)
                         .mapToDouble(queue -> limits.limitsOf(queue.requestClass()).weight())
                         .sum();
-        int otherWaiting =
-                classes.stream()
-                        .filter(queue -> !queue.requestClass().equals(requestClass))
-                        .mapToInt(ClassQueue::waiting)
-                        .sum();
-        double byShare =
-                ahead * times.slotMillis(requestClass) * (weight + otherWeights) / weight / slots;
-        double behindAll = (ahead + otherWaiting) * times.meanSlotMillis() / slots;
-        return Math.round(Math.min(byShare, behindAll));
+        return times.slotMillis(requestClass)
+                * (weight + otherWeights)
+                / weight
+                / Math.max(1, limits.concurrency());
+    }
+
+    private static int waitingInOthers(
+            Collection<ClassQueue> classes, RequestClassId requestClass) {
+        return classes.stream()
+                .filter(queue -> !queue.requestClass().equals(requestClass))
+                .mapToInt(ClassQueue::waiting)
+                .sum();
     }
 }
--- a/core/src/main/java/org/tamaracktrack/core/target/ResidencyView.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/ResidencyView.java
@@ -69,12 +69,11 @@
                 .collect(Collectors.toSet());
     }
 
-    boolean isPlacedElsewhere(ModelId model) {
+    Set<ModelId> placedElsewhere() {
         return placements().stream()
-                .anyMatch(
-                        placement ->
-                                placement.model().equals(model)
-                                        && !placement.target().equals(target));
+                .filter(placement -> !placement.target().equals(target))
+                .map(LogEntry.Placement::model)
+                .collect(Collectors.toSet());
     }
 
     private List<LogEntry.Placement> placements() {
--- a/core/src/main/java/org/tamaracktrack/core/target/Room.java
+++ b/core/src/main/java/org/tamaracktrack/core/target/Room.java
@@ -21,9 +21,13 @@
     private final Map<AcceleratorId, Long> becomingFree = new HashMap<>();
     private final List<Change> unloads = new ArrayList<>();
     private final Set<ModelId> kept = new HashSet<>();
+    private final Set<ModelId> placedHere;
+    private final Set<ModelId> placedElsewhere;
 
     private Room(ResidencyView view) {
         this.view = view;
+        this.placedHere = view.placedHere();
+        this.placedElsewhere = view.placedElsewhere();
     }
 
     static Room of(ResidencyView view) {
@@ -182,7 +186,7 @@
         return view.inventory().models().stream()
                 .filter(copy -> copy.accelerator().equals(accelerator))
                 .filter(EngineInventory.ModelState::isReady)
-                .filter(copy -> !view.placedHere().contains(copy.model()))
+                .filter(copy -> !placedHere.contains(copy.model()))
                 .filter(copy -> alsoInUse || !view.isModelInUse(copy.model()))
                 .filter(copy -> !kept.contains(copy.model()))
                 .filter(copy -> !isLeaving(copy))
@@ -190,7 +194,7 @@
                 .sorted(
                         Comparator.comparing(
                                         (EngineInventory.ModelState copy) ->
-                                                !view.isPlacedElsewhere(copy.model()))
+                                                !placedElsewhere.contains(copy.model()))
                                 .thenComparingLong(copy -> view.lastUsedMillis(copy.model()))
                                 .thenComparing(EngineInventory.ModelState::model))
                 .toList();
