--- a/bench/src/main/java/org/tamaracktrack/bench/measure/Recoveries.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/measure/Recoveries.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.tamaracktrack.bench.caller.Caller;
 import org.tamaracktrack.bench.caller.ModelRequest;
+import org.tamaracktrack.bench.caller.Observation;
 import org.tamaracktrack.bench.caller.Outcome;
 import org.tamaracktrack.bench.caller.SteadyLoad;
 import org.tamaracktrack.bench.stack.CommandResult;
@@ -31,6 +32,7 @@
     private final Path document;
     private final PrintStream out;
     private final Caller caller = Caller.of();
+    private Observation lastSeen;
     private int prompts;
     private int publications;
 
@@ -72,7 +74,7 @@
         try {
             out.printf("%s: %.0f ms%n", what, measured.millis());
         } catch (StackException failure) {
-            out.println(what + ": FAILED, " + failure.getMessage());
+            out.println(what + ": FAILED, " + failure.getMessage() + ", last " + lastSeen);
         }
         heal();
     }
@@ -107,7 +109,8 @@
                         .findFirst()
                         .orElseThrow();
         String address = stack.entry(1).httpAddress();
-        return caller.send(address, request).join().outcome() == Outcome.WHOLE;
+        lastSeen = caller.send(address, request).join();
+        return lastSeen.outcome() == Outcome.WHOLE;
     }
 
     private double publish() {
@@ -204,10 +207,12 @@
         long start = System.nanoTime();
         stack.target("engine-1").program().kill();
         stack.standIn("engine-1").program().pause();
-        models.forEach(this::awaitAnswer);
-        double millis = since(start);
-        stack.standIn("engine-1").program().resume();
-        return millis;
+        try {
+            models.forEach(this::awaitAnswer);
+            return since(start);
+        } finally {
+            stack.standIn("engine-1").program().resume();
+        }
     }
 
     private List<String> modelsAt(String target) {
