--- a/bench/src/main/java/org/tamaracktrack/bench/load/Experiment.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/load/Experiment.java
@@ -12,6 +12,8 @@
 import org.tamaracktrack.bench.caller.Caller;
 import org.tamaracktrack.bench.caller.ModelRequest;
 import org.tamaracktrack.bench.caller.Outcome;
+import org.tamaracktrack.bench.report.ReportCheck;
+import org.tamaracktrack.bench.report.Seen;
 import org.tamaracktrack.bench.stack.DaemonProcess;
 import org.tamaracktrack.bench.stack.LocalStack;
 import org.tamaracktrack.bench.stack.StackException;
@@ -97,7 +99,7 @@
                             answered,
                             ReportCheck.moves(stack),
                             overcommits,
-                            ReportCheck.compare(stack, all),
+                            reportDifference(stack, all),
                             speed);
             out.print(ResultTable.markdown(List.of(result)));
             return result;
@@ -208,6 +210,15 @@
                 "--checks-fencing");
     }
 
+    private static String reportDifference(LocalStack stack, List<OpenLoad.Answered> all) {
+        List<Seen> seen =
+                all.stream().map(each -> Seen.of(each.arrival().request(), each.seen())).toList();
+        List<String> differences = ReportCheck.differences(stack, seen);
+        return differences.isEmpty()
+                ? "same"
+                : differences.size() + " rows differ, first " + differences.get(0);
+    }
+
     private static int overcommits(LocalStack stack) {
         return stack.engines().values().stream()
                 .mapToInt(engine -> engine.ask("/control/state").get("overcommits").asInt())
--- a/bench/src/main/java/org/tamaracktrack/bench/local/LocalRun.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/local/LocalRun.java
@@ -14,6 +14,8 @@
 import org.tamaracktrack.bench.caller.Observation;
 import org.tamaracktrack.bench.caller.Outcome;
 import org.tamaracktrack.bench.caller.ServiceRequest;
+import org.tamaracktrack.bench.report.ReportCheck;
+import org.tamaracktrack.bench.report.Seen;
 import org.tamaracktrack.bench.stack.CommandResult;
 import org.tamaracktrack.bench.stack.LocalStack;
 import org.tamaracktrack.bench.stack.SampleAccounts;
@@ -26,6 +28,7 @@
     private final Path root;
     private final PrintStream out;
     private final Caller caller = Caller.of();
+    private final List<Seen> sent = new ArrayList<>();
 
     private LocalRun(Path root, PrintStream out) {
         this.root = root;
@@ -49,7 +52,7 @@
      * Runs it.
      *
      * @param once whether to try everything and stop; otherwise it stays until interrupted
-     * @return the exit status: 0 when every answer was whole and its own, every report printed and
+     * @return the exit status: 0 when every answer was whole and its own, the reports true and
      *     every stop graceful
      */
     public int run(boolean once) {
@@ -64,7 +67,8 @@
             boolean reported = printReports(stack);
             boolean graceful = stop(stack);
             boolean fitted = checkMemory(stack);
-            boolean good = answered && reported && graceful && fitted;
+            boolean told = checkReport(stack);
+            boolean good = answered && reported && graceful && fitted && told;
             out.println(good ? "All well." : "NOT all well.");
             return good ? 0 : 1;
         }
@@ -132,12 +136,14 @@
         Observation seen = caller.send(address, request).join();
         String adapter = request.adapter().map(name -> "+" + name).orElse("");
         print(request.caller(), request.model() + adapter, seen);
+        sent.add(Seen.of(request, seen));
         return seen.outcome() == Outcome.WHOLE;
     }
 
     private boolean tryService(String address, ServiceRequest request) {
         Observation seen = caller.send(address, request).join();
         print(request.caller(), request.method() + " " + request.service(), seen);
+        sent.add(Seen.of(request, SampleAccounts.DEFAULT_CLASS, seen));
         return seen.outcome() == Outcome.WHOLE;
     }
 
@@ -167,6 +173,13 @@
         return statuses.values().stream().allMatch(status -> status == 0);
     }
 
+    private boolean checkReport(LocalStack stack) {
+        List<String> differences = ReportCheck.differences(stack, sent);
+        out.println("Report against what callers saw: " + differences.size() + " differences");
+        differences.forEach(out::println);
+        return differences.isEmpty();
+    }
+
     private boolean checkMemory(LocalStack stack) {
         int overcommits =
                 stack.engines().values().stream()
--- /dev/null
+++ b/bench/src/main/java/org/tamaracktrack/bench/report/package-info.java
@@ -0,0 +1,2 @@
+/** Compares the operators' reports with what callers saw. */
+package org.tamaracktrack.bench.report;
--- a/bench/src/main/java/org/tamaracktrack/bench/stack/SampleAccounts.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/SampleAccounts.java
@@ -22,6 +22,9 @@
     /** The plain service that both may use. */
     public static final String SERVICE = "order-book";
 
+    /** The class of requests that name none. */
+    public static final String DEFAULT_CLASS = "interactive";
+
     private static final List<Map.Entry<CallerKey, String>> MODELS =
             List.of(
                     Map.entry(CEVALLOS, "order-reader"),
