Write the history as JSON

Change: a table's values other than numbers are texts in JSON too. Failing first: CommandLineTest.shouldListTheHistoryAsJson 'expected: OK but was : INTERNAL', 1 of 22. Conclusion: 22 command line tests pass.

--- a/cli/src/main/java/org/tamaracktrack/cli/output/Table.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/output/Table.java
@@ -80,10 +80,14 @@
     private Map<String, Object> asMap(List<Object> row) {
         Map<String, Object> map = new LinkedHashMap<>();
         IntStream.range(0, columns.size())
-                .forEach(index -> map.put(columns.get(index), row.get(index)));
+                .forEach(index -> map.put(columns.get(index), plain(row.get(index))));
         return map;
     }
 
+    private static Object plain(Object value) {
+        return value instanceof Number ? value : value.toString();
+    }
+
     private int width(int column) {
         int widest = rows.stream().mapToInt(row -> shown(row.get(column)).length()).max().orElse(0);
         return Math.max(widest, columns.get(column).length());
--- a/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
@@ -200,6 +200,15 @@
             assertThat(lines.get(3)).contains("doubled,0,rosa");
         }
 
+        @Test
+        void shouldListTheHistoryAsJson() {
+            run("publish", SAMPLE);
+
+            assertThat(run("history", "--output", "json")).isEqualTo(ExitCode.OK);
+            assertThat(output()).contains("\"time\":\"1970-01-01T00:00:01Z\"");
+            assertThat(output()).contains("\"offset\":0");
+        }
+
         @Test
         void shouldSayThatNothingIsInForceWhenTheLogIsEmpty() {
             assertThat(run("show")).isEqualTo(ExitCode.NOT_FOUND);
