--- a/bench/src/main/java/org/tamaracktrack/bench/Main.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/Main.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import java.util.List;
+import org.tamaracktrack.bench.load.Experiments;
 import org.tamaracktrack.bench.local.LocalRun;
 import org.tamaracktrack.bench.measure.Measurements;
 import org.tamaracktrack.bench.slope.Slopes;
@@ -43,8 +44,14 @@
 
         @Override
         public int run() {
-            Measurements.run(Path.of(root), System.out, what);
-            return 0;
+            return Measurements.run(Path.of(root), System.out, what);
+        }
+    }
+
+    private static final class Experiment extends Experiments implements Command {
+        @Override
+        public int run() {
+            return run(System.out);
         }
     }
 
@@ -74,6 +81,7 @@
                 JCommander.newBuilder()
                         .addCommand("local", new Local())
                         .addCommand("measure", new Measure())
+                        .addCommand("experiment", new Experiment())
                         .addCommand("placement-trace", new Trace())
                         .addCommand("slopes", new Slope())
                         .build();
--- a/core/src/main/java/org/tamaracktrack/core/claim/ClaimRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/claim/ClaimRegister.java
@@ -16,6 +16,9 @@
  * comes to the same verdict on each claim, since it depends only on the records and their order.
  */
 public final class ClaimRegister {
+    /** The window of a register that has not been told one: nothing expires. */
+    public static final long UNKNOWN_WINDOW_MILLIS = Long.MAX_VALUE / 4;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     private final Map<ClaimKey, Held> held = new LinkedHashMap<>();
@@ -82,7 +85,10 @@
         // A shorter window must not free keys whose callers were promised the longer one, and a
         // longer one can't bring back what was forgotten: what is held now stays until the longer
         // of both has passed.
-        windowMillis = Math.max(windowMillis, newWindowMillis);
+        windowMillis =
+                windowMillis == UNKNOWN_WINDOW_MILLIS
+                        ? newWindowMillis
+                        : Math.max(windowMillis, newWindowMillis);
     }
 
     /**
@@ -129,9 +135,9 @@
         owners.values().removeIf(owner -> owner.lastMillis + windowMillis < logMillis);
     }
 
-    // An append whose answer was lost may be made again, and a delayed one may take effect after
-    // its claim was settled. Numbers only grow within an owner, so a number that is not above the
-    // highest seen is a repeat; granting it would run a request that was given up.
+    // An append that was given up may take effect late, after its claim was settled as not run.
+    // Held again, the key would be blocked for the whole window though its caller was told that it
+    // is free. Numbers only grow within an owner, so one not above the highest seen is a repeat.
     private void take(IncarnationId owner, LogEntry.Claim claim) {
         Owner known = owners.computeIfAbsent(owner, key -> new Owner());
         known.lastMillis = logMillis;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryRole.java
@@ -14,6 +14,7 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.HostId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.lease.Duty;
 import org.tamaracktrack.core.log.LogStream;
 import org.tamaracktrack.core.placement.PlacementKind;
 import org.tamaracktrack.core.routing.RoutingKind;
@@ -33,6 +34,7 @@
     private static final Logger LOG = Logger.getLogger(EntryRole.class);
     private static final long TICK_MILLIS = 100;
     private static final long HOST_LIST_MILLIS = 1_000;
+    private static final long BODY_MILLIS = 15_000;
     private static final long POLL_MILLIS = 20;
     private static final long LAST_RECORDS_MILLIS = 2_000;
     private static final String SOURCE = "entry";
@@ -82,7 +84,8 @@
                         AccountRates.empty(),
                         new CallerHandler.CallerLimits(
                                 runtime.settings().maximumBodyBytes(),
-                                runtime.settings().maximumConnections()));
+                                runtime.settings().maximumConnections(),
+                                BODY_MILLIS));
         this.peerAddress =
                 runtime.transport()
                         .listen(
@@ -181,11 +184,26 @@
         return handler;
     }
 
+    /**
+     * Returns whether this daemon may act on a duty now. For any thread.
+     *
+     * @param duty the duty
+     * @return true while its lease can be trusted
+     */
+    public boolean holds(Duty duty) {
+        return duties.holds(duty);
+    }
+
     /** What is known of the targets; for the control thread. */
     TargetView targets() {
         return targets;
     }
 
+    /** What the daemon does for its requests. */
+    RequestServices services() {
+        return services;
+    }
+
     /** Whether a target may get new work; for the control thread. */
     boolean accepts(String target) {
         return targets.accepts(TargetId.of(target));
