--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/counters/CounterPublisherTest.java
@@ -0,0 +1,67 @@
+package org.tamaracktrack.daemon.counters;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.id.IncarnationId;
+import org.tamaracktrack.core.log.LogEntry.CountersPublished;
+import org.tamaracktrack.core.log.LogStream;
+import org.tamaracktrack.daemon.duty.DutyLog;
+
+class CounterPublisherTest {
+    private static final String NAME = "requests|north|approval|interactive|in_class";
+
+    private final DutyLog log = new DutyLog();
+    private final Counters counters = Counters.empty();
+
+    private CounterPublisher start() {
+        return CounterPublisher.start(log, IncarnationId.of("entry-1"), "entry", 20, counters);
+    }
+
+    private List<CountersPublished> published() {
+        return log.entries(LogStream.REPORTS, CountersPublished.class);
+    }
+
+    // The log is out while requests are served. What was counted then must be in the records after
+    // the outage, since nobody else knows it.
+    @Test
+    void shouldSayEverythingAgainWhenTheLogWasOut() {
+        CounterPublisher publisher = start();
+        log.await(LogStream.REPORTS, CountersPublished.class, record -> true);
+        log.out(true);
+        counters.add(NAME, 7);
+
+        log.out(false);
+        log.await(
+                LogStream.REPORTS,
+                CountersPublished.class,
+                record -> record.counters().getOrDefault(NAME, 0L) == 7);
+
+        publisher.drain(1_000);
+        assertThat(published().stream().map(CountersPublished::sequence).toList())
+                .isInStrictOrder();
+    }
+
+    @Test
+    void shouldEndWithALastRecordOfEverythingWhenDrained() {
+        CounterPublisher publisher = start();
+        counters.add(NAME, 3);
+
+        assertThat(publisher.drain(1_000)).isTrue();
+
+        CountersPublished last = published().get(published().size() - 1);
+        assertThat(last.last()).isTrue();
+        assertThat(last.counters()).containsExactly(NAME, 3L);
+        assertThat(published().stream().filter(CountersPublished::last).count()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldSayThatTheLastRecordIsLostWhenTheLogStaysOut() {
+        log.out(true);
+        CounterPublisher publisher = start();
+
+        assertThat(publisher.drain(300)).isFalse();
+        assertThat(published()).isEmpty();
+    }
+}
