Plan a copy elsewhere when its target never loads it

Cause: the planner counts memory by target, a target places by accelerator; a copy that finds no accelerator was waited for without end. Ruled out: accelerators in plans; the target owns the ledger. Failing first: PlannerTest shouldPlaceAModelElsewhereWhenItsTargetNeverLoadsIt value of: serving(...) expected not to be empty

--- a/core/src/main/java/org/tamaracktrack/core/placement/Copies.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/Copies.java
@@ -54,6 +54,7 @@
                 homes.stream().map(Configuration.Target::host).collect(Collectors.toSet());
         return Homes.usable(view).stream()
                 .filter(target -> layout.get(model, target).isEmpty())
+                .filter(target -> !layout.avoids(model, target))
                 .map(view.configuration().targets()::get)
                 .sorted(
                         Comparator.comparing(
--- a/core/src/main/java/org/tamaracktrack/core/placement/Layout.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/Layout.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,7 @@
     private final Map<ModelId, TreeSet<TargetId>> byModel = new TreeMap<>();
     private final Map<ModelId, List<AdapterId>> adapters;
     private final Set<ModelId> shared = new TreeSet<>();
+    private final Set<Place> avoided = new HashSet<>();
 
     private Layout(Configuration configuration, Map<ModelId, List<AdapterId>> adapters) {
         this.configuration = configuration;
@@ -63,6 +65,7 @@
     public Layout copy() {
         Layout copy = new Layout(configuration, adapters);
         placements().forEach(copy::put);
+        copy.avoided.addAll(avoided);
         return copy;
     }
 
@@ -89,6 +92,34 @@
         Optional.ofNullable(byModel.get(model)).ifPresent(targets -> targets.remove(target));
     }
 
+    /**
+     * A model on a target.
+     *
+     * @param model the model
+     * @param target the target
+     */
+    record Place(ModelId model, TargetId target) {}
+
+    /**
+     * Keeps a model from being placed on a target.
+     *
+     * @param place the model and the target
+     */
+    void avoid(Place place) {
+        avoided.add(place);
+    }
+
+    /**
+     * Returns whether a model is kept from being placed on a target.
+     *
+     * @param model the model
+     * @param target the target
+     * @return true when it is
+     */
+    boolean avoids(ModelId model, TargetId target) {
+        return avoided.contains(new Place(model, target));
+    }
+
     /**
      * Marks a model as one that has no place of its own, since memory can't hold them all.
      *
@@ -188,9 +219,12 @@
      * Returns whether a copy fits beside the others on its target.
      *
      * @param placement the copy
-     * @return true when it fits
+     * @return true when it fits and is not to be avoided
      */
     public boolean fits(Placement placement) {
+        if (avoids(placement.model(), placement.target())) {
+            return false;
+        }
         List<Placement> wanted = new ArrayList<>(on(placement.target()));
         wanted.removeIf(copy -> copy.model().equals(placement.model()));
         wanted.add(placement);
--- a/core/src/main/java/org/tamaracktrack/core/placement/Planner.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/Planner.java
@@ -29,6 +29,7 @@
     private final PlacementPolicy policy;
     private final long lossGraceMillis;
     private final LoadPacer pacer = LoadPacer.full();
+    private final StuckCopies stuck = StuckCopies.none();
     private final Map<TargetId, Long> unreachableSince = new HashMap<>();
 
     private Planner(PlacementPolicy policy, long lossGraceMillis) {
@@ -63,6 +64,7 @@
         pacer.refill(view.configuration().weightStore(), view.nowMillis());
         Set<TargetId> gone = gone(inForce, view);
         Layout kept = kept(inForce, gone, view);
+        stuck.observe(kept.placements(), view).forEach(kept::avoid);
         Layout wanted = wanted(kept, view);
         Set<ModelId> orphaned = orphaned(inForce, gone, kept);
         Layout next = kept.copy();
@@ -144,7 +146,10 @@
     private Layout wanted(Layout kept, PlanningView view) {
         Layout wanted = kept.copy();
         kept.placements().stream()
-                .filter(copy -> leaving(copy.target(), view))
+                .filter(
+                        copy ->
+                                leaving(copy.target(), view)
+                                        || kept.avoids(copy.model(), copy.target()))
                 .forEach(copy -> wanted.remove(copy.model(), copy.target()));
         policy.improve(wanted, view);
         return wanted;
--- a/core/src/test/java/org/tamaracktrack/core/placement/FakeTargets.java
+++ b/core/src/test/java/org/tamaracktrack/core/placement/FakeTargets.java
@@ -25,6 +25,7 @@
     private final Map<TargetId, Set<ModelId>> resident = new TreeMap<>();
     private final Set<TargetId> unreachable = new HashSet<>();
     private final Set<TargetId> leaving = new HashSet<>();
+    private final Set<Layout.Place> refused = new HashSet<>();
     private int loads;
     private int unloads;
 
@@ -39,6 +40,12 @@
         resident.put(target, new HashSet<>());
     }
 
+    /** A target never loads a model, as when no accelerator of it has the room in one piece. */
+    void refuse(TargetId target, ModelId model) {
+        refused.add(new Layout.Place(model, target));
+        resident.get(target).remove(model);
+    }
+
     void lose(TargetId target) {
         unreachable.add(target);
         empty(target);
@@ -85,6 +92,7 @@
         loading.keySet().retainAll(planned);
         planned.stream()
                 .filter(model -> !here.contains(model) && !loading.containsKey(model))
+                .filter(model -> !refused.contains(new Layout.Place(model, target)))
                 .forEach(model -> startLoad(loading, model));
         loading.replaceAll((model, seconds) -> seconds - 1);
         for (ModelId model : new ArrayList<>(loading.keySet())) {
--- a/core/src/test/java/org/tamaracktrack/core/placement/PlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/placement/PlannerTest.java
@@ -314,6 +314,22 @@
                 .doesNotContain(PlacementFixture.target(0));
     }
 
+    // A planned copy never comes into memory, since no accelerator of its target has the room in
+    // one
+    // piece. Waited for without end, callers would find the model nowhere.
+    @Test
+    void shouldPlaceAModelElsewhereWhenItsTargetNeverLoadsIt() {
+        Run run = new Run(1, PlacementKind.HYSTERESIS);
+        run.seconds(SETTLE_SECONDS);
+        Placement home = run.plan.get(0);
+        run.targets.refuse(home.target(), home.model());
+
+        run.seconds(200);
+
+        assertThat(run.targets.serving(home.model())).isNotEmpty();
+        assertThat(run.plan).doesNotContain(home);
+    }
+
     // The operator raises the weight of a move. On the same demand the system must then move no
     // more
     // than before, or the setting would mean nothing.
