--- a/core/src/main/java/org/tamaracktrack/core/placement/Homes.java
+++ b/core/src/main/java/org/tamaracktrack/core/placement/Homes.java
@@ -112,6 +112,7 @@
         List<ModelId> missing =
                 view.configuration().models().keySet().stream()
                         .filter(model -> layout.copies(model) == 0)
+                        .sorted()
                         .sorted(Comparator.comparingLong(this::size).reversed())
                         .sorted(Comparator.comparing(this::notResidentAnywhere))
                         .toList();
