--- a/bench/src/main/java/org/tamaracktrack/bench/load/Experiment.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/load/Experiment.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.stream.IntStream;
 import org.tamaracktrack.bench.caller.Caller;
@@ -86,6 +87,7 @@
                                     addresses,
                                     arrivals,
                                     scenario.events(stack, durationMillis, speed));
+            writeRequests(user, scenario, policy, loadFactor, answered);
             int overcommits = overcommits(stack);
             stack.stopDaemons();
             List<OpenLoad.Answered> all = new ArrayList<>(warmUp);
@@ -210,6 +212,28 @@
                 "--checks-fencing");
     }
 
+    private void writeRequests(
+            UserProfile user,
+            Scenario scenario,
+            Policy policy,
+            double loadFactor,
+            List<OpenLoad.Answered> answered) {
+        String name =
+                String.join(
+                        "-",
+                        "requests",
+                        user.name(),
+                        scenario.name().toLowerCase(Locale.ROOT),
+                        policy.name(),
+                        Double.toString(loadFactor));
+        Path file = directory.resolve(name + ".csv");
+        try {
+            Files.writeString(file, RequestTable.csv(answered));
+        } catch (IOException failure) {
+            throw StackException.of("can't write " + file, failure);
+        }
+    }
+
     private static String reportDifference(LocalStack stack, List<OpenLoad.Answered> all) {
         List<Seen> seen =
                 all.stream().map(each -> Seen.of(each.arrival().request(), each.seen())).toList();
