--- a/bench/src/main/java/org/tamaracktrack/bench/Main.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/Main.java
@@ -5,10 +5,12 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import java.util.List;
+import org.tamaracktrack.bench.load.Experiments;
 import org.tamaracktrack.bench.local.LocalRun;
 import org.tamaracktrack.bench.measure.Measurements;
+import org.tamaracktrack.bench.trace.TraceFlags;
 
-/** Runs the whole system on one machine: {@code local}, {@code measure}. */
+/** The bench's commands: {@code local}, {@code measure}, {@code experiment} and others. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
@@ -38,10 +40,14 @@
     public static void main(String[] arguments) {
         LocalFlags local = new LocalFlags();
         MeasureFlags measure = new MeasureFlags();
+        Experiments experiments = new Experiments();
+        TraceFlags trace = new TraceFlags();
         JCommander commander =
                 JCommander.newBuilder()
                         .addCommand("local", local)
                         .addCommand("measure", measure)
+                        .addCommand("experiment", experiments)
+                        .addCommand("placement-trace", trace)
                         .build();
         commander.setProgramName("bench");
         try {
@@ -54,10 +60,16 @@
             commander.usage();
             System.exit(EXIT_USAGE);
         }
-        if (commander.getParsedCommand().equals("measure")) {
-            Measurements.run(Path.of(measure.root), System.out, measure.what);
-            System.exit(0);
-        }
-        System.exit(LocalRun.of(Path.of(local.root), System.out).run(local.once));
+        System.exit(
+                switch (commander.getParsedCommand()) {
+                    case "measure" ->
+                            Measurements.run(Path.of(measure.root), System.out, measure.what);
+                    case "experiment" -> experiments.run(System.out);
+                    case "placement-trace" -> {
+                        trace.run();
+                        yield 0;
+                    }
+                    default -> LocalRun.of(Path.of(local.root), System.out).run(local.once);
+                });
     }
 }
