--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/settings/SettingsPageTest.java
@@ -0,0 +1,26 @@
+package org.tamaracktrack.daemon.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterDescription;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+class SettingsPageTest {
+
+    @Test
+    void shouldListEveryFlagOfTheDaemon() throws IOException {
+        String page = Files.readString(Path.of("../docs/OPERATORS.md"));
+
+        assertThat(
+                        new JCommander(new DaemonFlags())
+                                .getParameters().stream()
+                                        .map(ParameterDescription::getLongestName)
+                                        .filter(flag -> !page.contains("`" + flag + "`"))
+                                        .toList())
+                .isEmpty();
+    }
+}
