--- a/bench/src/main/java/org/tamaracktrack/bench/Main.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/Main.java
@@ -8,28 +8,67 @@
 import org.tamaracktrack.bench.load.Experiments;
 import org.tamaracktrack.bench.local.LocalRun;
 import org.tamaracktrack.bench.measure.Measurements;
+import org.tamaracktrack.bench.slope.Slopes;
 import org.tamaracktrack.bench.trace.TraceFlags;
 
-/** The bench's commands: {@code local}, {@code measure}, {@code experiment} and others. */
+/** Measures the system on one machine: the running processes, or its decisions alone. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
     private Main() {}
 
-    private static final class LocalFlags {
+    /** A command; its fields are its flags. */
+    private interface Command {
+        int run();
+    }
+
+    private static final class Local implements Command {
         @Parameter(names = "--once", description = "send requests, print a report, and stop")
         private boolean once;
 
         @Parameter(names = "--root", description = "the directory of the project")
         private String root = ".";
+
+        @Override
+        public int run() {
+            return LocalRun.of(Path.of(root), System.out).run(once);
+        }
     }
 
-    private static final class MeasureFlags {
+    private static final class Measure implements Command {
         @Parameter(names = "--root", description = "the directory of the project")
         private String root = ".";
 
         @Parameter(names = "--what", description = "cost, footprint, recovery; may be repeated")
         private List<String> what = List.of("cost", "footprint", "recovery");
+
+        @Override
+        public int run() {
+            return Measurements.run(Path.of(root), System.out, what);
+        }
+    }
+
+    private static final class Experiment extends Experiments implements Command {
+        @Override
+        public int run() {
+            return run(System.out);
+        }
+    }
+
+    private static final class Trace extends TraceFlags implements Command {
+        @Override
+        public int run() {
+            print();
+            return 0;
+        }
+    }
+
+    private static final class Slope implements Command {
+        @Override
+        public int run() {
+            Slopes.of(System.out).run();
+            return 0;
+        }
     }
 
     /**
@@ -38,16 +77,13 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        LocalFlags local = new LocalFlags();
-        MeasureFlags measure = new MeasureFlags();
-        Experiments experiments = new Experiments();
-        TraceFlags trace = new TraceFlags();
         JCommander commander =
                 JCommander.newBuilder()
-                        .addCommand("local", local)
-                        .addCommand("measure", measure)
-                        .addCommand("experiment", experiments)
-                        .addCommand("placement-trace", trace)
+                        .addCommand("local", new Local())
+                        .addCommand("measure", new Measure())
+                        .addCommand("experiment", new Experiment())
+                        .addCommand("placement-trace", new Trace())
+                        .addCommand("slopes", new Slope())
                         .build();
         commander.setProgramName("bench");
         try {
@@ -60,16 +96,7 @@
             commander.usage();
             System.exit(EXIT_USAGE);
         }
-        System.exit(
-                switch (commander.getParsedCommand()) {
-                    case "measure" ->
-                            Measurements.run(Path.of(measure.root), System.out, measure.what);
-                    case "experiment" -> experiments.run(System.out);
-                    case "placement-trace" -> {
-                        trace.run();
-                        yield 0;
-                    }
-                    default -> LocalRun.of(Path.of(local.root), System.out).run(local.once);
-                });
+        JCommander parsed = commander.getCommands().get(commander.getParsedCommand());
+        System.exit(((Command) parsed.getObjects().get(0)).run());
     }
 }
