--- a/cli/src/main/java/org/tamaracktrack/cli/log/Publisher.java
+++ b/cli/src/main/java/org/tamaracktrack/cli/log/Publisher.java
@@ -103,7 +103,8 @@
                             + inForce
                             + " is in force and this publication is based on "
                             + publication.basedOn()
-                            + "; nothing was written");
+                            + "; nothing was written: see what changed with `tamaracktrack diff"
+                            + " FILE`, bring it in, and publish again");
         }
     }
 
--- a/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/tamaracktrack/cli/CommandLineTest.java
@@ -154,6 +154,7 @@
 
             assertThat(run("publish", SAMPLE, "--based-on", "-1")).isEqualTo(ExitCode.SUPERSEDED);
             assertThat(errors()).contains("version 0 is in force");
+            assertThat(errors()).contains("`tamaracktrack diff FILE`");
         }
 
         @Test
--- a/core/src/test/java/org/tamaracktrack/core/config/ConfigurationSchedule.java
+++ b/core/src/test/java/org/tamaracktrack/core/config/ConfigurationSchedule.java
@@ -12,6 +12,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
 import org.tamaracktrack.core.config.ConfigurationEvent.InvariantBroken;
 import org.tamaracktrack.core.id.PublicationId;
 import org.tamaracktrack.core.log.LogEntry;
@@ -67,6 +70,17 @@
         IntStream.range(0, READERS).forEach(this::restart);
     }
 
+    static Arbitrary<List<Step>> schedules(int mostSteps) {
+        return Combinators.combine(
+                        Arbitraries.of(Kind.class),
+                        Arbitraries.integers().between(0, 63),
+                        Arbitraries.integers().between(0, 63))
+                .as(Step::new)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(mostSteps);
+    }
+
     void run(List<Step> steps) {
         steps.forEach(
                 step -> {
--- a/core/src/test/java/org/tamaracktrack/core/config/ConfigurationScheduleTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/config/ConfigurationScheduleTest.java
@@ -1,9 +1,7 @@
 package org.tamaracktrack.core.config;
 
 import java.util.List;
-import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
-import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -13,14 +11,7 @@
 
     @Provide
     Arbitrary<List<ConfigurationSchedule.Step>> schedules() {
-        return Combinators.combine(
-                        Arbitraries.of(ConfigurationSchedule.Kind.class),
-                        Arbitraries.integers().between(0, 63),
-                        Arbitraries.integers().between(0, 63))
-                .as(ConfigurationSchedule.Step::new)
-                .list()
-                .ofMinSize(1)
-                .ofMaxSize(MOST_STEPS);
+        return ConfigurationSchedule.schedules(MOST_STEPS);
     }
 
     // An operator is told "accepted", and a daemon goes on with another configuration: callers get
