--- a/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/stack/StackPlan.java
@@ -27,6 +27,8 @@
         List<String> entryFlags,
         List<String> targetFlags) {
 
+    private static final double SAMPLE_TOKEN_MILLIS = 4;
+
     /** Checks the arguments. */
     public StackPlan {
         Objects.requireNonNull(directory, "directory is null");
@@ -47,12 +49,24 @@
      * @return the plan
      */
     public static StackPlan sample(Path root, Path directory) {
+        return sample(root, directory, SAMPLE_TOKEN_MILLIS);
+    }
+
+    /**
+     * Returns the plan for the sample configuration with engines of another speed.
+     *
+     * @param root the directory of the project
+     * @param directory where the output of the processes goes
+     * @param tokenMillis time for one token of a batch of one
+     * @return the plan
+     */
+    public static StackPlan sample(Path root, Path directory, double tokenMillis) {
         List<String> engine =
                 List.of(
                         "--accelerator", "a0=24576",
                         "--cache-mebibytes", "4096",
                         "--concurrency", "8",
-                        "--token-millis", "4");
+                        "--token-millis", Double.toString(tokenMillis));
         List<String> checking =
                 Stream.concat(engine.stream(), Stream.of("--checks-fencing")).toList();
         return new StackPlan(
@@ -60,15 +74,34 @@
                 root.resolve("docs/sample-configuration.yaml"),
                 List.of(
                         new TargetPlan(
-                                "engine-1", "host-1", "quito-1", "engine", "engineOne", checking),
+                                "engine-1",
+                                "host-1",
+                                "quito-1",
+                                "engine-1",
+                                "engine",
+                                "engineOne",
+                                checking),
                         new TargetPlan(
-                                "engine-2", "host-2", "quito-1", "engine", "engineTwo", checking),
+                                "engine-2",
+                                "host-2",
+                                "quito-1",
+                                "engine-2",
+                                "engine",
+                                "engineTwo",
+                                checking),
                         new TargetPlan(
-                                "engine-3", "host-3", "quito-2", "engine", "engineThree", engine),
+                                "engine-3",
+                                "host-3",
+                                "quito-2",
+                                "engine-3",
+                                "engine",
+                                "engineThree",
+                                engine),
                         new TargetPlan(
                                 "service-1",
                                 "host-4",
                                 "quito-2",
+                                "service-1",
                                 "service",
                                 "serviceOne",
                                 List.of("--name", "order-book"))),
@@ -78,4 +111,22 @@
                 List.of("--balancer-lag-millis", "300", "--report-millis", "500"),
                 List.of("--report-millis", "500"));
     }
+
+    /**
+     * Returns the same plan for another configuration.
+     *
+     * @param other the configuration to publish
+     * @return the plan
+     */
+    public StackPlan withDocument(Path other) {
+        return new StackPlan(
+                directory,
+                other,
+                targets,
+                entryDataCentres,
+                logFlags,
+                weightFlags,
+                entryFlags,
+                targetFlags);
+    }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/EntryFixture.java
@@ -57,6 +57,7 @@
     final MemoryLog log;
     final FrameTransport transport = XnioFrameTransport.of(SECRET);
     final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    final ConfigurationSource configuration;
     final EntryRole role;
     final HttpFront front;
     private final ControlThread control = ControlThread.of("control");
@@ -66,6 +67,7 @@
 
     private EntryFixture(MemoryLog log, String name, Configuration configuration) {
         this.log = log;
+        this.configuration = new Fixed(configuration);
         DaemonRuntime runtime =
                 new DaemonRuntime(
                         settings(),
@@ -76,7 +78,7 @@
                         transport,
                         http,
                         metrics,
-                        new Fixed(configuration));
+                        this.configuration);
         role = EntryRole.start(runtime, RoutingKind.ESTIMATED_WAIT, PlacementKind.LRU);
         front =
                 HttpFront.start(
@@ -125,7 +127,7 @@
         public void offer(long version, String document) {}
     }
 
-    private static Configuration configuration(long totalMillis) {
+    static Configuration configuration(long totalMillis) {
         Configuration.RequestClass requestClass =
                 new Configuration.RequestClass(CLASS, 1_000, 100, totalMillis, 1, 100);
         ServiceId charges = ServiceId.of("charges");
@@ -170,13 +172,13 @@
     private static Map<ClientAccountId, Configuration.ClientAccount> accounts(ServiceId charges) {
         return Map.of(
                 ClientAccountId.of("andina"),
-                account("andina", KEY, MODEL, charges),
+                account("andina", KEY, MODEL, charges, 50),
                 ClientAccountId.of("ktima"),
-                account("ktima", OTHER_KEY, ModelId.of("history"), charges));
+                account("ktima", OTHER_KEY, ModelId.of("history"), charges, 0.1));
     }
 
     private static Configuration.ClientAccount account(
-            String name, String key, ModelId model, ServiceId charges) {
+            String name, String key, ModelId model, ServiceId charges, double rate) {
         return new Configuration.ClientAccount(
                 ClientAccountId.of(name),
                 TemplateId.of("store"),
@@ -189,7 +191,7 @@
                 true,
                 1,
                 10,
-                50,
+                rate,
                 10);
     }
 
