Test that a frozen process sends nothing after the wait limit

Two failed tries: the credit test raced with the opening of the fake stream (now waits for the pause); the second request was refused early on a measured slot time, so no time had passed (now no slot time is known).

--- a/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -34,12 +36,16 @@
     private final List<EngineInventory.ModelState> models = new ArrayList<>();
     private final List<EngineInventory.OrderState> orders = new ArrayList<>();
     private long highestFencing;
+    private final List<Runnable> held = new CopyOnWriteArrayList<>();
+    private final CountDownLatch heldOnce = new CountDownLatch(1);
     private volatile boolean reachable = true;
+    private volatile boolean holding;
 
     /** A request that reached the engine, and the test's hold on its answer. */
     static final class Call implements HttpStream {
         private final HttpCall request;
         private final HttpListener listener;
+        private final CountDownLatch pausedOnce = new CountDownLatch(1);
         private volatile boolean paused;
         private volatile boolean cancelled;
 
@@ -56,6 +62,11 @@
             return paused;
         }
 
+        /** Waits until the call has been paused; false when that does not happen in time. */
+        boolean awaitPaused() throws InterruptedException {
+            return pausedOnce.await(LIMIT_SECONDS, TimeUnit.SECONDS);
+        }
+
         boolean isCancelled() {
             return cancelled;
         }
@@ -81,6 +92,7 @@
         @Override
         public void pause() {
             paused = true;
+            pausedOnce.countDown();
         }
 
         @Override
@@ -121,12 +133,39 @@
     @Override
     public HttpStream stream(HttpCall request, BooleanSupplier maySend, HttpListener listener) {
         Call call = new Call(request, listener);
+        if (holding) {
+            held.add(() -> open(call, maySend));
+            heldOnce.countDown();
+        } else {
+            open(call, maySend);
+        }
+        return call;
+    }
+
+    private void open(Call call, BooleanSupplier maySend) {
         if (!reachable || !maySend.getAsBoolean()) {
-            listener.onFailure(HttpFailure.NOT_SENT);
+            call.listener.onFailure(HttpFailure.NOT_SENT);
         } else {
             calls.add(call);
         }
-        return call;
+    }
+
+    /**
+     * Opens no further connection until {@link #release()}, as if the process were frozen there.
+     */
+    void hold() {
+        holding = true;
+    }
+
+    /** Waits until a call is held; false when that does not happen in time. */
+    boolean awaitHeld() throws InterruptedException {
+        return heldOnce.await(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    void release() {
+        holding = false;
+        held.forEach(Runnable::run);
+        held.clear();
     }
 
     @Override
--- a/daemon/src/test/java/org/tamaracktrack/daemon/target/TargetRoleTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/TargetRoleTest.java
@@ -89,14 +89,14 @@
 
         // A caller reads slowly. Without a stop its whole answer would pile up in the entry daemon.
         @Test
-        void shouldStopReadingWhenCreditIsSpentAndGoOnWhenThereIsMore() {
+        void shouldStopReadingWhenCreditIsSpentAndGoOnWhenThereIsMore() throws Exception {
             target = TargetFixture.engine(1);
             FakeConnection entry = target.connect();
             Message.Submit submit = target.submit(entry, TargetFixture.MODEL, true, 5_000, 10);
 
             FakeHttp.Call call = target.http.nextCall();
             call.head(200, EVENTS).bytes("data: 0123456789\n\n");
-            assertThat(call.isPaused()).isTrue();
+            assertThat(call.awaitPaused()).isTrue();
 
             target.tell(entry, new Message.Credit(submit.attempt(), 100));
             assertThat(call.isPaused()).isFalse();
@@ -199,6 +199,29 @@
                     .isEqualTo(ErrorCode.DEADLINE_BEFORE_START);
         }
 
+        // The process freezes after it decided to start a request and before the first byte goes
+        // out. When it wakes, the wait limit has passed and the caller has been answered; the
+        // request must not run now. The refusal of the second request shows that time has passed.
+        @Test
+        void shouldNotSendWhenTheWaitLimitPassedBetweenStartAndFirstByte() throws Exception {
+            target = TargetFixture.engine(1);
+            FakeConnection entry = target.connect();
+            target.http.hold();
+            Message.Submit frozen = target.submit(entry, TargetFixture.MODEL, false, 4_000, 1_000);
+            assertThat(target.http.awaitHeld()).isTrue();
+            Message.Submit later = target.submit(entry, TargetFixture.MODEL, false, 4_000, 1_000);
+            Message.Refused timeHasPassed = entry.next(Message.Refused.class);
+            assertThat(timeHasPassed.attempt()).isEqualTo(later.attempt());
+            assertThat(timeHasPassed.code()).isEqualTo(ErrorCode.DEADLINE_BEFORE_START);
+
+            target.http.release();
+
+            Message.Refused refused = entry.next(Message.Refused.class);
+            assertThat(refused.attempt()).isEqualTo(frozen.attempt());
+            assertThat(refused.code()).isEqualTo(ErrorCode.DEADLINE_BEFORE_START);
+            assertThat(target.http.isQuiet()).isTrue();
+        }
+
         // With the log out this process has no fencing number, so it must not order a load; the
         // caller is told at once instead of waiting for a model that can't come.
         @Test
