--- a/core/src/main/java/org/tamaracktrack/core/config/ConfigurationRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/config/ConfigurationRegister.java
@@ -309,7 +309,8 @@
     private List<ConfigurationEvent> start(LogRecord record, ConfigurationSnapshot snapshot) {
         if (snapshot.upTo() < waitingFrom
                 || snapshot.upTo() > record.offset()
-                || snapshot.version() >= snapshot.upTo()) {
+                || snapshot.version() >= snapshot.upTo()
+                || snapshot.version() < 0) {
             return List.of(new SnapshotUnused(record));
         }
         Optional<ConfigurationReading.Accepted> reading = valid(snapshot.document());
--- a/core/src/test/java/org/tamaracktrack/core/config/ConfigurationRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/config/ConfigurationRegisterTest.java
@@ -135,6 +135,14 @@
             assertThat(version()).isEqualTo(-1);
         }
 
+        @Test
+        void shouldNotStartWhenTheSnapshotNamesNoVersion() {
+            register.gap(5);
+            register.handle(snapshot(5, 5, -1, "none"));
+
+            assertThat(register.awaitsSnapshot()).isTrue();
+        }
+
         @Test
         void shouldNotGoBackWhenASnapshotIsOlder() {
             register.handle(publication(0, "p", -1, "first"));
