Load a model that is placed elsewhere only when it is asked for persistently

Ruled out: never loading a stray, since a model whose homes are lost must be reachable before the planner's grace ends. Change: Strays (refused at once until asked for over 5 s); requests behind a load under way are refused at once when the load's average time leaves them none.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/EngineKeeper.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/EngineKeeper.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -59,6 +60,7 @@
     private final OrderControl orders;
     private final RetryDelays retryDelays = RetryDelays.empty();
     private final LoadTimes loadTimes = LoadTimes.empty();
+    private final Strays strays = Strays.empty();
     private Configuration configuration;
     private InetSocketAddress address;
     private long configuredAtMillis;
@@ -214,6 +216,7 @@
             moved(moved.change());
         } else if (action instanceof OrderAction.NotMoved notMoved) {
             retryDelays.failed(notMoved.change(), ControlThread.nowMillis());
+            loadTimes.failed(notMoved.change());
             meters.event("orders.without.effect");
         } else if (action instanceof OrderAction.Contended contended) {
             meters.event("memory.contended");
@@ -272,9 +275,10 @@
         if (orders.inventory().isEmpty()) {
             return;
         }
+        long now = ControlThread.nowMillis();
+        noteStrays(now);
         ResidencyDecision decision = Residency.decide(view(orders.inventory().get()));
         heldBack = decision.heldBack();
-        long now = ControlThread.nowMillis();
         decision.changes().stream()
                 .filter(change -> retryDelays.isDue(change, now))
                 .filter(change -> !orders.isUnderWay(change))
@@ -283,6 +287,31 @@
         delayUnmet(decision, now);
     }
 
+    private void noteStrays(long now) {
+        Set<ModelId> wanted =
+                submissions.admission().unmetNeeds().stream()
+                        .map(Need::model)
+                        .filter(this::isPlacedElsewhereOnly)
+                        .collect(Collectors.toSet());
+        strays.wanted(wanted, now);
+    }
+
+    private boolean isPlacedElsewhereOnly(ModelId model) {
+        List<TargetId> homes =
+                plan.stream()
+                        .flatMap(each -> each.placements().stream())
+                        .filter(placement -> placement.model().equals(model))
+                        .map(LogEntry.Placement::target)
+                        .toList();
+        return !homes.isEmpty() && !homes.contains(target);
+    }
+
+    private Set<Need> needsToMeet(long now) {
+        return submissions.admission().unmetNeeds().stream()
+                .filter(need -> strays.mayLoad(need.model(), now))
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+    }
+
     private ResidencyView view(EngineInventory inventory) {
         return new ResidencyView(
                 target,
@@ -292,7 +321,7 @@
                 inventory,
                 orders.free(),
                 orders.changesUnderWay(),
-                submissions.admission().unmetNeeds(),
+                needsToMeet(ControlThread.nowMillis()),
                 submissions.inUse(),
                 pace.waitMillis(ControlThread.nowMillis()) == 0,
                 submissions.lastUsedMillis());
@@ -317,14 +346,21 @@
     }
 
     private void delayUnmet(ResidencyDecision decision, long now) {
-        List.copyOf(submissions.admission().unmetNeeds()).stream()
-                .filter(need -> !isBeingLoaded(need))
-                .forEach(need -> delay(need, delayMillis(need, decision, now)));
+        List.copyOf(submissions.admission().unmetNeeds())
+                .forEach(
+                        need ->
+                                delay(
+                                        need,
+                                        isBeingLoaded(need)
+                                                ? loadTimes.remainingMillis(need, now)
+                                                : delayMillis(need, decision, now)));
     }
 
     private long delayMillis(Need need, ResidencyDecision decision, long now) {
         boolean mayNotOrder = !logReachable && !orders.mayOrder();
-        if (decision.impossible().contains(need) || mayNotOrder) {
+        if (decision.impossible().contains(need)
+                || mayNotOrder
+                || !strays.mayLoad(need.model(), now)) {
             return AdmissionMessage.NEVER;
         }
         return pace.waitMillis(now) + loadTimes.expectedMillis(need);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/LoadTimes.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/LoadTimes.java
@@ -38,10 +38,23 @@
         }
     }
 
+    void failed(Change change) {
+        orderedAt.remove(change);
+    }
+
     private static double average(double old, long newest) {
         return old == 0 ? newest : old + NEWEST_WEIGHT * (newest - old);
     }
 
+    /** How much longer the loads for a need that are under way will take, by the average. */
+    long remainingMillis(Need need, long nowMillis) {
+        return orderedAt.entrySet().stream()
+                .filter(entry -> entry.getKey().model().equals(need.model()))
+                .mapToLong(entry -> expectedMillis(need) - (nowMillis - entry.getValue()))
+                .max()
+                .orElse(0);
+    }
+
     long expectedMillis(Need need) {
         return Math.round(need.adapter().isPresent() ? adapterMillis : modelMillis);
     }
