--- a/bench/src/main/java/org/tamaracktrack/bench/load/Experiments.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/load/Experiments.java
@@ -13,7 +13,7 @@
 import org.tamaracktrack.bench.stack.StackException;
 
 /** The flags of {@code bin/experiment}, and the runs that they ask for. */
-public final class Experiments {
+public class Experiments {
     @Parameter(names = "--root", description = "the directory of the project")
     private String root = ".";
 
--- a/bench/src/main/java/org/tamaracktrack/bench/trace/TraceFlags.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/trace/TraceFlags.java
@@ -5,7 +5,7 @@
 import java.util.stream.Stream;
 
 /** The flags of the command {@code placement-trace}. */
-public final class TraceFlags {
+public class TraceFlags {
     @Parameter(names = "--seeds", description = "how many seeds each figure is the mean of")
     private int seeds = 10;
 
@@ -21,8 +21,8 @@
     @Parameter(names = "--scenarios", description = "how many of the scenarios")
     private int scenarios = 5;
 
-    /** Runs the command and prints its tables. */
-    public void run() {
+    /** Prints the tables. */
+    public final void print() {
         List<PlacementTraceCommand.Trial> trials =
                 paybackSeconds.stream()
                         .flatMap(
