Keep a request that its planned homes refused away from targets without the model

Change: with a plan for the model, only its homes are candidates, tried or not; without one any engine still may load it. Of several refusals the one for want of room is answered. Ruled out: homes only in every case; without a planner nobody would make a second copy of a busy model. Measured: RoutingTable, RequestExchange, RetryRule, EstimatedWait, CallerHandler, WholeAnswers, EntryRole, RequestRunner, AtMostOnce and Drain tests green (1 min 31 s).

--- a/core/src/main/java/org/tamaracktrack/core/exchange/RequestExchange.java
+++ b/core/src/main/java/org/tamaracktrack/core/exchange/RequestExchange.java
@@ -296,8 +296,12 @@
     }
 
     private void notRun(ErrorCode code, long retryAfterMillis, long nowMillis) {
-        ExchangeAction.AnswerError error =
+        ExchangeAction.AnswerError last =
                 new ExchangeAction.AnswerError(code, Ran.NO, retryAfterMillis);
+        ExchangeAction.AnswerError error =
+                refusal.filter(first -> RetryRule.forWantOfRoom(first.code()))
+                        .filter(first -> !RetryRule.forWantOfRoom(code))
+                        .orElse(last);
         refusal = Optional.of(error);
         if (caller.answered()) {
             settle(mayHaveRun ? Ran.UNKNOWN : Ran.NO);
--- a/core/src/main/java/org/tamaracktrack/core/retry/RetryRule.java
+++ b/core/src/main/java/org/tamaracktrack/core/retry/RetryRule.java
@@ -95,6 +95,17 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns whether a refusal is for want of room, which tells a caller more than that a further
+     * target could not help.
+     *
+     * @param code why an attempt was refused
+     * @return true when it is
+     */
+    public static boolean forWantOfRoom(ErrorCode code) {
+        return CROWDED.contains(code);
+    }
+
     private OptionalLong paid(int attempts, long nowMillis, long seed) {
         return budget.take(nowMillis)
                 ? OptionalLong.of(BACKOFF.delayMillis(attempts, seed))
--- a/core/src/main/java/org/tamaracktrack/core/routing/RoutingTable.java
+++ b/core/src/main/java/org/tamaracktrack/core/routing/RoutingTable.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tamaracktrack.core.config.Configuration;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ModelId;
@@ -195,16 +196,18 @@
      *
      * @param query what is asked for
      * @param usable whether a target may get new work
+     * @param tried targets that have had an attempt
      * @param nowMillis the time
      * @return the candidates, by name
      */
     public List<Candidate> candidates(
-            RoutingQuery query, Predicate<TargetId> usable, long nowMillis) {
+            RoutingQuery query, Predicate<TargetId> usable, Set<TargetId> tried, long nowMillis) {
         return query
                 .service()
                 .map(service -> serviceTargets(service, usable))
-                .orElseGet(() -> modelTargets(query.model().orElseThrow(), usable))
+                .orElseGet(() -> modelTargets(query.model().orElseThrow(), usable, tried))
                 .stream()
+                .filter(target -> !tried.contains(target))
                 .map(target -> candidate(target, query, nowMillis))
                 .collect(Collectors.toList());
     }
@@ -217,14 +220,18 @@
                 .collect(Collectors.toList());
     }
 
-    private List<TargetId> modelTargets(ModelId model, Predicate<TargetId> usable) {
-        return Optional.of(known(resident, model, usable))
+    // A request that its busy homes refused would, at a target without the model, cost a load and
+    // evict what was planned there, just when there is too much to do; where copies go is the
+    // plan's business. Without a plan for the model nobody else would make a second copy.
+    private List<TargetId> modelTargets(
+            ModelId model, Predicate<TargetId> usable, Set<TargetId> tried) {
+        Predicate<TargetId> candidate =
+                planned.containsKey(model) ? usable : usable.and(target -> !tried.contains(target));
+        return Stream.of(resident, loading, planned)
+                .map(index -> known(index, model, candidate))
                 .filter(homes -> !homes.isEmpty())
-                .or(() -> Optional.of(known(loading, model, usable)))
-                .filter(homes -> !homes.isEmpty())
-                .or(() -> Optional.of(known(planned, model, usable)))
-                .filter(homes -> !homes.isEmpty())
-                .orElseGet(() -> engines(usable));
+                .findFirst()
+                .orElseGet(() -> engines(candidate));
     }
 
     private List<TargetId> known(
--- a/core/src/test/java/org/tamaracktrack/core/exchange/RequestExchangeTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/exchange/RequestExchangeTest.java
@@ -78,6 +78,10 @@
         return exchange;
     }
 
+    private static ExchangeEvent refused(AttemptId attempt, ErrorCode code, long retryAfter) {
+        return new ExchangeEvent.Received(new Message.Refused(attempt, code, retryAfter, LOAD));
+    }
+
     private static Object answer(List<ExchangeAction> actions) {
         return actions.stream()
                 .filter(ExchangeAction.AnswerError.class::isInstance)
@@ -114,6 +118,27 @@
                                     ErrorCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, -1));
         }
 
+        // The home of the model has no room, and the next target has not got the model. What the
+        // caller needs to know is the first.
+        @Test
+        void shouldNameTheWantOfRoomWhenALaterTargetHasNotGotTheModel() {
+            RequestExchange exchange = sent(true);
+            AttemptId second = FIRST.next();
+            exchange.handle(refused(FIRST, ErrorCode.CANNOT_MEET_CLASS, 70), 5);
+            exchange.handle(new ExchangeEvent.Chosen(second, TargetId.of("engine-2")), 6);
+            exchange.handle(refused(second, ErrorCode.MODEL_NOT_RESIDENT, 9), 7);
+
+            assertThat(
+                            answer(
+                                    exchange.handle(
+                                            new ExchangeEvent.NoTarget(
+                                                    second.next(), ErrorCode.NO_TARGET, 5),
+                                            8)))
+                    .isEqualTo(
+                            new ExchangeAction.AnswerError(
+                                    ErrorCode.CANNOT_MEET_CLASS, Ran.NO, 70));
+        }
+
         // The caller was told at its deadline that nothing ran while a target was being chosen;
         // sending after that would make the answer untrue.
         @Test
--- a/core/src/test/java/org/tamaracktrack/core/routing/RoutingBenchmark.java
+++ b/core/src/test/java/org/tamaracktrack/core/routing/RoutingBenchmark.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -51,7 +52,7 @@
                             ModelId.of(prefix + decision % targets),
                             Optional.empty(),
                             OptionalLong.of(decision));
-            List<Candidate> candidates = table.candidates(query, target -> true, 100);
+            List<Candidate> candidates = table.candidates(query, target -> true, Set.of(), 100);
             chosen +=
                     EstimatedWaitPolicy.of().choose(query, candidates, decision).isPresent()
                             ? 1
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetDirectory.java
@@ -68,11 +68,8 @@
     void route(RoutingQuery query, Set<TargetId> tried, AttemptId attempt, RequestRunner runner) {
         long now = ControlThread.nowMillis();
         Predicate<TargetId> usable =
-                target ->
-                        !tried.contains(target)
-                                && links.containsKey(target)
-                                && membership.accepts(target, now);
-        List<Candidate> candidates = table.candidates(query, usable, now);
+                target -> links.containsKey(target) && membership.accepts(target, now);
+        List<Candidate> candidates = table.candidates(query, usable, tried, now);
         Optional<TargetLink> chosen = policy.choose(query, candidates, seed++).map(links::get);
         chosen.ifPresentOrElse(
                 link -> {
