--- a/bench/src/main/java/org/tamaracktrack/bench/slope/DecisionSlopes.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/slope/DecisionSlopes.java
@@ -84,7 +84,7 @@
                             () ->
                                     policy.choose(
                                             query,
-                                            targets.candidates(query, one -> true, 100),
+                                            targets.candidates(query, one -> true, Set.of(), 100),
                                             seed.incrementAndGet())));
         }
     }
