--- a/bench/src/main/java/org/tamaracktrack/bench/measure/Recoveries.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/measure/Recoveries.java
@@ -6,7 +6,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.tamaracktrack.bench.caller.Caller;
 import org.tamaracktrack.bench.caller.ModelRequest;
@@ -247,10 +249,15 @@
         }
         out.printf("target leaving: last new work %.0f ms after SIGTERM%n", last);
         out.printf("target leaving: daemon ended %.0f ms after SIGTERM%n", since(start));
-        long notWhole =
+        Map<String, Long> notWhole =
                 load.stop().stream()
-                        .filter(exchange -> exchange.seen().outcome() != Outcome.WHOLE)
-                        .count();
+                        .map(SteadyLoad.Exchange::seen)
+                        .filter(seen -> seen.outcome() != Outcome.WHOLE)
+                        .collect(
+                                Collectors.groupingBy(
+                                        seen -> seen.outcome() + ":" + seen.code(),
+                                        TreeMap::new,
+                                        Collectors.counting()));
         out.println("target leaving: requests without a whole answer: " + notWhole);
     }
 
