Judge the wait by how often the slots taken now become free

Ruled out: nothing else tried. Change: WaitEstimate takes the rate at which the requests that run now free their slots. Tests: FairAdmissionTest 15 pass.

--- a/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
@@ -38,7 +38,7 @@
     private final Map<ClientAccountId, Integer> waitingByAccount = new HashMap<>();
     private final Map<RequestClassId, Integer> waitingByClass = new HashMap<>();
     private final ServiceTimes times = ServiceTimes.empty();
-    private final WaitEstimate estimate = WaitEstimate.of(times);
+    private final WaitEstimate estimate = WaitEstimate.create();
     private Set<Need> ready = Set.of();
     private double servedUpTo;
     private AdmissionLimits limits;
@@ -250,7 +250,7 @@
     private Stream<AdmissionAction> hopeless(ClassQueue queue, long nowMillis) {
         List<Work> order = queue.inStartOrder(id -> limits.limitsOf(id).share());
         DoubleToLongFunction wait =
-                estimate.byRank(limits, classes.values(), running.size(), queue.requestClass());
+                estimate.byRank(limits, classes.values(), slots(), queue.requestClass());
         return IntStream.range(0, order.size())
                 .mapToObj(
                         index ->
@@ -320,12 +320,20 @@
 
     private long waitAt(Work work, int position) {
         return estimate.waitMillis(
-                limits,
-                classes.values(),
-                running.size(),
-                work.requestClass(),
-                work.account(),
-                position);
+                limits, classes.values(), slots(), work.requestClass(), work.account(), position);
+    }
+
+    // What runs now decides when the next slot is free: a short class behind long batches waits for
+    // those, not for its own kind.
+    private WaitEstimate.Slots slots() {
+        double releasesPerMilli =
+                running.values().stream()
+                        .mapToDouble(each -> times.slotMillis(each.work().requestClass()))
+                        .filter(millis -> millis > 0)
+                        .map(millis -> 1 / millis)
+                        .sum();
+        return new WaitEstimate.Slots(
+                Math.max(0, limits.concurrency() - running.size()), releasesPerMilli);
     }
 
     private static AdmissionAction refuse(Work work, ErrorCode code, long retryAfterMillis) {
@@ -342,7 +350,7 @@
                                 Function.identity(),
                                 id ->
                                         estimate.classWaitMillis(
-                                                limits, classes.values(), running.size(), id)));
+                                                limits, classes.values(), slots(), id)));
     }
 
     @Override
--- a/core/src/main/java/org/tamaracktrack/core/admission/WaitEstimate.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/WaitEstimate.java
@@ -7,15 +7,14 @@
 
 /** Estimates how long a request waits, from what is ahead of it in the fair order. */
 final class WaitEstimate {
-    private final ServiceTimes times;
+    private WaitEstimate() {}
 
-    private WaitEstimate(ServiceTimes times) {
-        this.times = times;
+    static WaitEstimate create() {
+        return new WaitEstimate();
     }
 
-    static WaitEstimate of(ServiceTimes times) {
-        return new WaitEstimate(times);
-    }
+    /** How many slots are free, and how often one that is taken becomes free; 0 if not known. */
+    record Slots(int free, double releasesPerMilli) {}
 
     /**
      * Estimates the wait of a request that is at a position (from 1) in its account's queue. Of
@@ -24,7 +23,7 @@
     long waitMillis(
             AdmissionLimits limits,
             Collection<ClassQueue> classes,
-            int running,
+            Slots slots,
             RequestClassId requestClass,
             ClientAccountId account,
             int position) {
@@ -44,14 +43,14 @@
                                                                         .share()
                                                                 / share))
                                 .sum();
-        return byRank(limits, classes, running, requestClass).applyAsLong(rank);
+        return byRank(limits, classes, slots, requestClass).applyAsLong(rank);
     }
 
     /** Estimates the wait of a request that comes after all that wait in its class. */
     long classWaitMillis(
             AdmissionLimits limits,
             Collection<ClassQueue> classes,
-            int running,
+            Slots slots,
             RequestClassId requestClass) {
         double rank =
                 1
@@ -59,7 +58,7 @@
                                 .filter(queue -> queue.requestClass().equals(requestClass))
                                 .mapToInt(ClassQueue::waiting)
                                 .sum();
-        return byRank(limits, classes, running, requestClass).applyAsLong(rank);
+        return byRank(limits, classes, slots, requestClass).applyAsLong(rank);
     }
 
     /**
@@ -69,20 +68,22 @@
     DoubleToLongFunction byRank(
             AdmissionLimits limits,
             Collection<ClassQueue> classes,
-            int running,
+            Slots slots,
             RequestClassId requestClass) {
-        int slots = Math.max(1, limits.concurrency());
-        int free = Math.max(0, slots - running);
+        if (slots.releasesPerMilli() <= 0) {
+            return rank -> 0;
+        }
         int others = waitingInOthers(classes, requestClass);
-        double byShare = millisForEach(limits, classes, requestClass);
-        double byAll = times.meanSlotMillis() / slots;
+        double part = partOf(limits, classes, requestClass);
         return rank -> {
-            double ahead = rank - free;
-            return ahead <= 0 ? 0 : Math.round(Math.min(ahead * byShare, (ahead + others) * byAll));
+            double ahead = rank - slots.free();
+            return ahead <= 0
+                    ? 0
+                    : Math.round(Math.min(ahead / part, ahead + others) / slots.releasesPerMilli());
         };
     }
 
-    private double millisForEach(
+    private static double partOf(
             AdmissionLimits limits, Collection<ClassQueue> classes, RequestClassId requestClass) {
         double weight = limits.limitsOf(requestClass).weight();
         double otherWeights =
@@ -91,10 +92,7 @@
                         .filter(queue -> queue.waiting() > 0)
                         .mapToDouble(queue -> limits.limitsOf(queue.requestClass()).weight())
                         .sum();
-        return times.slotMillis(requestClass)
-                * (weight + otherWeights)
-                / weight
-                / Math.max(1, limits.concurrency());
+        return weight / (weight + otherWeights);
     }
 
     private static int waitingInOthers(
