--- a/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
+++ b/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
@@ -8,7 +8,6 @@
     REQUEST_TOO_SLOW(408, Ran.NO, true),
     TOO_MANY_CONNECTIONS(503, Ran.NO, true),
     UNAUTHENTICATED(401, Ran.NO, false),
-    FORBIDDEN(403, Ran.NO, false),
     UNKNOWN_MODEL(404, Ran.NO, false),
     UNKNOWN_ADAPTER(404, Ran.NO, false),
     UNKNOWN_SERVICE(404, Ran.NO, false),
@@ -31,8 +30,6 @@
     NOT_READY(503, Ran.NO, true),
     /** The connection to the target could not be opened, so nothing was sent. */
     TARGET_UNREACHABLE(503, Ran.NO, true),
-    /** The budget for retries is spent. */
-    RETRY_BUDGET_SPENT(503, Ran.NO, true),
     /** The request waited past its deadline before it was started. */
     DEADLINE_BEFORE_START(504, Ran.NO, true),
     /** The caller cancelled before the request was started. */
