--- a/core/src/main/java/org/tamaracktrack/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ClassQueue.java
@@ -50,9 +50,20 @@
         return accounts.values();
     }
 
+    void raiseTo(double classesServedUpTo) {
+        virtualTime = Math.max(virtualTime, classesServedUpTo);
+    }
+
+    /** The waiting request whose first token is due first. */
+    Optional<Work> oldest() {
+        return accounts.values().stream()
+                .flatMap(queue -> queue.waiting().values().stream().limit(1))
+                .min(Comparator.comparingLong(Work::firstTokenByMillis));
+    }
+
     void add(Work work, double classesServedUpTo) {
         if (waiting == 0) {
-            virtualTime = Math.max(virtualTime, classesServedUpTo);
+            raiseTo(classesServedUpTo);
         }
         accounts.computeIfAbsent(work.account(), id -> AccountQueue.of(id, servedUpTo))
                 .add(work, servedUpTo);
