--- a/core/src/main/java/org/tamaracktrack/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ClassQueue.java
@@ -50,20 +50,9 @@
         return accounts.values();
     }
 
-    void raiseTo(double classesServedUpTo) {
-        virtualTime = Math.max(virtualTime, classesServedUpTo);
-    }
-
-    /** The waiting request whose first token is due first. */
-    Optional<Work> oldest() {
-        return accounts.values().stream()
-                .flatMap(queue -> queue.waiting().values().stream().limit(1))
-                .min(Comparator.comparingLong(Work::firstTokenByMillis));
-    }
-
     void add(Work work, double classesServedUpTo) {
         if (waiting == 0) {
-            raiseTo(classesServedUpTo);
+            virtualTime = Math.max(virtualTime, classesServedUpTo);
         }
         accounts.computeIfAbsent(work.account(), id -> AccountQueue.of(id, servedUpTo))
                 .add(work, servedUpTo);
--- a/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/FairAdmission.java
@@ -29,7 +29,6 @@
 public final class FairAdmission implements AdmissionPolicy {
     private static final long SHORTEST_RETRY_MILLIS = 100;
     private static final long LONGEST_RETRY_MILLIS = 5_000;
-    private static final long YIELDING_FACTOR = 4;
 
     private final Map<RequestClassId, ClassQueue> classes = new HashMap<>();
     private final Map<AttemptId, Work> waiting = new LinkedHashMap<>();
@@ -265,9 +264,7 @@
                     classes.values().stream()
                             .filter(queue -> queue.waiting() > 0)
                             .sorted(
-                                    Comparator.comparing(
-                                                    (ClassQueue queue) -> yields(queue, nowMillis))
-                                            .thenComparingDouble(ClassQueue::virtualTime)
+                                    Comparator.comparingDouble(ClassQueue::virtualTime)
                                             .thenComparing(ClassQueue::requestClass))
                             .flatMap(
                                     queue ->
@@ -281,34 +278,9 @@
         }
     }
 
-    // A slot given to work that has a minute left makes work fail that has two seconds. So a class
-    // with time to spare lets a more urgent one go first, until half of its own time has passed;
-    // from then on both compete by weight, so it is never starved.
-    private boolean yields(ClassQueue queue, long nowMillis) {
-        return queue.oldest()
-                .filter(oldest -> oldest.slackMillis(nowMillis) > oldest.allowedMillis() / 2)
-                .map(oldest -> oldest.slackMillis(nowMillis))
-                .filter(
-                        slack ->
-                                classes.values().stream()
-                                        .filter(other -> other != queue)
-                                        .flatMap(other -> other.oldest().stream())
-                                        .anyMatch(
-                                                urgent ->
-                                                        slack
-                                                                > YIELDING_FACTOR
-                                                                        * urgent.allowedMillis()))
-                .isPresent();
-    }
-
     private void start(
             ClassQueue queue, AccountQueue account, long nowMillis, List<AdmissionAction> actions) {
         servedUpTo = Math.max(servedUpTo, queue.virtualTime());
-        // What a class lets pass is not owed to it: saved up, it would come back as a burst that
-        // shuts the urgent class out.
-        classes.values().stream()
-                .filter(other -> other.waiting() > 0 && yields(other, nowMillis))
-                .forEach(other -> other.raiseTo(servedUpTo));
         Work work =
                 queue.start(
                         account,
--- a/core/src/main/java/org/tamaracktrack/core/admission/Work.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/Work.java
@@ -34,14 +34,4 @@
         Objects.requireNonNull(need, "need is null");
         estimatedTokens = Math.max(1, estimatedTokens);
     }
-
-    /** How long it was allowed to wait for its first token when it arrived, in milliseconds. */
-    long allowedMillis() {
-        return firstTokenByMillis - arrivedAtMillis;
-    }
-
-    /** How long it may still wait, in milliseconds. */
-    long slackMillis(long nowMillis) {
-        return firstTokenByMillis - nowMillis;
-    }
 }
--- a/core/src/test/java/org/tamaracktrack/core/admission/FairAdmissionTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/admission/FairAdmissionTest.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.id.ModelId;
-import org.tamaracktrack.core.id.RequestClassId;
 
 class FairAdmissionTest {
     private static final int LARGEST = 500;
@@ -309,58 +308,4 @@
                 .map(action -> ((AdmissionAction.Refuse) action).code())
                 .toList();
     }
-
-    // Overnight batches lie in the queue when the morning's requests come. A batch has minutes, a
-    // request has seconds; while both wait, slots given to batches make requests fail that a
-    // little patience of the batches would have served.
-    @Nested
-    class Yielding {
-        private static final long URGENT_MILLIS = 2_000;
-        private static final long PATIENT_MILLIS = 60_000;
-        private static final int TOKENS = 100;
-
-        private final Works works = new Works(FairAdmission.of(Works.limits(1, 1_000, 10_000, 1)));
-
-        private void arrive(RequestClassId requestClass, long allowedMillis, long now, int count) {
-            for (int index = 0; index < count; index++) {
-                works.arrive(
-                        works.work(0, requestClass, TOKENS, now, allowedMillis, Optional.empty()),
-                        now);
-            }
-        }
-
-        private void runFor(int turns, long now) {
-            for (int turn = 0; turn < turns; turn++) {
-                works.endOldest(OptionalInt.empty(), now);
-            }
-        }
-
-        @Test
-        void shouldServeTheUrgentClassFirstWhenTheOtherHasTimeToSpare() {
-            arrive(Works.LONG, PATIENT_MILLIS, 0, 40);
-            arrive(Works.SHORT, URGENT_MILLIS, 0, 20);
-
-            runFor(20, 0);
-
-            assertThat(works.startedTokens(Works.SHORT)).isEqualTo(20 * TOKENS);
-            assertThat(works.startedTokens(Works.LONG)).isEqualTo(TOKENS);
-        }
-
-        @Test
-        void shouldShareByWeightAndOweNothingWhenHalfOfTheTimeHasPassed() {
-            arrive(Works.LONG, PATIENT_MILLIS, 0, 200);
-            arrive(Works.SHORT, URGENT_MILLIS, 0, 100);
-            runFor(80, 0);
-            long later = PATIENT_MILLIS / 2;
-            long patientBefore = works.startedTokens(Works.LONG);
-            arrive(Works.SHORT, URGENT_MILLIS, later, 100);
-            runFor(80, later);
-
-            double patientStarts =
-                    (double) (works.startedTokens(Works.LONG) - patientBefore) / TOKENS;
-
-            assertThat(patientStarts).isAtLeast(80 / 4 - 2);
-            assertThat(patientStarts).isAtMost(80 / 4 + 2);
-        }
-    }
 }
