--- a/bench/src/main/java/org/tamaracktrack/bench/package-info.java
+++ b/bench/src/main/java/org/tamaracktrack/bench/package-info.java
@@ -1,2 +1,2 @@
-/** TODO package. */
+/** The bench's entry point: one command for each way to run or measure the system. */
 package org.tamaracktrack.bench;
