Ask the configuration for its version in one place

Cause: the last reading of the whole change: 'the version in force, or -1' stood four times, in what daemons tell each other when a connection opens. Change: ConfigurationSource.version(); its four copies call it. No behaviour changes, no test changed.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/configuration/ConfigurationAnswers.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/configuration/ConfigurationAnswers.java
@@ -2,7 +2,6 @@
 
 import java.util.Objects;
 import org.tamaracktrack.core.message.Message;
-import org.tamaracktrack.daemon.configuration.ConfigurationSource.Versioned;
 import org.tamaracktrack.link.frame.Connection;
 
 /** What every daemon does with messages about the configuration, whoever they come from. */
@@ -40,7 +39,8 @@
             configuration.offer(offer.version(), offer.document());
             return true;
         }
-        if (message instanceof Message.Hello hello && hello.configurationVersion() > version()) {
+        if (message instanceof Message.Hello hello
+                && hello.configurationVersion() > configuration.version()) {
             query(connection);
         }
         return false;
@@ -52,7 +52,7 @@
      * @param connection the connection
      */
     public void query(Connection connection) {
-        connection.send(new Message.ConfigurationQuery(version()));
+        connection.send(new Message.ConfigurationQuery(configuration.version()));
     }
 
     private void offer(Connection connection, long haveVersion) {
@@ -65,8 +65,4 @@
                                         new Message.ConfigurationOffer(
                                                 current.version(), current.document())));
     }
-
-    private long version() {
-        return configuration.current().map(Versioned::version).orElse(-1L);
-    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/configuration/ConfigurationSource.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/configuration/ConfigurationSource.java
@@ -14,6 +14,15 @@
      */
     Optional<Versioned> current();
 
+    /**
+     * Returns the version in force, as daemons name it to each other. For any thread.
+     *
+     * @return the version; -1 while there is none yet
+     */
+    default long version() {
+        return current().map(Versioned::version).orElse(-1L);
+    }
+
     /**
      * Hears of each newer configuration, on the control thread; at once if there is one.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryPeers.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/EntryPeers.java
@@ -45,10 +45,9 @@
 
     @Override
     public void onOpen(Connection connection) {
-        long version =
-                configuration.current().map(ConfigurationSource.Versioned::version).orElse(-1L);
         connection.send(
-                new Message.Hello(incarnation, TargetPeers.ROLE, Optional.empty(), version));
+                new Message.Hello(
+                        incarnation, TargetPeers.ROLE, Optional.empty(), configuration.version()));
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/TargetPeers.java
@@ -84,13 +84,7 @@
         public void onOpen(Connection connection) {
             connection.send(
                     new Message.Hello(
-                            incarnation,
-                            ROLE,
-                            Optional.empty(),
-                            configuration
-                                    .current()
-                                    .map(ConfigurationSource.Versioned::version)
-                                    .orElse(-1L)));
+                            incarnation, ROLE, Optional.empty(), configuration.version()));
         }
 
         @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/target/TargetRole.java
@@ -247,10 +247,7 @@
                 runtime.incarnation(),
                 "target",
                 Optional.of(target),
-                runtime.configuration()
-                        .current()
-                        .map(ConfigurationSource.Versioned::version)
-                        .orElse(-1L));
+                runtime.configuration().version());
     }
 
     private Message.Load load() {
