--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
@@ -0,0 +1,140 @@
+package org.tamaracktrack.core.dispatch;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.TargetId;
+
+/**
+ * Chooses the target of a request: the one with the least expected time to the first piece of the
+ * answer, with a preference for the own data centre, since bytes between data centres cost.
+ */
+public final class TargetChooser {
+    /** What one request at a model engine adds to the time of the next, from its step time. */
+    private static final double ENGINE_REQUEST_MILLIS = 4;
+
+    /** What a request in an engine's queue adds: the time until the batch has room for it. */
+    private static final double ENGINE_WAITING_MILLIS = 30;
+
+    /** Prompt tokens that an engine reads in a millisecond, when it reads nothing else. */
+    private static final double TOKENS_PER_MILLI = 19;
+
+    /** What one request at a plain service adds: work of about 40 ms over 6 slots. */
+    private static final double SERVICE_REQUEST_MILLIS = 7;
+
+    /** How much sooner an engine elsewhere must be to be worth the bytes between data centres. */
+    private static final double ENGINE_DISTANCE_MILLIS = 70;
+
+    /** The same for plain services, whose answers are small. */
+    private static final double SERVICE_DISTANCE_MILLIS = 20;
+
+    /** A target that fails every request is as bad as one that takes this much longer. */
+    private static final double FAILING_MILLIS = 4_000;
+
+    /** Spreads equal choices of several daemons. */
+    private static final double JITTER_MILLIS = 3;
+
+    private final DataCentreId home;
+
+    private TargetChooser(DataCentreId home) {
+        this.home = home;
+    }
+
+    /**
+     * Returns a chooser.
+     *
+     * @param home the daemon's data centre
+     * @return the chooser
+     */
+    public static TargetChooser of(DataCentreId home) {
+        Objects.requireNonNull(home, "home is null");
+        return new TargetChooser(home);
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param work what is to be done
+     * @param fleet the targets
+     * @param loads what is known of each one's load
+     * @param tried targets that have had this request, which are not chosen again
+     * @param nowMillis the monotonic time
+     * @param draws random numbers from 0 to 1, one for each candidate
+     * @return the target; empty when none can take the request now
+     */
+    public Optional<TargetEntry> choose(
+            Work work,
+            Fleet fleet,
+            Function<TargetIncarnation, TargetLoad> loads,
+            Collection<TargetId> tried,
+            long nowMillis,
+            DoubleSupplier draws) {
+        Set<TargetId> excluded = Set.copyOf(tried);
+        return candidates(work, fleet)
+                .filter(entry -> !excluded.contains(entry.incarnation().target()))
+                .filter(entry -> loads.apply(entry.incarnation()).reachable(nowMillis))
+                .map(entry -> scored(work, entry, loads, nowMillis, draws.getAsDouble()))
+                .min(Comparator.comparingDouble(Scored::millis))
+                .map(Scored::entry);
+    }
+
+    /**
+     * Returns the targets that hold what a request needs.
+     *
+     * @param work the request
+     * @param fleet the targets
+     * @return those that are not leaving
+     */
+    public static Stream<TargetEntry> candidates(Work work, Fleet fleet) {
+        return fleet.ready(work.service())
+                .filter(entry -> work.need().map(entry::holds).orElse(true));
+    }
+
+    private record Scored(TargetEntry entry, double millis) {}
+
+    private Scored scored(
+            Work work,
+            TargetEntry entry,
+            Function<TargetIncarnation, TargetLoad> loads,
+            long nowMillis,
+            double draw) {
+        TargetLoad load = loads.apply(entry.incarnation());
+        double busy =
+                work.need().isPresent()
+                        ? engineMillis(work, load)
+                        : load.outstanding() * SERVICE_REQUEST_MILLIS;
+        double distance = entry.dataCentre().equals(home) ? 0 : distanceMillis(work);
+        double failing = load.failureShare(nowMillis) * FAILING_MILLIS;
+        return new Scored(entry, busy + distance + failing + draw * JITTER_MILLIS);
+    }
+
+    private static double distanceMillis(Work work) {
+        return work.need().isPresent() ? ENGINE_DISTANCE_MILLIS : SERVICE_DISTANCE_MILLIS;
+    }
+
+    private static double engineMillis(Work work, TargetLoad load) {
+        int toRead = work.promptTokens() - load.keptTokens(scope(work), work.parts());
+        return (load.unreadTokens() + Math.max(0, toRead)) / TOKENS_PER_MILLI
+                + load.waiting() * ENGINE_WAITING_MILLIS
+                + load.outstanding() * ENGINE_REQUEST_MILLIS;
+    }
+
+    /**
+     * Returns what the parts of a request's prompt are valid for.
+     *
+     * @param work the request
+     * @return model and adapter
+     */
+    public static String scope(Work work) {
+        return work.need().map(Object::toString).orElse("");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -0,0 +1,165 @@
+package org.tamaracktrack.core.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one daemon knows of the load of one incarnation of a target: its own requests there, what
+ * the target last reported, how its answers went, and which prompt parts it read. Owned by the
+ * traffic thread.
+ */
+public final class TargetLoad {
+    /** Parts remembered for each target; a target's own cache holds about as many. */
+    private static final int MOST_PARTS = 512;
+
+    /** A connection that could not be opened keeps new work away for this long. */
+    private static final long UNREACHABLE_MILLIS = 1_000;
+
+    private final FailureScore failures = new FailureScore();
+    private final Map<String, Integer> parts =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+                    return size() > MOST_PARTS;
+                }
+            };
+    private ReportedLoad reported = new ReportedLoad(0, 0);
+    private int own;
+    private int ownAtReport;
+    private int unread;
+    private long unreachableUntilMillis = Long.MIN_VALUE;
+
+    /**
+     * A request is sent to the target.
+     *
+     * @param promptTokens tokens that it has to read
+     */
+    public void started(int promptTokens) {
+        own++;
+        unread += promptTokens;
+    }
+
+    /**
+     * The target has read a request's prompt, or the request ended before.
+     *
+     * @param promptTokens what was given to {@link #started}
+     */
+    public void read(int promptTokens) {
+        unread -= promptTokens;
+    }
+
+    /** A request ended, however. */
+    public void ended() {
+        own--;
+        ownAtReport = Math.min(ownAtReport, own);
+    }
+
+    /**
+     * The target reported its load.
+     *
+     * @param load what it said
+     */
+    public void report(ReportedLoad load) {
+        reported = load;
+        ownAtReport = own;
+    }
+
+    /**
+     * An attempt ended with a word on the target's health.
+     *
+     * @param failed whether it failed
+     * @param nowMillis the monotonic time
+     */
+    public void answered(boolean failed, long nowMillis) {
+        failures.note(failed, nowMillis);
+    }
+
+    /**
+     * A connection could not be opened.
+     *
+     * @param nowMillis the monotonic time
+     */
+    public void unreachable(long nowMillis) {
+        unreachableUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+        failures.note(true, nowMillis);
+    }
+
+    /**
+     * Returns whether the target may be given work.
+     *
+     * @param nowMillis the monotonic time
+     * @return false shortly after a connection could not be opened
+     */
+    public boolean reachable(long nowMillis) {
+        return nowMillis >= unreachableUntilMillis;
+    }
+
+    /**
+     * Returns an estimate of the requests at the target, of all daemons.
+     *
+     * @return running and waiting requests
+     */
+    public int outstanding() {
+        int sinceReport = own - ownAtReport;
+        return Math.max(own, reported.running() + reported.waiting() + sinceReport);
+    }
+
+    /**
+     * Returns how many requests wait at the target, as it last said.
+     *
+     * @return the number
+     */
+    public int waiting() {
+        return reported.waiting();
+    }
+
+    /**
+     * Returns the prompt tokens of this daemon's requests that the target has not read yet.
+     *
+     * @return the tokens
+     */
+    public int unreadTokens() {
+        return unread;
+    }
+
+    /**
+     * Returns the share of failures among its answers of late.
+     *
+     * @param nowMillis the monotonic time
+     * @return 0 to 1
+     */
+    public double failureShare(long nowMillis) {
+        return failures.at(nowMillis);
+    }
+
+    /**
+     * The target has read a prompt, and keeps its parts for a while.
+     *
+     * @param scope what the parts are valid for: model and adapter
+     * @param read the parts in order
+     */
+    public void remember(String scope, List<PromptPart> read) {
+        read.forEach(part -> parts.put(scope + '|' + part.name(), part.tokens()));
+    }
+
+    /**
+     * Returns how many leading tokens of a prompt the target has probably kept.
+     *
+     * @param scope model and adapter
+     * @param wanted the prompt's parts in order
+     * @return the tokens
+     */
+    public int keptTokens(String scope, List<PromptPart> wanted) {
+        int kept = 0;
+        for (PromptPart part : wanted) {
+            if (!parts.containsKey(scope + '|' + part.name())) {
+                return kept;
+            }
+            kept += part.tokens();
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/route/RouteTable.java
@@ -0,0 +1,44 @@
+package org.tamaracktrack.core.route;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/** Routes by host name; among those of a host the longest matching path prefix is chosen. */
+public final class RouteTable {
+    private final Map<String, List<Route>> byHost;
+
+    private RouteTable(Map<String, List<Route>> byHost) {
+        this.byHost = byHost;
+    }
+
+    /**
+     * Returns a table.
+     *
+     * @param routes the routes
+     * @return the table
+     */
+    public static RouteTable of(List<Route> routes) {
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+        return new RouteTable(
+                routes.stream()
+                        .sorted(longestFirst)
+                        .collect(Collectors.groupingBy(Route::host, Collectors.toList())));
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host the host name in lower case, without a port
+     * @param path the path without its query
+     * @return the route; empty when none matches
+     */
+    public Optional<Route> find(String host, String path) {
+        return byHost.getOrDefault(host, List.of()).stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Streams of events, as far as passing them on needs to understand them. */
+package org.tamaracktrack.core.stream;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallerConnection.java
@@ -1,4 +1,4 @@
-package org.tamaracktrack.daemon.entry;
+package org.tamaracktrack.daemon.connection;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
@@ -20,7 +20,7 @@
  * A caller's connection over its requests. There is one close listener for all of them, since
  * Undertow keeps every listener for as long as the connection lives.
  */
-final class CallerConnection {
+public final class CallerConnection {
     private static final AttachmentKey<CallerConnection> KEY =
             AttachmentKey.create(CallerConnection.class);
 
@@ -36,8 +36,9 @@
      *
      * @param exchange the exchange
      * @param open how many connections there are
+     * @return its connection
      */
-    static CallerConnection of(HttpServerExchange exchange, AtomicInteger open) {
+    public static CallerConnection of(HttpServerExchange exchange, AtomicInteger open) {
         ServerConnection connection = exchange.getConnection();
         return Optional.ofNullable(connection.getAttachment(KEY))
                 .orElseGet(() -> register(connection, open));
@@ -64,8 +65,12 @@
         onClosed.run();
     }
 
-    /** Sets what runs when the connection closes, in place of what did before. */
-    void onClosed(Runnable task) {
+    /**
+     * Sets what runs when the connection closes, in place of what did before.
+     *
+     * @param task the task
+     */
+    public void onClosed(Runnable task) {
         onClosed = task;
     }
 
@@ -75,7 +80,7 @@
      *
      * @param exchange the exchange, whose request has been read
      */
-    static void watch(HttpServerExchange exchange) {
+    public static void watch(HttpServerExchange exchange) {
         if (exchange.getConnection() instanceof HttpServerConnection connection
                 && connection.getExtraBytes() == null) {
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
@@ -14,6 +14,7 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.daemon.configuration.ConfigurationSource;
+import org.tamaracktrack.daemon.connection.CallerConnection;
 import org.xnio.XnioExecutor;
 
 /** Takes callers' HTTP requests: reads and checks them, and starts their runs. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.daemon.connection.CallerConnection;
 import org.xnio.IoUtils;
 
 /** The way back to a caller through Undertow, without blocking. */
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -0,0 +1,147 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.FleetRegister;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.topic.KeyedRecord;
+
+/** Keeps the fleet up to date from the registry's records. On the control thread. */
+public final class FleetFollower implements KeyedFollower.Listener {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.fleet");
+    private static final long EXPIRE_EVERY_MILLIS = 250;
+
+    private final Function<KeyedRecord, Optional<TargetEntry>> decoder;
+    private final Consumer<Fleet> changed;
+    private final FleetRegister register = FleetRegister.empty();
+
+    private FleetFollower(
+            Function<KeyedRecord, Optional<TargetEntry>> decoder, Consumer<Fleet> changed) {
+        this.decoder = decoder;
+        this.changed = changed;
+    }
+
+    /**
+     * Returns a follower that knows no target.
+     *
+     * @param decoder decodes an entry; empty when it can't be
+     * @param changed takes each changed fleet
+     * @param control the thread that the follower belongs to
+     * @return the follower
+     */
+    public static FleetFollower of(
+            Function<KeyedRecord, Optional<TargetEntry>> decoder,
+            Consumer<Fleet> changed,
+            ControlThread control) {
+        Objects.requireNonNull(decoder, "decoder is null");
+        FleetFollower follower = new FleetFollower(decoder, changed);
+        control.every(EXPIRE_EVERY_MILLIS, follower::expire);
+        return follower;
+    }
+
+    @Override
+    public void onListing(List<KeyedRecord> records) {
+        records.forEach(this::apply);
+        Set<TargetId> listed =
+                records.stream()
+                        .flatMap(record -> decode(record).stream())
+                        .map(entry -> entry.incarnation().target())
+                        .collect(Collectors.toSet());
+        register.listed(listed, ControlThread.nowMillis());
+        changed.accept(register.fleet());
+    }
+
+    @Override
+    public void onRecords(List<KeyedRecord> records) {
+        Fleet before = register.fleet();
+        records.forEach(this::apply);
+        if (register.fleet() != before) {
+            changed.accept(register.fleet());
+        }
+    }
+
+    private void apply(KeyedRecord record) {
+        if (record.value().isEmpty()) {
+            remove(record);
+            return;
+        }
+        Optional<TargetEntry> entry = decode(record);
+        if (entry.isEmpty()) {
+            LOG.warn("event=entry-unreadable key=" + record.key() + " offset=" + record.offset());
+            return;
+        }
+        if (register.accept(entry.get())) {
+            LOG.info("event=target " + describe(entry.get()) + " offset=" + record.offset());
+        }
+    }
+
+    private void remove(KeyedRecord record) {
+        targetId(record.key())
+                .filter(target -> register.removed(target, ControlThread.nowMillis()))
+                .ifPresent(
+                        target ->
+                                LOG.info(
+                                        "event=target-removed target="
+                                                + target
+                                                + " offset="
+                                                + record.offset()));
+    }
+
+    private static Optional<TargetId> targetId(String key) {
+        try {
+            return Optional.of(TargetId.of(key));
+        } catch (TamaracktrackException unreadable) {
+            // A key that can't name a target was never taken in, so there is nothing to remove.
+            return Optional.empty();
+        }
+    }
+
+    private Optional<TargetEntry> decode(KeyedRecord record) {
+        return decoder.apply(record);
+    }
+
+    private static String describe(TargetEntry entry) {
+        return "target="
+                + entry.incarnation()
+                + " service="
+                + entry.service()
+                + " address="
+                + entry.address()
+                + " leaving="
+                + entry.leaving()
+                + " revision="
+                + entry.revision()
+                + " models="
+                + entry.models().values();
+    }
+
+    private void expire() {
+        Fleet before = register.fleet();
+        if (register.expire(ControlThread.nowMillis())) {
+            LOG.info("event=targets-expired");
+        }
+        if (register.fleet() != before) {
+            changed.accept(register.fleet());
+        }
+    }
+
+    @Override
+    public void onAway() {
+        register.away();
+    }
+
+    @Override
+    public void onBack() {
+        register.back(ControlThread.nowMillis());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -0,0 +1,456 @@
+package org.tamaracktrack.daemon.gateway;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.dispatch.AttemptEnd;
+import org.tamaracktrack.core.dispatch.FailureRule;
+import org.tamaracktrack.core.dispatch.Work;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.route.Route;
+import org.tamaracktrack.core.route.RouteKind;
+import org.tamaracktrack.core.stream.EventSplitter;
+import org.tamaracktrack.daemon.connection.CallerConnection;
+import org.xnio.XnioExecutor;
+
+/** One request of a caller, from its last byte to the end of its answer. On the traffic thread. */
+final class ForwardedRequest implements TargetAttempt.Listener, CallerAnswer.Flow {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
+    private static final int SUCCESS = 200;
+    private static final int FIRST_NON_SUCCESS = 300;
+
+    /** A caller that waits this long gives up; what is left must cover the way back to it. */
+    private static final long WAY_BACK_MILLIS = 10;
+
+    /** Without a word from the caller it is taken to wait for as long as the route allows. */
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private static final double RETRY_AFTER_LEAST_SECONDS = 0.3;
+    private static final double RETRY_AFTER_SPREAD_SECONDS = 0.7;
+
+    private final GatewayServices services;
+    private final HttpServerExchange exchange;
+    private final CallerConnection connection;
+    private final Route route;
+    private final RequestFacts facts;
+    private final byte[] body;
+    private final Work work;
+    private final long arrivedMillis;
+    private final long endsMillis;
+    private final long configurationVersion;
+    private final CallerAnswer answer;
+    private final HeaderMap headers;
+    private final List<TargetId> tried = new ArrayList<>();
+    private final EventSplitter events = EventSplitter.empty();
+    private Optional<TargetAttempt> attempt = Optional.empty();
+    private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
+    private Optional<XnioExecutor.Key> endTimer = Optional.empty();
+    private int streamStatus;
+    private Map<String, String> streamHeaders = Map.of();
+    private int notSent;
+    private int refusals;
+    private int mayHaveRun;
+    private long firstPieceMillis = -1;
+    private boolean done;
+
+    private ForwardedRequest(
+            GatewayServices services,
+            HttpServerExchange exchange,
+            CallerConnection connection,
+            Accepted accepted) {
+        this.services = services;
+        this.exchange = exchange;
+        this.connection = connection;
+        this.route = accepted.route();
+        this.facts = accepted.facts();
+        this.body = accepted.body();
+        this.arrivedMillis = accepted.arrivedMillis();
+        this.configurationVersion = accepted.configurationVersion();
+        this.headers = exchange.getRequestHeaders();
+        this.endsMillis = arrivedMillis + Math.min(route.timeoutMillis(), callerWaits());
+        this.work =
+                new Work(
+                        accepted.service(),
+                        facts.need(),
+                        facts.promptTokens(),
+                        facts.answerTokens(),
+                        facts.parts());
+        this.answer = CallerAnswer.of(exchange, services::leaving, this);
+    }
+
+    /**
+     * A request that has been read.
+     *
+     * @param route its route
+     * @param service where the route sends it
+     * @param facts what its headers say
+     * @param body its body
+     * @param arrivedMillis when its head was read
+     * @param configurationVersion the version that the route is from
+     */
+    record Accepted(
+            Route route,
+            ServiceId service,
+            RequestFacts facts,
+            byte[] body,
+            long arrivedMillis,
+            long configurationVersion) {}
+
+    static ForwardedRequest start(
+            GatewayServices services,
+            HttpServerExchange exchange,
+            CallerConnection connection,
+            Accepted accepted) {
+        ForwardedRequest request = new ForwardedRequest(services, exchange, connection, accepted);
+        request.begin();
+        return request;
+    }
+
+    private long callerWaits() {
+        return Math.max(1, facts.waitMillis().orElse(route.timeoutMillis()) - WAY_BACK_MILLIS);
+    }
+
+    private void begin() {
+        connection.onClosed(this::callerGone);
+        CallerConnection.watch(exchange);
+        services.allowance(work.service()).request(arrivedMillis);
+        facts.need().ifPresent(services.demand()::note);
+        endTimer = Optional.of(services.after(endsMillis - services.nowMillis(), this::timeIsUp));
+        dispatch();
+    }
+
+    Optional<ModelNeed> need() {
+        return work.need();
+    }
+
+    private void dispatch() {
+        GatewayView view = services.view();
+        long nowMillis = services.nowMillis();
+        services.chooser()
+                .choose(work, view.fleet(), services.loads()::of, tried, nowMillis, services::draw)
+                .ifPresentOrElse(this::send, this::noTarget);
+    }
+
+    private void send(TargetEntry entry) {
+        tried.add(entry.incarnation().target());
+        long leftMillis = leftMillis();
+        Map<String, String> outgoing =
+                services.dialect()
+                        .toTarget(
+                                headers,
+                                new CallerDialect.Send(
+                                        entry, leftMillis, Urgency.of(route), resumeAfter()));
+        TargetAttempt.Sending sending =
+                new TargetAttempt.Sending(
+                        exchange.getRequestMethod().toString(),
+                        pathAndQuery(),
+                        outgoing,
+                        body,
+                        leftMillis,
+                        route.repeatable());
+        boolean streamed = route.kind() == RouteKind.STREAMING;
+        attempt =
+                Optional.of(
+                        TargetAttempt.start(
+                                services, entry, work, facts.attempt(), streamed, sending, this));
+    }
+
+    private String pathAndQuery() {
+        String query = exchange.getQueryString();
+        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + '?' + query;
+    }
+
+    private Optional<String> resumeAfter() {
+        return events.lastId().or(facts::resumeAfter);
+    }
+
+    private long leftMillis() {
+        return Math.max(1, endsMillis - services.nowMillis());
+    }
+
+    private void noTarget() {
+        boolean mayComeUp = work.need().isPresent() && tried.isEmpty();
+        long patience = arrivedMillis + Patience.millis(route) - services.nowMillis();
+        if (!mayComeUp || patience <= 0) {
+            refuseOrGiveUp("no_target");
+            return;
+        }
+        if (waitTimer.isEmpty()) {
+            services.waiting().add(this);
+            waitTimer = Optional.of(services.after(patience, this::patienceIsUp));
+        }
+    }
+
+    /** Tries again, since the fleet changed. */
+    void retryWaiting() {
+        boolean held =
+                services.chooser()
+                        .choose(
+                                work,
+                                services.view().fleet(),
+                                services.loads()::of,
+                                tried,
+                                services.nowMillis(),
+                                services::draw)
+                        .isPresent();
+        if (held && !done) {
+            stopWaiting();
+            dispatch();
+        }
+    }
+
+    private void stopWaiting() {
+        services.waiting().remove(this);
+        waitTimer.ifPresent(XnioExecutor.Key::remove);
+        waitTimer = Optional.empty();
+    }
+
+    private void patienceIsUp() {
+        if (!done && attempt.isEmpty()) {
+            refuseOrGiveUp("model_not_held");
+        }
+    }
+
+    private void timeIsUp() {
+        if (done) {
+            return;
+        }
+        boolean sent = attempt.isPresent() || mayHaveRun > 0;
+        attempt.ifPresent(TargetAttempt::cancel);
+        if (answer.begun()) {
+            finish("cut_at_timeout", SUCCESS);
+            answer.cut();
+        } else if (sent) {
+            fail(ErrorCode.DEADLINE_WHILE_RUNNING, "timeout");
+        } else {
+            fail(ErrorCode.NO_TARGET, "timeout_before_start");
+        }
+    }
+
+    private void callerGone() {
+        if (!done) {
+            attempt.ifPresent(TargetAttempt::cancel);
+            finish("caller_gone", 0);
+        }
+    }
+
+    @Override
+    public void onStream(int status, Map<String, String> answerHeaders) {
+        if (!answer.begun()) {
+            streamStatus = status;
+            streamHeaders = answerHeaders;
+        }
+    }
+
+    @Override
+    public void onBytes(ByteBuffer bytes) {
+        byte[] whole = events.take(bytes);
+        if (events.overflown()) {
+            attempt.ifPresent(TargetAttempt::cancel);
+            ended(AttemptEnd.CUT, Optional.empty());
+            return;
+        }
+        if (whole.length > 0) {
+            beginStream();
+            answer.write(ByteBuffer.wrap(whole));
+        }
+    }
+
+    private void beginStream() {
+        if (!answer.begun()) {
+            noteFirstPiece();
+            answer.begin(streamStatus, streamHeaders);
+        }
+    }
+
+    private void noteFirstPiece() {
+        if (firstPieceMillis < 0) {
+            firstPieceMillis = services.nowMillis() - arrivedMillis;
+        }
+    }
+
+    @Override
+    public void onStreamEnd() {
+        if (events.midEvent()) {
+            ended(AttemptEnd.CUT, Optional.empty());
+            return;
+        }
+        beginStream();
+        finish("served", streamStatus);
+        answer.end();
+    }
+
+    @Override
+    public void onWhole(int status, Map<String, String> answerHeaders, byte[] answerBody) {
+        noteFirstPiece();
+        finish(status < FIRST_NON_SUCCESS ? "served" : "target_status", status);
+        answer.whole(status, answerHeaders, answerBody);
+    }
+
+    @Override
+    public void onFailed(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
+        ended(end, failure);
+    }
+
+    private void ended(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
+        if (done) {
+            return;
+        }
+        logAttempt(end);
+        attempt = Optional.empty();
+        events.dropPart();
+        count(end);
+        FailureRule.Next next =
+                FailureRule.next(
+                        route,
+                        end,
+                        new FailureRule.History(notSent, refusals, mayHaveRun, answer.begun()),
+                        leftMillis(),
+                        services.allowance(work.service()),
+                        services.nowMillis());
+        follow(next, end, failure);
+    }
+
+    private void count(AttemptEnd end) {
+        switch (end) {
+            case NOT_SENT -> notSent++;
+            case REFUSED -> refusals++;
+            default -> mayHaveRun++;
+        }
+    }
+
+    private void follow(
+            FailureRule.Next next, AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
+        switch (next) {
+            case AGAIN -> dispatch();
+            case PASS_ON -> passOn(failure.orElseThrow());
+            case REFUSE -> refuse("refused_by_target");
+            case UNKNOWN -> fail(ErrorCode.OUTCOME_UNKNOWN, end.name());
+            case BREAK -> breakOff();
+            default -> throw new AssertionError(next);
+        }
+    }
+
+    private void passOn(TargetAttempt.TargetFailure failure) {
+        finish("target_failed", failure.status());
+        answer.whole(failure.status(), failure.headers(), failure.body());
+    }
+
+    private void breakOff() {
+        finish("broken_off", SUCCESS);
+        answer.cut();
+    }
+
+    private void refuseOrGiveUp(String reason) {
+        if (answer.begun()) {
+            breakOff();
+        } else if (mayHaveRun > 0) {
+            fail(ErrorCode.OUTCOME_UNKNOWN, reason);
+        } else {
+            refuse(reason);
+        }
+    }
+
+    private void refuse(String reason) {
+        fail(ErrorCode.NO_TARGET, reason);
+    }
+
+    private void fail(ErrorCode code, String reason) {
+        finish(reason, code.status());
+        answer.whole(code.status(), failureHeaders(code), failureBody(code));
+    }
+
+    private Map<String, String> failureHeaders(ErrorCode code) {
+        return code.retryable()
+                ? Map.of("Content-Type", "application/json", "Retry-After", retryAfter())
+                : Map.of("Content-Type", "application/json");
+    }
+
+    // Callers that were refused in the same moment and come back in the same moment are refused
+    // again; spread over most of a second they meet the room that became free meanwhile.
+    private String retryAfter() {
+        double seconds = RETRY_AFTER_LEAST_SECONDS + RETRY_AFTER_SPREAD_SECONDS * services.draw();
+        return Double.toString(Math.round(seconds * MILLIS_PER_SECOND) / MILLIS_PER_SECOND);
+    }
+
+    private static byte[] failureBody(ErrorCode code) {
+        return ("{\"error\":\"" + code + "\",\"ran\":\"" + code.ran() + "\"}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void finish(String outcome, int status) {
+        done = true;
+        attempt = Optional.empty();
+        stopWaiting();
+        endTimer.ifPresent(XnioExecutor.Key::remove);
+        connection.onClosed(() -> {});
+        services.metrics().ended(route.name(), outcome, firstPieceMillis);
+        logEnd(outcome, status);
+    }
+
+    private void logAttempt(AttemptEnd end) {
+        LOG.info(
+                "event=attempt-ended request="
+                        + facts.attempt()
+                        + " target="
+                        + attempt.map(ended -> ended.entry().incarnation().toString()).orElse("-")
+                        + " end="
+                        + end
+                        + " after_ms="
+                        + (services.nowMillis() - arrivedMillis)
+                        + " left_ms="
+                        + leftMillis());
+    }
+
+    private void logEnd(String outcome, int status) {
+        LOG.info(
+                "event=request request="
+                        + facts.attempt()
+                        + " route="
+                        + route.name()
+                        + " service="
+                        + work.service()
+                        + need().map(model -> " model=" + model).orElse("")
+                        + " outcome="
+                        + outcome
+                        + " status="
+                        + status
+                        + " targets="
+                        + tried
+                        + " refusals="
+                        + refusals
+                        + " first_ms="
+                        + firstPieceMillis
+                        + " total_ms="
+                        + (services.nowMillis() - arrivedMillis)
+                        + " events="
+                        + events.events()
+                        + " configuration="
+                        + configurationVersion);
+    }
+
+    @Override
+    public void onFull() {
+        attempt.ifPresent(TargetAttempt::pause);
+    }
+
+    @Override
+    public void onDrained() {
+        attempt.ifPresent(TargetAttempt::resume);
+    }
+
+    @Override
+    public void onBroken() {
+        callerGone();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -0,0 +1,225 @@
+package org.tamaracktrack.daemon.gateway;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.tamaracktrack.core.dispatch.TargetChooser;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** The server that callers reach, with the readiness that a balancer asks for. */
+public final class Gateway implements AutoCloseable {
+    private static final int REQUEST_HEAD_MILLIS = 10_000;
+
+    /** Longer than callers keep a connection idle, so that it is they who close it. */
+    private static final int IDLE_CONNECTION_MILLIS = 60_000;
+
+    private static final int MAXIMUM_HEADER_BYTES = 32_768;
+    private static final int BACKLOG = 1_024;
+
+    private final GatewayServices services;
+    private final GatewayHandler handler;
+    private final Undertow server;
+    private final XnioIoThread thread;
+    private final Leaving leaving;
+
+    private Gateway(
+            GatewayServices services,
+            GatewayHandler handler,
+            Undertow server,
+            XnioIoThread thread,
+            Leaving leaving) {
+        this.services = services;
+        this.handler = handler;
+        this.server = server;
+        this.thread = thread;
+        this.leaving = leaving;
+    }
+
+    /** Whether the daemon is about to stop. */
+    private static final class Leaving implements BooleanSupplier {
+        private volatile boolean value;
+
+        @Override
+        public boolean getAsBoolean() {
+            return value;
+        }
+    }
+
+    /**
+     * Where and how a gateway serves.
+     *
+     * @param callers the address that callers reach
+     * @param readiness the address of the readiness check
+     * @param readinessPath its path
+     * @param dataCentre where the daemon stands
+     * @param limits bounds for all gateways together
+     */
+    public record Place(
+            InetSocketAddress callers,
+            InetSocketAddress readiness,
+            String readinessPath,
+            DataCentreId dataCentre,
+            GatewayLimits limits) {}
+
+    /**
+     * Starts a gateway. It is ready once it has a configuration and the fleet.
+     *
+     * @param place where and how
+     * @param worker its threads; requests use the only input/output thread
+     * @param buffers its buffers
+     * @param http calls targets, on the same thread
+     * @param dialect how headers are written
+     * @param metrics the meters
+     * @param random spreads choices
+     * @return the gateway
+     */
+    public static Gateway start(
+            Place place,
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            HttpCaller http,
+            CallerDialect dialect,
+            MeterRegistry metrics,
+            RandomGenerator random) {
+        Objects.requireNonNull(place, "place is null");
+        Leaving leaving = new Leaving();
+        XnioIoThread thread = worker.getIoThread();
+        GatewayServices services =
+                new GatewayServices(
+                        http,
+                        thread,
+                        dialect,
+                        TargetChooser.of(place.dataCentre()),
+                        place.limits(),
+                        GatewayMetrics.of(metrics),
+                        leaving,
+                        random);
+        GatewayHandler handler = GatewayHandler.of(services);
+        Undertow server =
+                Undertow.builder()
+                        .setWorker(worker)
+                        .setByteBufferPool(buffers)
+                        .addHttpListener(port(place.callers()), ip(place.callers()))
+                        .addHttpListener(port(place.readiness()), ip(place.readiness()))
+                        .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_MILLIS)
+                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLIS)
+                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
+                        .setServerOption(UndertowOptions.DECODE_URL, false)
+                        .setServerOption(UndertowOptions.ALLOW_ENCODED_SLASH, true)
+                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                        .setSocketOption(Options.TCP_NODELAY, true)
+                        .setSocketOption(Options.BACKLOG, BACKLOG)
+                        .setHandler(root(place.readinessPath(), services, leaving, handler))
+                        .build();
+        server.start();
+        return new Gateway(services, handler, server, thread, leaving);
+    }
+
+    private static int port(InetSocketAddress address) {
+        return address.getPort();
+    }
+
+    private static String ip(InetSocketAddress address) {
+        return address.getAddress().getHostAddress();
+    }
+
+    private static HttpHandler root(
+            String readinessPath, GatewayServices services, Leaving leaving, HttpHandler next) {
+        return exchange -> {
+            if (exchange.getRequestURI().equals(readinessPath)) {
+                readiness(exchange, ready(services, leaving));
+            } else {
+                next.handleRequest(exchange);
+            }
+        };
+    }
+
+    private static boolean ready(GatewayServices services, Leaving leaving) {
+        GatewayView view = services.view();
+        return !leaving.getAsBoolean() && view.configuration().isPresent() && view.fleetKnown();
+    }
+
+    private static void readiness(HttpServerExchange exchange, boolean ready) {
+        exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
+        exchange.endExchange();
+    }
+
+    /**
+     * Puts a configuration in force for requests that arrive from now on.
+     *
+     * @param configuration the configuration
+     */
+    public void configure(ServingConfiguration configuration) {
+        services.update(services.view().with(configuration));
+    }
+
+    /**
+     * Takes the targets that are known now.
+     *
+     * @param fleet the targets
+     */
+    public void fleet(Fleet fleet) {
+        services.update(services.view().with(fleet));
+    }
+
+    /**
+     * Returns what requests asked of models since the last reading, and what waits.
+     *
+     * @return the demand, completed on the traffic thread
+     */
+    public CompletableFuture<Demand> demand() {
+        CompletableFuture<Demand> reading = new CompletableFuture<>();
+        thread.execute(
+                () ->
+                        reading.complete(
+                                new Demand(services.demand().take(), services.waiting().byNeed())));
+        return reading;
+    }
+
+    /**
+     * What requests ask of models.
+     *
+     * @param arrived requests since the last reading
+     * @param waiting requests that wait for a copy
+     */
+    public record Demand(Map<ModelNeed, Integer> arrived, Map<ModelNeed, Integer> waiting) {}
+
+    /** Begins a planned stop: not ready any more, and connections end with their next answer. */
+    public void leave() {
+        leaving.value = true;
+    }
+
+    /**
+     * Returns how many requests are in progress.
+     *
+     * @return the number
+     */
+    public int inProgress() {
+        return handler.inProgress();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -0,0 +1,46 @@
+package org.tamaracktrack.daemon.gateway;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and histograms of passed-on requests, by route. Owned by the traffic thread. */
+final class GatewayMetrics {
+    private static final Duration[] BUCKETS =
+            Arrays.stream(new long[] {5, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 10_000, 30_000})
+                    .mapToObj(Duration::ofMillis)
+                    .toArray(Duration[]::new);
+
+    private final MeterRegistry registry;
+    private final Map<String, Timer> timers = new HashMap<>();
+
+    private GatewayMetrics(MeterRegistry registry) {
+        this.registry = registry;
+    }
+
+    static GatewayMetrics of(MeterRegistry registry) {
+        return new GatewayMetrics(registry);
+    }
+
+    /** Counts an outcome, and the time to the first piece of the answer. */
+    void ended(String route, String outcome, long firstMillis) {
+        timers.computeIfAbsent(route + '|' + outcome, key -> timer(route, outcome))
+                .record(Math.max(0, firstMillis), TimeUnit.MILLISECONDS);
+    }
+
+    private Timer timer(String route, String outcome) {
+        return Timer.builder("tamaracktrack.gateway.first.piece")
+                .tag("route", route)
+                .tag("outcome", outcome)
+                .serviceLevelObjectives(BUCKETS)
+                .register(registry);
+    }
+
+    void attemptEnded(String end) {
+        registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -0,0 +1,118 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.tamaracktrack.core.dispatch.RetryAllowance;
+import org.tamaracktrack.core.dispatch.TargetChooser;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** What the requests of a gateway share. Owned by the traffic thread, but for the view. */
+final class GatewayServices {
+    private final HttpCaller http;
+    private final XnioIoThread thread;
+    private final CallerDialect dialect;
+    private final TargetChooser chooser;
+    private final GatewayLimits limits;
+    private final GatewayMetrics metrics;
+    private final BooleanSupplier leaving;
+    private final RandomGenerator random;
+    private final LoadBoard loads = LoadBoard.empty();
+    private final WaitingRequests waiting = WaitingRequests.empty();
+    private final DemandMeter demand = DemandMeter.empty();
+    private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
+    private volatile GatewayView view = GatewayView.empty();
+
+    GatewayServices(
+            HttpCaller http,
+            XnioIoThread thread,
+            CallerDialect dialect,
+            TargetChooser chooser,
+            GatewayLimits limits,
+            GatewayMetrics metrics,
+            BooleanSupplier leaving,
+            RandomGenerator random) {
+        this.http = http;
+        this.thread = thread;
+        this.dialect = dialect;
+        this.chooser = chooser;
+        this.limits = limits;
+        this.metrics = metrics;
+        this.leaving = leaving;
+        this.random = random;
+    }
+
+    HttpCaller http() {
+        return http;
+    }
+
+    CallerDialect dialect() {
+        return dialect;
+    }
+
+    TargetChooser chooser() {
+        return chooser;
+    }
+
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
+    LoadBoard loads() {
+        return loads;
+    }
+
+    WaitingRequests waiting() {
+        return waiting;
+    }
+
+    DemandMeter demand() {
+        return demand;
+    }
+
+    GatewayView view() {
+        return view;
+    }
+
+    boolean leaving() {
+        return leaving.getAsBoolean();
+    }
+
+    double draw() {
+        return random.nextDouble();
+    }
+
+    long nowMillis() {
+        return ControlThread.nowMillis();
+    }
+
+    RetryAllowance allowance(ServiceId service) {
+        return allowances.computeIfAbsent(
+                service,
+                name ->
+                        RetryAllowance.of(
+                                limits.retryRatio(),
+                                limits.retryWindowMillis(),
+                                limits.retriesBesides()));
+    }
+
+    XnioExecutor.Key after(long delayMillis, Runnable task) {
+        return thread.executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes a newer view; for any thread. */
+    void update(GatewayView newer) {
+        view = newer;
+        thread.execute(
+                () -> {
+                    loads.keep(newer.fleet());
+                    waiting.retry();
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayView.java
@@ -0,0 +1,40 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.route.ServingConfiguration;
+
+/**
+ * What the control thread last told the traffic thread. Immutable.
+ *
+ * @param configuration the configuration in force; empty before the first
+ * @param fleet the targets
+ * @param fleetKnown whether the registry was read at least once
+ */
+public record GatewayView(
+        Optional<ServingConfiguration> configuration, Fleet fleet, boolean fleetKnown) {
+
+    /** Checks the arguments. */
+    public GatewayView {
+        Objects.requireNonNull(configuration, "configuration is null");
+        Objects.requireNonNull(fleet, "fleet is null");
+    }
+
+    /**
+     * Returns a view that knows nothing.
+     *
+     * @return the view
+     */
+    public static GatewayView empty() {
+        return new GatewayView(Optional.empty(), Fleet.empty(), false);
+    }
+
+    GatewayView with(ServingConfiguration newer) {
+        return new GatewayView(Optional.of(newer), fleet, fleetKnown);
+    }
+
+    GatewayView with(Fleet newer) {
+        return new GatewayView(configuration, newer, true);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -0,0 +1,193 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.topic.KeyedRecord;
+import org.tamaracktrack.link.topic.NewestPage;
+import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.TopicAnswer;
+import org.tamaracktrack.link.topic.TopicClient;
+import org.tamaracktrack.link.topic.TopicPart;
+
+/**
+ * Follows a partition that keeps the newest record of each key: a listing first, then the records
+ * that come, and a listing again when records were forgotten before they were read. On the control
+ * thread.
+ */
+public final class KeyedFollower {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.topics");
+    private static final long FIRST_RETRY_MILLIS = 100;
+    private static final long MOST_RETRY_MILLIS = 800;
+
+    private final TopicClient topics;
+    private final TopicPart part;
+    private final ControlThread control;
+    private final Listener listener;
+    private final Pace pace;
+    private final List<KeyedRecord> listing = new ArrayList<>();
+    private long next;
+    private long retryMillis = FIRST_RETRY_MILLIS;
+    private boolean away;
+
+    /** Hears of records, on the control thread. */
+    public interface Listener {
+        /**
+         * The newest records of all keys.
+         *
+         * @param records the records
+         */
+        void onListing(List<KeyedRecord> records);
+
+        /**
+         * Records in the order in which they were written.
+         *
+         * @param records the records
+         */
+        void onRecords(List<KeyedRecord> records);
+
+        /** The store did not answer. */
+        void onAway();
+
+        /** The store answers again. */
+        void onBack();
+    }
+
+    /**
+     * How often to read.
+     *
+     * @param waitMillis how long a read waits for records
+     * @param gapMillis the pause after records, so that many that follow each other cost one call
+     */
+    public record Pace(long waitMillis, long gapMillis) {}
+
+    private KeyedFollower(
+            TopicClient topics,
+            TopicPart part,
+            ControlThread control,
+            Pace pace,
+            Listener listener) {
+        this.topics = topics;
+        this.part = part;
+        this.control = control;
+        this.pace = pace;
+        this.listener = listener;
+    }
+
+    /**
+     * Starts to follow.
+     *
+     * @param topics the store
+     * @param part the partition
+     * @param control the thread that the listener is called on
+     * @param pace how often to read
+     * @param listener hears of records
+     */
+    public static void start(
+            TopicClient topics,
+            TopicPart part,
+            ControlThread control,
+            Pace pace,
+            Listener listener) {
+        KeyedFollower follower = new KeyedFollower(topics, part, control, pace, listener);
+        control.post(follower::list);
+    }
+
+    private void list() {
+        listing.clear();
+        readPage("", true);
+    }
+
+    private void readPage(String afterKey, boolean first) {
+        topics.newest(part, afterKey).thenAccept(answer -> control.post(() -> page(answer, first)));
+    }
+
+    private void page(TopicAnswer<NewestPage> answer, boolean first) {
+        if (!(answer instanceof TopicAnswer.Done<NewestPage> done)) {
+            retry(answer, this::list);
+            return;
+        }
+        back();
+        NewestPage page = done.value();
+        if (first) {
+            // Pages are no snapshot. Following from the end at the first page, a change between
+            // two pages is read again and none is missed.
+            next = page.end();
+        }
+        listing.addAll(page.records());
+        if (page.more() && !page.records().isEmpty()) {
+            readPage(page.records().get(page.records().size() - 1).key(), false);
+            return;
+        }
+        listener.onListing(List.copyOf(listing));
+        listing.clear();
+        follow();
+    }
+
+    private void follow() {
+        topics.read(part, next, pace.waitMillis())
+                .thenAccept(answer -> control.post(() -> records(answer)));
+    }
+
+    private void records(TopicAnswer<RecordBatch> answer) {
+        if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
+            LOG.info(
+                    "event=records-expired part="
+                            + part
+                            + " next="
+                            + next
+                            + " first="
+                            + expired.first());
+            list();
+            return;
+        }
+        if (!(answer instanceof TopicAnswer.Done<RecordBatch> done)) {
+            retry(answer, this::follow);
+            return;
+        }
+        back();
+        RecordBatch batch = done.value();
+        if (batch.records().isEmpty()) {
+            follow();
+            return;
+        }
+        listener.onRecords(decode(batch));
+        next = batch.next();
+        control.after(Math.max(1, pace.gapMillis()), this::follow);
+    }
+
+    private List<KeyedRecord> decode(RecordBatch batch) {
+        List<KeyedRecord> decoded = new ArrayList<>();
+        long offset = batch.from();
+        for (byte[] bytes : batch.records()) {
+            Optional<KeyedRecord> record = topics.keyed(bytes, offset);
+            if (record.isEmpty()) {
+                LOG.warn("event=record-unreadable part=" + part + " offset=" + offset);
+            }
+            record.ifPresent(decoded::add);
+            offset++;
+        }
+        return decoded;
+    }
+
+    private void back() {
+        retryMillis = FIRST_RETRY_MILLIS;
+        if (away) {
+            away = false;
+            LOG.info("event=store-back part=" + part);
+            listener.onBack();
+        }
+    }
+
+    private void retry(TopicAnswer<?> answer, Runnable step) {
+        if (!away) {
+            away = true;
+            LOG.warn("event=store-away part=" + part + " answer=" + answer);
+            listener.onAway();
+        }
+        control.after(retryMillis, step);
+        retryMillis = Math.min(MOST_RETRY_MILLIS, 2 * retryMillis);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/WaitingRequests.java
@@ -0,0 +1,43 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.tamaracktrack.core.fleet.ModelNeed;
+
+/**
+ * Requests for which no target holds the model yet, in the order of their arrival. Owned by the
+ * traffic thread.
+ */
+final class WaitingRequests {
+    private final Set<ForwardedRequest> requests = new LinkedHashSet<>();
+
+    private WaitingRequests() {}
+
+    static WaitingRequests empty() {
+        return new WaitingRequests();
+    }
+
+    void add(ForwardedRequest request) {
+        requests.add(request);
+    }
+
+    void remove(ForwardedRequest request) {
+        requests.remove(request);
+    }
+
+    /** Lets each try again, since the fleet changed. */
+    void retry() {
+        if (!requests.isEmpty()) {
+            List.copyOf(requests).forEach(ForwardedRequest::retryWaiting);
+        }
+    }
+
+    Map<ModelNeed, Integer> byNeed() {
+        return requests.stream()
+                .flatMap(request -> request.need().stream())
+                .collect(Collectors.toMap(need -> need, need -> 1, Integer::sum));
+    }
+}
--- a/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
@@ -20,7 +20,10 @@
 /** Connections that are open and idle, by server; each carries one call at a time. */
 final class ConnectionPool {
     private static final int MAXIMUM_IDLE = 64;
-    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** Servers that do not say how long they keep a connection are taken to keep it this long. */
+    private static final long UNSTATED_IDLE_MILLIS = 10_000;
+
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final UndertowClient client;
@@ -28,7 +31,7 @@
     private final ByteBufferPool buffers;
     private final Map<InetSocketAddress, Deque<Idle>> idle = new ConcurrentHashMap<>();
 
-    private record Idle(ClientConnection connection, long sinceNanos) {}
+    private record Idle(ClientConnection connection, long sinceNanos, long keptMillis) {}
 
     private ConnectionPool(UndertowClient client, XnioWorker worker, ByteBufferPool buffers) {
         this.client = client;
@@ -40,8 +43,8 @@
         return new ConnectionPool(client, worker, buffers);
     }
 
-    /** Takes an idle connection that is still open and not old. */
-    Optional<ClientConnection> take(InetSocketAddress address) {
+    /** Takes an idle connection that is still open and has not been idle for too long. */
+    Optional<ClientConnection> take(InetSocketAddress address, long idleMillis) {
         Deque<Idle> connections = idle.get(address);
         while (connections != null) {
             Idle candidate = connections.pollFirst();
@@ -51,11 +54,17 @@
             // The server may be closing a connection that has been idle for long just as a call is
             // sent on it; the call then fails with its outcome unknown though it never ran. Young
             // connections are far below any server's idle limit.
-            boolean young = System.nanoTime() - candidate.sinceNanos() < IDLE_NANOS;
-            if (young && candidate.connection().isOpen()) {
+            long idleFor =
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - candidate.sinceNanos());
+            if (idleFor >= candidate.keptMillis() || !candidate.connection().isOpen()) {
+                IoUtils.safeClose(candidate.connection());
+            } else if (idleFor < idleMillis) {
                 return Optional.of(candidate.connection());
+            } else {
+                // The youngest is too old for this call and young enough for others.
+                connections.addFirst(candidate);
+                return Optional.empty();
             }
-            IoUtils.safeClose(candidate.connection());
         }
         return Optional.empty();
     }
@@ -66,12 +75,16 @@
     }
 
     void giveBack(InetSocketAddress address, ClientConnection connection) {
+        giveBack(address, connection, UNSTATED_IDLE_MILLIS);
+    }
+
+    void giveBack(InetSocketAddress address, ClientConnection connection, long keptMillis) {
         Deque<Idle> connections =
                 idle.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
         if (!connection.isOpen() || connections.size() >= MAXIMUM_IDLE) {
             IoUtils.safeClose(connection);
             return;
         }
-        connections.addFirst(new Idle(connection, System.nanoTime()));
+        connections.addFirst(new Idle(connection, System.nanoTime(), keptMillis));
     }
 }
--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -40,6 +41,8 @@
     private Optional<XnioExecutor.Key> timer = Optional.empty();
     private HttpFailure failureNow = HttpFailure.NOT_SENT;
     private boolean ended;
+    private boolean wholeSent;
+    private long keptMillis;
     private volatile boolean paused;
 
     private Exchange(
@@ -71,7 +74,7 @@
     }
 
     private void connect() {
-        Optional<ClientConnection> idle = pool.take(call.address());
+        Optional<ClientConnection> idle = pool.take(call.address(), call.limits().idleMillis());
         if (idle.isPresent()) {
             adopt(idle.get());
             return;
@@ -96,13 +99,17 @@
                         fail(HttpFailure.NOT_SENT);
                     }
                 },
-                call.timeoutMillis(),
+                call.limits().connectMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
     private void adopt(ClientConnection opened) {
         thread = opened.getIoThread();
-        thread.execute(() -> send(opened));
+        if (Thread.currentThread() == thread) {
+            send(opened);
+        } else {
+            thread.execute(() -> send(opened));
+        }
     }
 
     private void send(ClientConnection opened) {
@@ -136,7 +143,10 @@
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
         HeaderMap headers = request.getRequestHeaders();
         call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
-        headers.put(Headers.HOST, call.address().getHostString() + ":" + call.address().getPort());
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(
+                    Headers.HOST, call.address().getHostString() + ":" + call.address().getPort());
+        }
         headers.put(Headers.CONTENT_LENGTH, call.body().length);
         return request;
     }
@@ -171,10 +181,17 @@
                 }
             }
             sink.shutdownWrites();
-            if (!sink.flush()) {
-                sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, null));
-                sink.resumeWrites();
+            if (sink.flush()) {
+                wholeSent = true;
+                return;
             }
+            sink.getWriteSetter()
+                    .set(
+                            ChannelListeners.flushingChannelListener(
+                                    (ChannelListener<StreamSinkChannel>)
+                                            flushed -> wholeSent = true,
+                                    null));
+            sink.resumeWrites();
         } catch (IOException failure) {
             fail(failureNow);
         }
@@ -186,6 +203,7 @@
         }
         failureNow = HttpFailure.ANSWER_CUT;
         ClientResponse response = exchange.getResponse();
+        keptMillis = KeepAlive.millis(response.getResponseHeaders());
         listener.onHead(response.getResponseCode(), headers(response));
         StreamSourceChannel channel = exchange.getResponseChannel();
         source = Optional.of(channel);
@@ -234,11 +252,21 @@
 
     private void complete() {
         if (end()) {
-            connection.ifPresent(open -> pool.giveBack(call.address(), open));
+            connection.ifPresent(this::release);
             listener.onEnd();
         }
     }
 
+    // A server may answer before it has read the whole body and read on later. Used again, the
+    // connection would carry the next request where the rest of this one's body is due.
+    private void release(ClientConnection open) {
+        if (wholeSent && keptMillis > 0) {
+            pool.giveBack(call.address(), open, keptMillis);
+        } else {
+            IoUtils.safeClose(open);
+        }
+    }
+
     private void fail(HttpFailure failure) {
         if (end()) {
             connection.ifPresent(IoUtils::safeClose);
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCall.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCall.java
@@ -10,9 +10,9 @@
  * @param address the server, IP number and port
  * @param method the HTTP method
  * @param path path and query
- * @param headers headers besides length and host
+ * @param headers headers besides the length; a {@code host} among them replaces the address
  * @param body the body; empty for none
- * @param timeoutMillis how long all of it may take
+ * @param limits how long its parts may take
  */
 public record HttpCall(
         InetSocketAddress address,
@@ -20,7 +20,7 @@
         String path,
         Map<String, String> headers,
         byte[] body,
-        long timeoutMillis) {
+        CallLimits limits) {
 
     private static final byte[] NOTHING = {};
 
@@ -28,9 +28,39 @@
     public HttpCall {
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(body, "body is null");
+        Objects.requireNonNull(limits, "limits is null");
         headers = Map.copyOf(headers);
     }
 
+    /**
+     * Makes a call with one limit for all of it.
+     *
+     * @param address the server, IP number and port
+     * @param method the HTTP method
+     * @param path path and query
+     * @param headers headers besides length and host
+     * @param body the body; empty for none
+     * @param timeoutMillis how long all of it may take
+     */
+    public HttpCall(
+            InetSocketAddress address,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMillis) {
+        this(address, method, path, headers, body, CallLimits.of(timeoutMillis));
+    }
+
+    /**
+     * Returns how long all of the call may take.
+     *
+     * @return the time in milliseconds
+     */
+    public long timeoutMillis() {
+        return limits.totalMillis();
+    }
+
     /**
      * Returns a call without a body.
      *
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.link.http;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
 /** Makes HTTP calls. Safe for use by several threads. Connections are kept and used again. */
@@ -14,6 +15,19 @@
      */
     HttpAnswer call(HttpCall call);
 
+    /**
+     * Makes a call without waiting for the answer.
+     *
+     * @param call the call
+     * @return the whole answer, whatever its status; fails with an {@link HttpCallException}. It is
+     *     completed on an input/output thread
+     */
+    default CompletableFuture<HttpAnswer> send(HttpCall call) {
+        AnswerCollector collector = new AnswerCollector();
+        stream(call, collector);
+        return collector.answer();
+    }
+
     /**
      * Makes a call and streams the answer.
      *
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -3,11 +3,8 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -21,15 +18,17 @@
 public final class UndertowHttpCaller implements HttpCaller {
     private static final int IO_THREADS = 2;
     private static final int BUFFER_BYTES = 16 * 1024;
-    private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
 
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
     private final ConnectionPool pool;
 
-    private UndertowHttpCaller(XnioWorker worker, ByteBufferPool buffers) {
+    private final boolean owner;
+
+    private UndertowHttpCaller(XnioWorker worker, ByteBufferPool buffers, boolean owner) {
         this.worker = worker;
         this.buffers = buffers;
+        this.owner = owner;
         this.pool = ConnectionPool.of(UndertowClient.getInstance(), worker, buffers);
     }
 
@@ -51,18 +50,28 @@
                             .getMap();
             return new UndertowHttpCaller(
                     Xnio.getInstance().createWorker(options),
-                    new DefaultByteBufferPool(false, BUFFER_BYTES));
+                    new DefaultByteBufferPool(false, BUFFER_BYTES),
+                    true);
         } catch (IOException failure) {
             throw TamaracktrackException.of(ErrorCode.INTERNAL, "can't start XNIO", failure);
         }
     }
 
+    /**
+     * Returns a caller that uses threads and buffers of the program's. Closing it closes neither.
+     *
+     * @param worker the threads
+     * @param buffers the buffers
+     * @return the caller
+     */
+    public static UndertowHttpCaller sharing(XnioWorker worker, ByteBufferPool buffers) {
+        return new UndertowHttpCaller(worker, buffers, false);
+    }
+
     @Override
     public HttpAnswer call(HttpCall call) {
-        Collector collector = new Collector();
-        stream(call, collector);
         try {
-            return collector.answer.get();
+            return send(call).get();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             throw HttpCallException.of(HttpFailure.CANCELLED, "interrupted");
@@ -88,42 +97,9 @@
 
     @Override
     public void close() {
-        worker.shutdownNow();
-        buffers.close();
-    }
-
-    /** Gathers a whole answer. */
-    private static final class Collector implements HttpListener {
-        private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-        private Map<String, String> headers = Map.of();
-
-        @Override
-        public void onHead(int receivedStatus, Map<String, String> receivedHeaders) {
-            status = receivedStatus;
-            headers = receivedHeaders;
-        }
-
-        @Override
-        public void onBytes(byte[] bytes) {
-            // A broken server could send without end; past the bound the call fails instead of
-            // filling the heap, and what still arrives is dropped until the timeout closes it.
-            if (body.size() + bytes.length > MAXIMUM_ANSWER_BYTES) {
-                onFailure(HttpFailure.ANSWER_CUT);
-                return;
-            }
-            body.writeBytes(bytes);
-        }
-
-        @Override
-        public void onEnd() {
-            answer.complete(new HttpAnswer(status, headers, body.toByteArray()));
-        }
-
-        @Override
-        public void onFailure(HttpFailure failure) {
-            answer.completeExceptionally(HttpCallException.of(failure, failure.text()));
+        if (owner) {
+            worker.shutdownNow();
+            buffers.close();
         }
     }
 }
