Give orders to engines from the one daemon that holds a lease

A lease over conditional appends without the store's clock; what engines hold by their own reports and a count in each order; copies by demand, adapters placed before they are asked for.

--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -0,0 +1,227 @@
+package org.tamaracktrack.core.copies;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.tamaracktrack.core.fleet.HeldModel;
+import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.ModelId;
+
+/**
+ * What the giver of orders knows of one engine: its last report and the orders since. Owned by the
+ * control thread.
+ *
+ * <p>An order without an answer may be carried out seconds later. Every order therefore names how
+ * many orders the engine must have accepted before, so that of two orders that name the same count
+ * at most one is ever carried out, and each was checked to fit by itself.
+ */
+public final class EngineBook {
+    /** Reports lag by some hundred milliseconds; an older one can't contradict an answer. */
+    private static final long REPORT_LAG_MILLIS = 400;
+
+    private final DataCentreId dataCentre;
+    private Optional<EngineReport> report = Optional.empty();
+    private Map<ModelId, Set<AdapterId>> held = new HashMap<>();
+    private Optional<ModelId> arriving = Optional.empty();
+    private Optional<ModelId> departing = Optional.empty();
+    private Optional<EngineOrder> sent = Optional.empty();
+    private boolean busy;
+    private boolean doubtful = true;
+    private long orders;
+    private long acceptedAtMillis = Long.MIN_VALUE / 2;
+
+    private EngineBook(DataCentreId dataCentre) {
+        this.dataCentre = dataCentre;
+    }
+
+    /**
+     * Returns a book about which nothing is known.
+     *
+     * @param dataCentre where the engine stands
+     * @return the book
+     */
+    public static EngineBook of(DataCentreId dataCentre) {
+        Objects.requireNonNull(dataCentre, "dataCentre is null");
+        return new EngineBook(dataCentre);
+    }
+
+    /**
+     * Returns where the engine stands.
+     *
+     * @return its data centre
+     */
+    public DataCentreId dataCentre() {
+        return dataCentre;
+    }
+
+    /**
+     * Takes a report in.
+     *
+     * @param newer the report
+     * @param askedAtMillis when it was asked for
+     */
+    public void report(EngineReport newer, long askedAtMillis) {
+        if (sent.isPresent() || askedAtMillis - acceptedAtMillis < REPORT_LAG_MILLIS) {
+            return;
+        }
+        report = Optional.of(newer);
+        orders = newer.orders();
+        busy = newer.busy();
+        doubtful = false;
+        held = new HashMap<>();
+        newer.models().values().forEach(this::hold);
+        newer.coming().forEach(this::come);
+        if (!busy) {
+            arriving = Optional.empty();
+            departing = Optional.empty();
+        }
+        departing.ifPresent(held::remove);
+    }
+
+    private void hold(HeldModel model) {
+        held.put(model.model(), new HashSet<>(model.adapters()));
+    }
+
+    private void come(ModelNeed coming) {
+        coming.adapter()
+                .ifPresent(
+                        adapter ->
+                                held.computeIfPresent(
+                                        coming.model(),
+                                        (model, adapters) -> {
+                                            adapters.add(adapter);
+                                            return adapters;
+                                        }));
+    }
+
+    /**
+     * An order is about to be sent.
+     *
+     * @param order the order
+     * @return the number of orders that the engine must have accepted before
+     */
+    public long sending(EngineOrder order) {
+        sent = Optional.of(order);
+        return orders;
+    }
+
+    /**
+     * The engine accepted the order that was sent.
+     *
+     * @param nowMillis the monotonic time
+     */
+    public void accepted(long nowMillis) {
+        sent.ifPresent(order -> apply(order, nowMillis));
+        sent = Optional.empty();
+    }
+
+    private void apply(EngineOrder order, long nowMillis) {
+        orders++;
+        acceptedAtMillis = nowMillis;
+        if (order.adapter().isPresent()) {
+            Set<AdapterId> adapters = held.computeIfAbsent(order.model(), model -> new HashSet<>());
+            if (order.load()) {
+                adapters.add(order.adapter().get());
+            } else {
+                adapters.remove(order.adapter().get());
+            }
+            return;
+        }
+        busy = true;
+        if (order.load()) {
+            arriving = Optional.of(order.model());
+        } else {
+            departing = Optional.of(order.model());
+            held.remove(order.model());
+        }
+    }
+
+    /** The order was not accepted, or its outcome is not known: a report has to tell. */
+    public void unsettled() {
+        sent = Optional.empty();
+        doubtful = true;
+    }
+
+    /**
+     * Returns whether a report is needed before or while orders are given.
+     *
+     * @param nowMillis the monotonic time
+     * @return true when the engine should be asked
+     */
+    public boolean wantsReport(long nowMillis) {
+        return sent.isEmpty()
+                && (doubtful || busy)
+                && nowMillis - acceptedAtMillis >= REPORT_LAG_MILLIS;
+    }
+
+    /**
+     * Returns whether an order can be given now.
+     *
+     * @return false while one is on its way or being carried out, or the state is in doubt
+     */
+    public boolean idle() {
+        return !doubtful && !busy && sent.isEmpty();
+    }
+
+    /**
+     * Returns whether the state was ever reported.
+     *
+     * @return true when it was
+     */
+    public boolean known() {
+        return report.isPresent();
+    }
+
+    /**
+     * Returns the models that the engine holds, with their adapters, also those on their way.
+     *
+     * @return the adapters by model
+     */
+    public Map<ModelId, Set<AdapterId>> held() {
+        return held;
+    }
+
+    /**
+     * Returns the model that is being loaded.
+     *
+     * @return the model
+     */
+    public Optional<ModelId> arriving() {
+        return arriving;
+    }
+
+    /**
+     * Returns whether the engine holds a model or is loading it.
+     *
+     * @param model the model
+     * @return true when it does
+     */
+    public boolean has(ModelId model) {
+        return held.containsKey(model) || arriving.filter(model::equals).isPresent();
+    }
+
+    /**
+     * Returns whether a copy can be loaded from main memory.
+     *
+     * @param model the model
+     * @return true when it can
+     */
+    public boolean inMemory(ModelId model) {
+        return report.filter(last -> last.copiesInMemory().contains(model)).isPresent();
+    }
+
+    /**
+     * Returns whether a copy can be loaded from disk.
+     *
+     * @param model the model
+     * @return true when it can
+     */
+    public boolean onDisk(ModelId model) {
+        return report.filter(last -> last.copiesOnDisk().contains(model)).isPresent();
+    }
+}
--- a/core/src/main/java/org/tamaracktrack/core/route/ModelSpecification.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/ModelSpecification.java
@@ -1,6 +1,8 @@
 package org.tamaracktrack.core.route;
 
+import java.util.List;
 import java.util.Objects;
+import org.tamaracktrack.core.id.AdapterId;
 import org.tamaracktrack.core.id.ModelId;
 
 /**
@@ -12,6 +14,7 @@
  * @param memoryMillis time to load it from the target's main memory
  * @param diskMillis time to load it from the target's disk
  * @param adapterMegabytes accelerator memory of one of its adapters
+ * @param adapters its adapters
  */
 public record ModelSpecification(
         ModelId model,
@@ -19,10 +22,12 @@
         long storeMillis,
         long memoryMillis,
         long diskMillis,
-        double adapterMegabytes) {
+        double adapterMegabytes,
+        List<AdapterId> adapters) {
 
     /** Checks the arguments. */
     public ModelSpecification {
         Objects.requireNonNull(model, "model is null");
+        adapters = List.copyOf(adapters);
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -0,0 +1,154 @@
+package org.tamaracktrack.daemon.copies;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.tamaracktrack.core.copies.DemandBook;
+import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.daemon.gateway.Gateway;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.TopicAnswer;
+import org.tamaracktrack.link.topic.TopicClient;
+import org.tamaracktrack.link.topic.TopicPart;
+
+/**
+ * Brings what each daemon sees of demand to the one that gives orders: the others append it, the
+ * holder of the lease reads it. On the control thread.
+ */
+final class DemandExchange {
+    private static final long TICK_MILLIS = 200;
+
+    /** Demand is written this often; a request that waits for a copy is written at once. */
+    private static final long WRITE_EVERY_MILLIS = 1_000;
+
+    private static final long WRITE_WAITING_EVERY_MILLIS = 400;
+    private static final long READ_WAIT_MILLIS = 2_000;
+
+    /** Records that come close together cost one read. */
+    private static final long READ_GAP_MILLIS = 120;
+
+    private static final long RETRY_MILLIS = 500;
+
+    private final String host;
+    private final TopicClient topics;
+    private final TopicPart part;
+    private final ControlThread control;
+    private final LeaseDriver lease;
+    private final DemandBook book;
+    private final Supplier<CompletableFuture<Gateway.Demand>> meter;
+    private final Map<ModelNeed, Integer> unwritten = new HashMap<>();
+    private long writtenAtMillis;
+    private boolean reading;
+    private boolean skipHistory;
+    private long next;
+
+    private DemandExchange(
+            String host,
+            TopicClient topics,
+            TopicPart part,
+            ControlThread control,
+            LeaseDriver lease,
+            DemandBook book,
+            Supplier<CompletableFuture<Gateway.Demand>> meter) {
+        this.host = host;
+        this.topics = topics;
+        this.part = part;
+        this.control = control;
+        this.lease = lease;
+        this.book = book;
+        this.meter = meter;
+    }
+
+    static DemandExchange start(
+            String host,
+            TopicClient topics,
+            TopicPart part,
+            ControlThread control,
+            LeaseDriver lease,
+            DemandBook book,
+            Supplier<CompletableFuture<Gateway.Demand>> meter) {
+        Objects.requireNonNull(meter, "meter is null");
+        DemandExchange exchange =
+                new DemandExchange(host, topics, part, control, lease, book, meter);
+        control.every(TICK_MILLIS, exchange::tick);
+        return exchange;
+    }
+
+    private void tick() {
+        meter.get().thenAccept(demand -> control.post(() -> metered(demand)));
+        if (lease.holds() && !reading) {
+            reading = true;
+            skipHistory = true;
+            read();
+        }
+    }
+
+    private void metered(Gateway.Demand demand) {
+        long nowMillis = ControlThread.nowMillis();
+        if (lease.holds()) {
+            unwritten.clear();
+            book.add(host, demand.arrived(), demand.waiting(), nowMillis);
+            return;
+        }
+        demand.arrived().forEach((need, count) -> unwritten.merge(need, count, Integer::sum));
+        long every = demand.waiting().isEmpty() ? WRITE_EVERY_MILLIS : WRITE_WAITING_EVERY_MILLIS;
+        boolean something = !unwritten.isEmpty() || !demand.waiting().isEmpty();
+        if (something && nowMillis - writtenAtMillis >= every) {
+            writtenAtMillis = nowMillis;
+            write(new DutyRecords.DemandRecord(host, Map.copyOf(unwritten), demand.waiting()));
+            unwritten.clear();
+        }
+    }
+
+    // A record that is lost is not sent again: the next one says what waits now, and the averages
+    // come right within seconds.
+    private void write(DutyRecords.DemandRecord content) {
+        topics.append(part, List.of(DutyRecords.encode(content)), OptionalLong.empty());
+    }
+
+    private void read() {
+        topics.read(part, next, skipHistory ? 0 : READ_WAIT_MILLIS)
+                .thenAccept(answer -> control.post(() -> readDone(answer)));
+    }
+
+    private void readDone(TopicAnswer<RecordBatch> answer) {
+        if (!lease.holds()) {
+            reading = false;
+            return;
+        }
+        if (answer instanceof TopicAnswer.Done<RecordBatch> done) {
+            take(done.value());
+        } else if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
+            next = expired.first();
+            read();
+        } else {
+            control.after(RETRY_MILLIS, this::read);
+        }
+    }
+
+    private void take(RecordBatch batch) {
+        if (skipHistory) {
+            // Counts of minutes ago would be taken for demand of now.
+            skipHistory = false;
+            next = batch.end();
+            read();
+            return;
+        }
+        long nowMillis = ControlThread.nowMillis();
+        batch.records().stream()
+                .flatMap(record -> DutyRecords.demand(record).stream())
+                .filter(seen -> !seen.host().equals(host))
+                .forEach(seen -> book.add(seen.host(), seen.arrived(), seen.waiting(), nowMillis));
+        next = batch.next();
+        if (batch.records().isEmpty()) {
+            read();
+        } else {
+            control.after(READ_GAP_MILLIS, this::read);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
@@ -0,0 +1,103 @@
+package org.tamaracktrack.daemon.copies;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
+import org.tamaracktrack.link.codec.Trees;
+
+/** The records of the duty's topic. */
+final class DutyRecords {
+    private static final char ADAPTER_MARK = '/';
+
+    private DutyRecords() {}
+
+    /** What one daemon saw of demand. */
+    record DemandRecord(
+            String host, Map<ModelNeed, Integer> arrived, Map<ModelNeed, Integer> waiting) {}
+
+    static byte[] encode(LeaseRecord content) {
+        return Trees.write(
+                Map.of(
+                        "holder", content.holder(),
+                        "term", content.term(),
+                        "claim", content.claim(),
+                        "release", content.release(),
+                        "nonce", content.nonce()));
+    }
+
+    static Optional<LeaseRecord> lease(byte[] bytes) {
+        return Trees.parse(bytes)
+                .flatMap(
+                        tree ->
+                                Trees.text(tree, "holder")
+                                        .map(
+                                                holder ->
+                                                        new LeaseRecord(
+                                                                holder,
+                                                                Trees.whole(tree, "term")
+                                                                        .orElse(0L),
+                                                                Trees.flag(tree, "claim"),
+                                                                Trees.flag(tree, "release"),
+                                                                Trees.whole(tree, "nonce")
+                                                                        .orElse(0L))));
+    }
+
+    static byte[] encode(DemandRecord content) {
+        return Trees.write(
+                Map.of(
+                        "host", content.host(),
+                        "arrived", texts(content.arrived()),
+                        "waiting", texts(content.waiting())));
+    }
+
+    private static Map<String, Integer> texts(Map<ModelNeed, Integer> counts) {
+        Map<String, Integer> texts = new LinkedHashMap<>();
+        counts.forEach((need, count) -> texts.put(need.toString(), count));
+        return texts;
+    }
+
+    static Optional<DemandRecord> demand(byte[] bytes) {
+        return Trees.parse(bytes)
+                .flatMap(
+                        tree ->
+                                Trees.text(tree, "host")
+                                        .map(
+                                                host ->
+                                                        new DemandRecord(
+                                                                host,
+                                                                needs(tree.path("arrived")),
+                                                                needs(tree.path("waiting")))));
+    }
+
+    private static Map<ModelNeed, Integer> needs(JsonNode counts) {
+        Map<ModelNeed, Integer> needs = new LinkedHashMap<>();
+        counts.fields()
+                .forEachRemaining(
+                        entry ->
+                                need(entry.getKey())
+                                        .ifPresent(
+                                                need -> needs.put(need, entry.getValue().asInt())));
+        return needs;
+    }
+
+    private static Optional<ModelNeed> need(String text) {
+        int mark = text.indexOf(ADAPTER_MARK);
+        try {
+            return Optional.of(
+                    mark < 0
+                            ? new ModelNeed(ModelId.of(text), Optional.empty())
+                            : new ModelNeed(
+                                    ModelId.of(text.substring(0, mark)),
+                                    Optional.of(AdapterId.of(text.substring(mark + 1)))));
+        } catch (TamaracktrackException unreadable) {
+            // Only our own daemons write here; a name from a newer version is left out.
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -0,0 +1,175 @@
+package org.tamaracktrack.daemon.copies;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.lease.ConditionalLease;
+import org.tamaracktrack.core.lease.FreezeDetector;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.TopicAnswer;
+import org.tamaracktrack.link.topic.TopicClient;
+import org.tamaracktrack.link.topic.TopicPart;
+
+/** Keeps one lease up to date with the store. On the control thread. */
+final class LeaseDriver {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.lease");
+    private static final long TICK_MILLIS = 100;
+
+    /** Who does not hold the lease looks this often whether its holder still renews it. */
+    private static final long WATCH_MILLIS = 800;
+
+    private final TopicClient topics;
+    private final TopicPart part;
+    private final ControlThread control;
+    private final ConditionalLease lease;
+    private final FreezeDetector freezes =
+            FreezeDetector.of(ControlThread.nowMillis(), System.currentTimeMillis());
+    private boolean calling;
+    private long nextWatchMillis;
+    private boolean held;
+
+    private LeaseDriver(
+            TopicClient topics, TopicPart part, ControlThread control, ConditionalLease lease) {
+        this.topics = topics;
+        this.part = part;
+        this.control = control;
+        this.lease = lease;
+    }
+
+    static LeaseDriver start(
+            TopicClient topics, TopicPart part, ControlThread control, ConditionalLease lease) {
+        Objects.requireNonNull(lease, "lease is null");
+        LeaseDriver driver = new LeaseDriver(topics, part, control, lease);
+        control.every(TICK_MILLIS, driver::tick);
+        return driver;
+    }
+
+    /**
+     * The right to give orders, for a while. Safe for use by any thread.
+     *
+     * @param term the fencing number
+     * @param untilMillis the monotonic time at which it ends
+     * @param clockDifference time of day less steady clock when it was given
+     */
+    record Permit(long term, long untilMillis, long clockDifference) {
+
+        // Asked right before the first byte of an order leaves: the process may have been frozen
+        // since the decision, and then another holder may have begun.
+        boolean valid() {
+            long steadyMillis = ControlThread.nowMillis();
+            return steadyMillis < untilMillis
+                    && !FreezeDetector.apart(
+                            clockDifference, steadyMillis, System.currentTimeMillis());
+        }
+    }
+
+    /** The right to give orders now; empty when another process may have it. */
+    Optional<Permit> permit() {
+        noticeFreeze();
+        long steadyMillis = ControlThread.nowMillis();
+        OptionalLong term = lease.term(steadyMillis);
+        return term.isEmpty()
+                ? Optional.empty()
+                : Optional.of(
+                        new Permit(
+                                term.getAsLong(),
+                                lease.trustedUntilMillis(),
+                                System.currentTimeMillis() - steadyMillis));
+    }
+
+    boolean holds() {
+        noticeFreeze();
+        return lease.holds(ControlThread.nowMillis());
+    }
+
+    private void noticeFreeze() {
+        if (freezes.froze(ControlThread.nowMillis(), System.currentTimeMillis())) {
+            LOG.warn("event=clock-jump lease_held=" + held);
+            lease.distrust();
+        }
+    }
+
+    private void tick() {
+        noticeFreeze();
+        noteChange();
+        if (calling) {
+            return;
+        }
+        long nowMillis = ControlThread.nowMillis();
+        if (lease.mustRead() || !lease.holds(nowMillis) && nowMillis >= nextWatchMillis) {
+            read();
+            return;
+        }
+        lease.tick(nowMillis).ifPresent(this::append);
+    }
+
+    private void noteChange() {
+        boolean holds = lease.holds(ControlThread.nowMillis());
+        if (holds != held) {
+            held = holds;
+            LOG.info("event=lease held=" + holds + " log_end=" + lease.readFrom());
+        }
+    }
+
+    private void read() {
+        calling = true;
+        nextWatchMillis = ControlThread.nowMillis() + WATCH_MILLIS;
+        topics.read(part, lease.readFrom(), 0)
+                .thenAccept(answer -> control.post(() -> readDone(answer)));
+    }
+
+    private void readDone(TopicAnswer<RecordBatch> answer) {
+        calling = false;
+        long nowMillis = ControlThread.nowMillis();
+        if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
+            lease.skipped(expired.first(), nowMillis);
+        } else if (answer instanceof TopicAnswer.Done<RecordBatch> done) {
+            take(done.value(), nowMillis);
+        }
+        // Any other answer: the store is away, nobody can claim; the next tick reads again.
+    }
+
+    private void take(RecordBatch batch, long nowMillis) {
+        long offset = batch.from();
+        for (byte[] record : batch.records()) {
+            long at = offset++;
+            DutyRecords.lease(record).ifPresent(content -> lease.read(at, content, nowMillis));
+        }
+        if (batch.records().isEmpty()) {
+            lease.readAll(nowMillis);
+        } else {
+            read();
+        }
+    }
+
+    private void append(ConditionalLease.Append append) {
+        calling = true;
+        topics.append(
+                        part,
+                        List.of(DutyRecords.encode(append.content())),
+                        OptionalLong.of(append.expectedEnd()))
+                .thenAccept(answer -> control.post(() -> appended(answer)));
+    }
+
+    private void appended(TopicAnswer<Long> answer) {
+        calling = false;
+        if (answer instanceof TopicAnswer.Done<Long> done) {
+            lease.appended(done.value(), ControlThread.nowMillis());
+        } else if (answer instanceof TopicAnswer.Conflict<Long>) {
+            lease.conflict();
+        } else if (answer instanceof TopicAnswer.Unknown<Long>) {
+            lease.unanswered();
+        } else {
+            lease.refused();
+        }
+        noteChange();
+    }
+
+    /** Gives the lease up, so that another daemon need not wait for it to lapse. */
+    void leave() {
+        lease.leave(ControlThread.nowMillis()).ifPresent(this::append);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -0,0 +1,214 @@
+package org.tamaracktrack.daemon.copies;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.copies.AdapterPlanner;
+import org.tamaracktrack.core.copies.CopyPlanner;
+import org.tamaracktrack.core.copies.DemandBook;
+import org.tamaracktrack.core.copies.EngineBook;
+import org.tamaracktrack.core.copies.EngineOrder;
+import org.tamaracktrack.core.copies.EngineReport;
+import org.tamaracktrack.core.copies.StorePace;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.route.EngineSpecification;
+import org.tamaracktrack.core.route.ServiceSpecification;
+import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+
+/** Gives orders to the engines while this daemon has the lease. On the control thread. */
+final class OrderGiver {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.orders");
+    private static final long TICK_MILLIS = 100;
+
+    /** A report is asked for again after this long when none came. */
+    private static final long REPORT_EVERY_MILLIS = 300;
+
+    /** Orders begun in one tick at most; the rest follows a tenth of a second later. */
+    private static final int MOST_ORDERS = 16;
+
+    private final EngineOrders orders;
+    private final LeaseDriver lease;
+    private final ControlThread control;
+    private final DemandBook demand;
+    private final StorePace pace = StorePace.empty();
+    private final Map<TargetIncarnation, EngineBook> books = new HashMap<>();
+    private final Map<TargetIncarnation, Long> askedAtMillis = new HashMap<>();
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private Fleet fleet = Fleet.empty();
+    private long lastTerm = -1;
+
+    private OrderGiver(
+            EngineOrders orders, LeaseDriver lease, ControlThread control, DemandBook demand) {
+        this.orders = orders;
+        this.lease = lease;
+        this.control = control;
+        this.demand = demand;
+    }
+
+    static OrderGiver start(
+            EngineOrders orders, LeaseDriver lease, ControlThread control, DemandBook demand) {
+        Objects.requireNonNull(orders, "orders is null");
+        OrderGiver giver = new OrderGiver(orders, lease, control, demand);
+        control.every(TICK_MILLIS, giver::tick);
+        return giver;
+    }
+
+    void configure(ServingConfiguration newer) {
+        configuration = Optional.of(newer);
+    }
+
+    void fleet(Fleet newer) {
+        fleet = newer;
+        Set<TargetIncarnation> known =
+                newer.all().map(TargetEntry::incarnation).collect(Collectors.toSet());
+        books.keySet().retainAll(known);
+        askedAtMillis.keySet().retainAll(known);
+    }
+
+    private void tick() {
+        Optional<LeaseDriver.Permit> permit = lease.permit();
+        if (permit.isEmpty()) {
+            return;
+        }
+        if (permit.get().term() != lastTerm) {
+            // What another holder ordered meanwhile is not in these books.
+            books.clear();
+            lastTerm = permit.get().term();
+            LOG.info("event=order-duty-begins term=" + lastTerm);
+        }
+        demand.fade(ControlThread.nowMillis());
+        configuration.stream()
+                .flatMap(inForce -> inForce.services().values().stream())
+                .forEach(service -> serve(service, permit.get()));
+    }
+
+    private void serve(ServiceSpecification service, LeaseDriver.Permit permit) {
+        service.engine().ifPresent(engine -> serve(service.service(), engine, permit));
+    }
+
+    private void serve(ServiceId service, EngineSpecification engine, LeaseDriver.Permit permit) {
+        Map<TargetIncarnation, TargetEntry> entries =
+                fleet.ready(service)
+                        .collect(Collectors.toMap(TargetEntry::incarnation, Function.identity()));
+        entries.values().forEach(this::askForReport);
+        Map<TargetIncarnation, EngineBook> engines =
+                entries.keySet().stream()
+                        .filter(name -> books.get(name).known())
+                        .collect(Collectors.toMap(Function.identity(), books::get));
+        for (int count = 0; count < MOST_ORDERS; count++) {
+            Optional<EngineOrder> next =
+                    CopyPlanner.next(copyView(engine, engines))
+                            .or(() -> AdapterPlanner.next(adapterView(engine, engines)));
+            if (next.isEmpty()) {
+                return;
+            }
+            give(entries.get(next.get().engine()), next.get(), permit);
+        }
+    }
+
+    private CopyPlanner.View copyView(
+            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines) {
+        Map<ModelId, Integer> waiting =
+                demand.waiting().entrySet().stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        entry -> entry.getKey().model(),
+                                        Collectors.summingInt(Map.Entry::getValue)));
+        return new CopyPlanner.View(
+                engine,
+                engines,
+                demand.quick(),
+                demand.slow(),
+                waiting,
+                pace.allows(engine.loadsPerSecond(), ControlThread.nowMillis()));
+    }
+
+    private AdapterPlanner.View adapterView(
+            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines) {
+        Set<ModelId> asked = new HashSet<>(demand.slow().keySet());
+        return new AdapterPlanner.View(engine, engines, asked, demand::slow, demand.waiting());
+    }
+
+    private void askForReport(TargetEntry entry) {
+        long nowMillis = ControlThread.nowMillis();
+        EngineBook book =
+                books.computeIfAbsent(
+                        entry.incarnation(), name -> EngineBook.of(entry.dataCentre()));
+        long asked = askedAtMillis.getOrDefault(entry.incarnation(), Long.MIN_VALUE / 2);
+        if (!book.wantsReport(nowMillis) || nowMillis - asked < REPORT_EVERY_MILLIS) {
+            return;
+        }
+        askedAtMillis.put(entry.incarnation(), nowMillis);
+        orders.report(entry)
+                .thenAccept(report -> control.post(() -> reported(entry, report, nowMillis)));
+    }
+
+    private void reported(TargetEntry entry, Optional<EngineReport> report, long askedAt) {
+        EngineBook book = books.get(entry.incarnation());
+        if (book == null || report.isEmpty()) {
+            return;
+        }
+        book.report(report.get(), askedAt);
+    }
+
+    private void give(TargetEntry target, EngineOrder order, LeaseDriver.Permit permit) {
+        EngineBook book = books.get(order.engine());
+        long nowMillis = ControlThread.nowMillis();
+        if (fromStore(book, order)) {
+            pace.begin(nowMillis);
+        }
+        EngineOrders.Authority authority =
+                new EngineOrders.Authority(permit.term(), book.sending(order));
+        LOG.info(
+                "event=order engine="
+                        + order.engine()
+                        + " load="
+                        + order.load()
+                        + " model="
+                        + order.model()
+                        + order.adapter().map(adapter -> "/" + adapter).orElse("")
+                        + " term="
+                        + authority.term()
+                        + " expected_orders="
+                        + authority.expectedOrders()
+                        + " holds="
+                        + book.held()
+                        + " demand="
+                        + demand.quick().getOrDefault(order.model(), 0.0));
+        orders.send(target, order, authority, permit::valid)
+                .thenAccept(outcome -> control.post(() -> settled(order, outcome)));
+    }
+
+    private static boolean fromStore(EngineBook book, EngineOrder order) {
+        return order.load()
+                && order.ofModel()
+                && !book.inMemory(order.model())
+                && !book.onDisk(order.model());
+    }
+
+    private void settled(EngineOrder order, EngineOrders.Outcome outcome) {
+        if (outcome != EngineOrders.Outcome.ACCEPTED) {
+            LOG.info("event=order-not-taken engine=" + order.engine() + " outcome=" + outcome);
+        }
+        EngineBook book = books.get(order.engine());
+        if (book == null) {
+            return;
+        }
+        if (outcome == EngineOrders.Outcome.ACCEPTED) {
+            book.accepted(ControlThread.nowMillis());
+        } else {
+            book.unsettled();
+        }
+    }
+}
--- a/platform/src/main/java/org/tamaracktrack/platform/Json.java
+++ b/link/src/main/java/org/tamaracktrack/link/codec/Trees.java
@@ -1,20 +1,21 @@
-package org.tamaracktrack.platform;
+package org.tamaracktrack.link.codec;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Optional;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 
 /** Reads JSON documents whose fields may be missing or of another type. */
-final class Json {
+public final class Trees {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private Json() {}
+    private Trees() {}
 
     /** Parses a document; empty when it is no JSON. */
-    static Optional<JsonNode> parse(byte[] document) {
+    public static Optional<JsonNode> parse(byte[] document) {
         try {
             return Optional.ofNullable(MAPPER.readTree(document));
         } catch (IOException unreadable) {
@@ -23,40 +24,40 @@
         }
     }
 
-    static byte[] write(Object document) {
+    public static byte[] write(Object document) {
         try {
             return MAPPER.writeValueAsBytes(document);
         } catch (IOException failure) {
-            throw new java.io.UncheckedIOException(failure);
+            throw new UncheckedIOException(failure);
         }
     }
 
-    static Optional<String> text(JsonNode node, String field) {
+    public static Optional<String> text(JsonNode node, String field) {
         JsonNode value = node.get(field);
         return value != null && value.isTextual()
                 ? Optional.of(value.textValue())
                 : Optional.empty();
     }
 
-    static Optional<Long> whole(JsonNode node, String field) {
+    public static Optional<Long> whole(JsonNode node, String field) {
         JsonNode value = node.get(field);
         return value != null && value.isIntegralNumber() && value.canConvertToLong()
                 ? Optional.of(value.longValue())
                 : Optional.empty();
     }
 
-    static double number(JsonNode node, String field, double absent) {
+    public static double number(JsonNode node, String field, double absent) {
         JsonNode value = node.get(field);
         return value != null && value.isNumber() ? value.doubleValue() : absent;
     }
 
-    static boolean flag(JsonNode node, String field) {
+    public static boolean flag(JsonNode node, String field) {
         JsonNode value = node.get(field);
         return value != null && value.isBoolean() && value.booleanValue();
     }
 
     /** The elements of a list; none when the field is no list. */
-    static Stream<JsonNode> elements(JsonNode node, String field) {
+    public static Stream<JsonNode> elements(JsonNode node, String field) {
         JsonNode value = node.get(field);
         return value != null && value.isArray()
                 ? StreamSupport.stream(value.spliterator(), false)
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -23,8 +23,20 @@
      *     completed on an input/output thread
      */
     default CompletableFuture<HttpAnswer> send(HttpCall call) {
+        return send(call, () -> true);
+    }
+
+    /**
+     * Makes a call without waiting for the answer, unless its time has passed by the moment of
+     * sending.
+     *
+     * @param call the call
+     * @param maySend asked once, right before the first byte is sent; on false nothing is sent
+     * @return the whole answer, whatever its status; fails with an {@link HttpCallException}
+     */
+    default CompletableFuture<HttpAnswer> send(HttpCall call, BooleanSupplier maySend) {
         AnswerCollector collector = new AnswerCollector();
-        stream(call, collector);
+        stream(call, maySend, collector);
         return collector.answer();
     }
 
--- a/link/src/main/java/org/tamaracktrack/link/topic/RecordBatch.java
+++ b/link/src/main/java/org/tamaracktrack/link/topic/RecordBatch.java
@@ -7,8 +7,9 @@
  *
  * @param from the offset of the first
  * @param records their bytes in order
+ * @param end where the partition ended
  */
-public record RecordBatch(long from, List<byte[]> records) {
+public record RecordBatch(long from, List<byte[]> records, long end) {
 
     /** Copies the list. */
     public RecordBatch {
