Plan copies by what kinds of requests ask for a model; refuse what would start too late

Now models never asked for keep a copy, patient requests count less, a load follows its unload at once. Requests whose first event would come after their caller leaves are refused at once.

--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
@@ -19,21 +20,44 @@
  * rarely asked models stay within reach of a quick load.
  */
 public final class CopyPlanner {
-    /** What a request that waits now adds to the worth of a first copy. */
-    private static final double WAITING_WORTH = 6;
+    /** Requests a second that one copy serves well while its engine serves others too. */
+    private static final double COPY_RATE = 6;
 
-    /** What the only copy of a model is worth for each request a second. */
-    private static final double ONLY_COPY_WORTH = 3;
+    /** Requests a second, of all models, at which an engine is about full. */
+    private static final double ENGINE_RATE = 12;
 
-    /** What the only copy of a model that nobody asked for of late is worth. */
-    private static final double UNASKED_COPY_WORTH = 0.02;
+    /** What a first copy is worth to requests that wait now, and to each of them. */
+    private static final double WAITING_WORTH = 4;
+
+    private static final double EACH_WAITING_WORTH = 1;
+
+    /** What a first copy is worth for each request a second. */
+    private static final double FIRST_COPY_WORTH = 1;
+
+    /** What the only copy of a model is worth for each request a second of the last half minute. */
+    private static final double ONLY_COPY_WORTH = 2;
+
+    /** What any copy is worth besides. */
+    private static final double ANY_COPY_WORTH = 0.03;
+
+    /** What the only copy of a model is worth that was never asked for: demand moves on to such. */
+    private static final double NEW_COPY_WORTH = 0.5;
+
+    /** The same for one that urgent requests asked for and then fell silent. */
+    private static final double SILENT_COPY_WORTH = 0.2;
+
+    /** A copy is not unloaded before the requests that wanted it had time to use it. */
+    private static final long SETTLING_MILLIS = 1_500;
+
+    /** What an unload costs for each request a second that has to finish or go elsewhere. */
+    private static final double DISTURBANCE_WORTH = 0.1;
 
     /**
      * A move has to be worth this many times what it displaces, so that moves do not undo others.
      */
     private static final double HYSTERESIS = 1.5;
 
-    /** A move that gains less is not worth the pause that it causes, in requests a second. */
+    /** A move that gains less is not worth its load and the pause that it causes. */
     private static final double LEAST_GAIN = 0.15;
 
     /** What is left of a copy's worth if it comes from disk, and from the weight store. */
@@ -44,6 +68,9 @@
     /** A first copy in a data centre saves bytes between data centres. */
     private static final double NEW_DATA_CENTRE = 1.25;
 
+    /** What is left of a copy's worth on an engine that is full with other models. */
+    private static final double LEAST_ROOM = 0.2;
+
     private CopyPlanner() {}
 
     /**
@@ -54,7 +81,9 @@
      * @param quick requests a second by model, of the last seconds
      * @param slow requests a second by model, of the last half minute
      * @param waiting requests that wait for a first copy, by model
+     * @param askedBy what kind of requests have asked for a model
      * @param storeAllows whether a load from the weight store may begin
+     * @param nowMillis the monotonic time
      */
     public record View(
             EngineSpecification specification,
@@ -62,30 +91,65 @@
             Map<ModelId, Double> quick,
             Map<ModelId, Double> slow,
             Map<ModelId, Integer> waiting,
-            boolean storeAllows) {}
+            Function<ModelId, AskedBy> askedBy,
+            boolean storeAllows,
+            long nowMillis) {}
+
+    /**
+     * A model to be loaded.
+     *
+     * @param engine where
+     * @param model the model
+     * @param victim the model that has to be unloaded first
+     * @param worth what the move gains, to compare moves by
+     */
+    public record Move(
+            TargetIncarnation engine, ModelId model, Optional<ModelId> victim, double worth) {
 
-    private record Move(
-            TargetIncarnation engine, ModelId model, Optional<ModelId> victim, double worth) {}
+        /**
+         * Returns the order that begins the move.
+         *
+         * @return an unload when room has to be made, else a load
+         */
+        public EngineOrder order() {
+            return new EngineOrder(
+                    engine, victim.isEmpty(), victim.orElse(model), Optional.empty());
+        }
+    }
 
     /**
      * Chooses a move.
      *
      * @param view what is known
-     * @return the order that begins it: an unload when room has to be made, else a load
+     * @return the move; empty when none is worth it
      */
-    public static Optional<EngineOrder> next(View view) {
+    public static Optional<Move> next(View view) {
+        return begun(view).or(() -> best(view));
+    }
+
+    /** The load that room was made for. */
+    private static Optional<Move> begun(View view) {
+        return view.engines().entrySet().stream()
+                .filter(engine -> engine.getValue().successorMayFollow(view.nowMillis()))
+                .flatMap(engine -> begun(view, engine.getKey(), engine.getValue()).stream())
+                .findFirst();
+    }
+
+    private static Optional<Move> begun(View view, TargetIncarnation engine, EngineBook book) {
+        return book.successor()
+                .flatMap(view.specification()::model)
+                .filter(model -> !book.held().containsKey(model.model()))
+                .filter(model -> fits(view.specification(), book, model))
+                .filter(model -> view.storeAllows() || atHand(book, model.model()))
+                .map(model -> new Move(engine, model.model(), Optional.empty(), 0));
+    }
+
+    private static Optional<Move> best(View view) {
         Map<ModelId, Integer> copies = copies(view);
         return wanted(view, copies)
                 .flatMap(model -> moves(view, copies, model))
                 .filter(move -> move.worth() > LEAST_GAIN)
-                .max(Comparator.comparingDouble(Move::worth))
-                .map(
-                        move ->
-                                new EngineOrder(
-                                        move.engine(),
-                                        move.victim().isEmpty(),
-                                        move.victim().orElse(move.model()),
-                                        Optional.empty()));
+                .max(Comparator.comparingDouble(Move::worth));
     }
 
     private static Map<ModelId, Integer> copies(View view) {
@@ -97,7 +161,7 @@
                             book.held()
                                     .keySet()
                                     .forEach(model -> copies.merge(model, 1, Integer::sum));
-                            book.arriving()
+                            book.coming()
                                     .filter(model -> !book.held().containsKey(model))
                                     .ifPresent(model -> copies.merge(model, 1, Integer::sum));
                         });
@@ -113,10 +177,17 @@
         int count = copies.getOrDefault(model, 0);
         double rate = view.quick().getOrDefault(model, 0.0);
         if (count == 0) {
-            double waits = view.waiting().getOrDefault(model, 0);
-            return waits > 0 ? WAITING_WORTH + waits + rate : ONLY_COPY_WORTH * rate;
+            int waits = view.waiting().getOrDefault(model, 0);
+            double waiting = waits > 0 ? WAITING_WORTH + EACH_WAITING_WORTH * waits : 0;
+            return waiting + FIRST_COPY_WORTH * rate;
         }
-        return rate / (count * (count + 1.0));
+        return crowding(rate) / (count * (count + 1.0));
+    }
+
+    // A copy that is asked for twice as much is four times as crowded; a second copy of it takes
+    // half of that away. So the few busiest models get many copies before the others get two.
+    private static double crowding(double rate) {
+        return rate * rate / COPY_RATE;
     }
 
     private static double loss(View view, Map<ModelId, Integer> copies, ModelId model) {
@@ -124,9 +195,19 @@
         double quick = view.quick().getOrDefault(model, 0.0);
         if (count <= 1) {
             double slow = Math.max(quick, view.slow().getOrDefault(model, 0.0));
-            return UNASKED_COPY_WORTH + ONLY_COPY_WORTH * slow;
+            return onlyCopyWorth(view.askedBy().apply(model)) + ONLY_COPY_WORTH * slow;
         }
-        return quick / (count * (count - 1.0));
+        return ANY_COPY_WORTH
+                + DISTURBANCE_WORTH * quick / count
+                + crowding(quick) / (count * (count - 1.0));
+    }
+
+    private static double onlyCopyWorth(AskedBy askedBy) {
+        return switch (askedBy) {
+            case NOBODY -> NEW_COPY_WORTH;
+            case PATIENT -> ANY_COPY_WORTH;
+            case URGENT -> SILENT_COPY_WORTH;
+        };
     }
 
     private static Stream<Move> moves(
@@ -139,6 +220,7 @@
                         .collect(Collectors.toSet());
         return view.engines().entrySet().stream()
                 .filter(engine -> engine.getValue().idle())
+                .filter(engine -> engine.getValue().successor().isEmpty())
                 .filter(engine -> !engine.getValue().has(model.model()))
                 .filter(engine -> view.storeAllows() || atHand(engine.getValue(), model.model()))
                 .flatMap(
@@ -148,11 +230,24 @@
                             double worth =
                                     gain
                                             * speed(book, model.model())
+                                            * room(view, copies, book)
                                             * (newPlace ? NEW_DATA_CENTRE : 1);
                             return move(view, copies, engine.getKey(), book, model, worth).stream();
                         });
     }
 
+    /** How much of a further copy's work the engine has room for beside its other models. */
+    private static double room(View view, Map<ModelId, Integer> copies, EngineBook book) {
+        double load =
+                book.held().keySet().stream()
+                        .mapToDouble(
+                                model ->
+                                        view.quick().getOrDefault(model, 0.0)
+                                                / copies.getOrDefault(model, 1))
+                        .sum();
+        return Math.max(LEAST_ROOM, 1 - load / ENGINE_RATE);
+    }
+
     private static boolean atHand(EngineBook book, ModelId model) {
         return book.inMemory(model) || book.onDisk(model);
     }
@@ -175,6 +270,8 @@
             return Optional.of(new Move(engine, model.model(), Optional.empty(), worth));
         }
         return book.held().keySet().stream()
+                .filter(held -> view.waiting().getOrDefault(held, 0) == 0)
+                .filter(held -> book.heldMillis(held, view.nowMillis()) >= SETTLING_MILLIS)
                 .min(Comparator.comparingDouble(held -> loss(view, copies, held)))
                 .map(
                         victim ->
--- a/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
@@ -1,7 +1,9 @@
 package org.tamaracktrack.core.copies;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.id.ModelId;
@@ -20,10 +22,16 @@
     private static final long WAITING_MILLIS = 1_500;
 
     private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** What a request that can wait for a load counts against one that can't. */
+    private static final double PATIENT = 0.25;
+
     private static final double FORGOTTEN = 1e-4;
 
     private final Map<ModelNeed, Rate> rates = new HashMap<>();
     private final Map<String, Waiting> waitingByHost = new HashMap<>();
+    private final Set<ModelId> everUrgent = new HashSet<>();
+    private final Set<ModelId> everPatient = new HashSet<>();
 
     private record Waiting(Map<ModelNeed, Integer> needs, long atMillis) {}
 
@@ -32,7 +40,7 @@
         private double slow;
         private long atMillis;
 
-        void add(int count, long nowMillis) {
+        void add(double count, long nowMillis) {
             fade(nowMillis);
             quick += count * MILLIS_PER_SECOND / QUICK_MILLIS;
             slow += count * MILLIS_PER_SECOND / SLOW_MILLIS;
@@ -57,23 +65,65 @@
         return new DemandBook();
     }
 
+    /**
+     * What one daemon saw.
+     *
+     * @param urgent requests that have to be answered within seconds, since it last said so
+     * @param patient requests that can wait for a copy to be loaded
+     * @param waiting requests that wait for a copy now
+     */
+    public record Seen(
+            Map<ModelNeed, Integer> urgent,
+            Map<ModelNeed, Integer> patient,
+            Map<ModelNeed, Integer> waiting) {
+
+        /** Copies the maps. */
+        public Seen {
+            urgent = Map.copyOf(urgent);
+            patient = Map.copyOf(patient);
+            waiting = Map.copyOf(waiting);
+        }
+    }
+
     /**
      * A daemon said what it saw.
      *
      * @param host the daemon's host
-     * @param arrived requests since it last said so
-     * @param waiting requests that wait for a copy
+     * @param seen what it saw
      * @param nowMillis the monotonic time
      */
-    public void add(
-            String host,
-            Map<ModelNeed, Integer> arrived,
-            Map<ModelNeed, Integer> waiting,
-            long nowMillis) {
-        arrived.forEach(
-                (need, count) ->
-                        rates.computeIfAbsent(need, name -> new Rate()).add(count, nowMillis));
-        waitingByHost.put(host, new Waiting(Map.copyOf(waiting), nowMillis));
+    public void add(String host, Seen seen, long nowMillis) {
+        remember(seen);
+        seen.urgent().forEach((need, count) -> rate(need).add(count, nowMillis));
+        seen.patient().forEach((need, count) -> rate(need).add(PATIENT * count, nowMillis));
+        waitingByHost.put(host, new Waiting(seen.waiting(), nowMillis));
+    }
+
+    private Rate rate(ModelNeed need) {
+        return rates.computeIfAbsent(need, name -> new Rate());
+    }
+
+    /**
+     * Takes in which models were asked for at some time, however long ago.
+     *
+     * @param seen what a daemon saw
+     */
+    public void remember(Seen seen) {
+        seen.urgent().keySet().forEach(need -> everUrgent.add(need.model()));
+        seen.patient().keySet().forEach(need -> everPatient.add(need.model()));
+    }
+
+    /**
+     * Returns what kind of requests have asked for a model.
+     *
+     * @param model the model
+     * @return the kind
+     */
+    public AskedBy askedBy(ModelId model) {
+        if (everUrgent.contains(model)) {
+            return AskedBy.URGENT;
+        }
+        return everPatient.contains(model) ? AskedBy.PATIENT : AskedBy.NOBODY;
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -24,15 +24,21 @@
     /** Reports lag by some hundred milliseconds; an older one can't contradict an answer. */
     private static final long REPORT_LAG_MILLIS = 400;
 
+    /** An engine that was busy is tried again after this long. */
+    private static final long TRY_AGAIN_MILLIS = 150;
+
     private final DataCentreId dataCentre;
     private Optional<EngineReport> report = Optional.empty();
     private Map<ModelId, Set<AdapterId>> held = new HashMap<>();
+    private final Map<ModelId, Long> firstSeenMillis = new HashMap<>();
     private Optional<ModelId> arriving = Optional.empty();
     private Optional<ModelId> departing = Optional.empty();
+    private Optional<ModelId> successor = Optional.empty();
     private Optional<EngineOrder> sent = Optional.empty();
     private boolean busy;
     private boolean doubtful = true;
     private long orders;
+    private long triedAtMillis = Long.MIN_VALUE / 2;
     private long acceptedAtMillis = Long.MIN_VALUE / 2;
 
     private EngineBook(DataCentreId dataCentre) {
@@ -69,7 +75,15 @@
         if (sent.isPresent() || askedAtMillis - acceptedAtMillis < REPORT_LAG_MILLIS) {
             return;
         }
+        boolean first = report.isEmpty();
         report = Optional.of(newer);
+        firstSeenMillis.keySet().retainAll(newer.models().keySet());
+        newer.models()
+                .keySet()
+                .forEach(
+                        model ->
+                                firstSeenMillis.putIfAbsent(
+                                        model, first ? Long.MIN_VALUE / 2 : askedAtMillis));
         orders = newer.orders();
         busy = newer.busy();
         doubtful = false;
@@ -107,9 +121,31 @@
      */
     public long sending(EngineOrder order) {
         sent = Optional.of(order);
+        if (order.ofModel()) {
+            successor = Optional.empty();
+        }
         return orders;
     }
 
+    /**
+     * The order being sent makes room for a model, which from now on counts as coming: planned anew
+     * in the meantime, several engines would make room for the same one.
+     *
+     * @param model the model to be loaded next
+     */
+    public void makingRoomFor(ModelId model) {
+        successor = Optional.of(model);
+    }
+
+    /**
+     * Returns the model that room is made for.
+     *
+     * @return the model
+     */
+    public Optional<ModelId> successor() {
+        return successor;
+    }
+
     /**
      * The engine accepted the order that was sent.
      *
@@ -144,6 +180,7 @@
     /** The order was not accepted, or its outcome is not known: a report has to tell. */
     public void unsettled() {
         sent = Optional.empty();
+        successor = Optional.empty();
         doubtful = true;
     }
 
@@ -159,6 +196,34 @@
                 && nowMillis - acceptedAtMillis >= REPORT_LAG_MILLIS;
     }
 
+    /**
+     * Returns whether the load that room was made for may be tried. An unload that nothing runs on
+     * is over at once, and waiting for a report that says so would cost more than an order that the
+     * engine does not take while it is busy.
+     *
+     * @param nowMillis the monotonic time
+     * @return true when it may
+     */
+    public boolean successorMayFollow(long nowMillis) {
+        return successor.isPresent()
+                && sent.isEmpty()
+                && !doubtful
+                && arriving.isEmpty()
+                && nowMillis - triedAtMillis >= TRY_AGAIN_MILLIS;
+    }
+
+    /**
+     * The engine was still busy with making room.
+     *
+     * @param model the model that room is made for
+     * @param nowMillis the monotonic time
+     */
+    public void successorNotTaken(ModelId model, long nowMillis) {
+        sent = Optional.empty();
+        successor = Optional.of(model);
+        triedAtMillis = nowMillis;
+    }
+
     /**
      * Returns whether an order can be given now.
      *
@@ -168,6 +233,15 @@
         return !doubtful && !busy && sent.isEmpty();
     }
 
+    /**
+     * Returns whether the engine was carrying out an order of a model when last heard of.
+     *
+     * @return true when it was
+     */
+    public boolean busy() {
+        return busy;
+    }
+
     /**
      * Returns whether the state was ever reported.
      *
@@ -186,6 +260,17 @@
         return held;
     }
 
+    /**
+     * Returns for how long a model has been held.
+     *
+     * @param model the model
+     * @param nowMillis the monotonic time
+     * @return milliseconds since a report first showed it
+     */
+    public long heldMillis(ModelId model, long nowMillis) {
+        return nowMillis - firstSeenMillis.getOrDefault(model, nowMillis);
+    }
+
     /**
      * Returns the model that is being loaded.
      *
@@ -195,6 +280,15 @@
         return arriving;
     }
 
+    /**
+     * Returns the model that is being loaded, or that room is made for.
+     *
+     * @return the model
+     */
+    public Optional<ModelId> coming() {
+        return arriving.or(() -> successor);
+    }
+
     /**
      * Returns whether the engine holds a model or is loading it.
      *
@@ -202,7 +296,7 @@
      * @return true when it does
      */
     public boolean has(ModelId model) {
-        return held.containsKey(model) || arriving.filter(model::equals).isPresent();
+        return held.containsKey(model) || coming().filter(model::equals).isPresent();
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
@@ -71,7 +71,7 @@
      * @param draws random numbers from 0 to 1, one for each candidate
      * @return the target; empty when none can take the request now
      */
-    public Optional<TargetEntry> choose(
+    public Optional<Choice> choose(
             Work work,
             Fleet fleet,
             Function<TargetIncarnation, TargetLoad> loads,
@@ -83,10 +83,18 @@
                 .filter(entry -> !excluded.contains(entry.incarnation().target()))
                 .filter(entry -> loads.apply(entry.incarnation()).reachable(nowMillis))
                 .map(entry -> scored(work, entry, loads, nowMillis, draws.getAsDouble()))
-                .min(Comparator.comparingDouble(Scored::millis))
-                .map(Scored::entry);
+                .min(Comparator.comparingDouble(Choice::cost));
     }
 
+    /**
+     * A target for a request.
+     *
+     * @param entry the target
+     * @param firstPieceMillis the expected time to the first piece of its answer
+     * @param cost what the targets were compared by, in milliseconds
+     */
+    public record Choice(TargetEntry entry, double firstPieceMillis, double cost) {}
+
     /**
      * Returns the targets that hold what a request needs.
      *
@@ -99,9 +107,7 @@
                 .filter(entry -> work.need().map(entry::holds).orElse(true));
     }
 
-    private record Scored(TargetEntry entry, double millis) {}
-
-    private Scored scored(
+    private Choice scored(
             Work work,
             TargetEntry entry,
             Function<TargetIncarnation, TargetLoad> loads,
@@ -110,21 +116,24 @@
         TargetLoad load = loads.apply(entry.incarnation());
         double busy =
                 work.need().isPresent()
-                        ? engineMillis(work, load)
+                        ? engineMillis(work, load, nowMillis)
                         : load.outstanding() * SERVICE_REQUEST_MILLIS;
         double distance = entry.dataCentre().equals(home) ? 0 : distanceMillis(work);
         double failing = load.failureShare(nowMillis) * FAILING_MILLIS;
-        return new Scored(entry, busy + distance + failing + draw * JITTER_MILLIS);
+        return new Choice(entry, busy, busy + distance + failing + draw * JITTER_MILLIS);
     }
 
     private static double distanceMillis(Work work) {
         return work.need().isPresent() ? ENGINE_DISTANCE_MILLIS : SERVICE_DISTANCE_MILLIS;
     }
 
-    private static double engineMillis(Work work, TargetLoad load) {
+    private static double engineMillis(Work work, TargetLoad load, long nowMillis) {
         int toRead = work.promptTokens() - load.keptTokens(scope(work), work.parts());
-        return (load.unreadTokens() + Math.max(0, toRead)) / TOKENS_PER_MILLI
-                + load.waiting() * ENGINE_WAITING_MILLIS
+        double reading = (load.unreadTokens() + Math.max(0, toRead)) / TOKENS_PER_MILLI;
+        // Tokens and counts do not show an engine whose memory is full or that is slow; that it
+        // makes others wait does.
+        double seen = load.waiting() == 0 ? 0 : load.firstPieceMillis(nowMillis);
+        return Math.max(reading + load.waiting() * ENGINE_WAITING_MILLIS, seen)
                 + load.outstanding() * ENGINE_REQUEST_MILLIS;
     }
 
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -1,5 +1,7 @@
 package org.tamaracktrack.core.dispatch;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +15,12 @@
     /** Parts remembered for each target; a target's own cache holds about as many. */
     private static final int MOST_PARTS = 512;
 
+    /** Half of what the last first pieces took is forgotten in this time. */
+    private static final double FIRST_PIECE_HALF_LIFE_MILLIS = 800;
+
+    /** Weight of the newest first piece against those before. */
+    private static final double NEWEST = 0.4;
+
     /** A connection that could not be opened keeps new work away for this long. */
     private static final long UNREACHABLE_MILLIS = 1_000;
 
@@ -27,6 +35,9 @@
                 }
             };
     private ReportedLoad reported = new ReportedLoad(0, 0);
+    private final Deque<Long> unstarted = new ArrayDeque<>();
+    private double firstPieceMillis;
+    private long firstPieceAtMillis;
     private int own;
     private int ownAtReport;
     private int unread;
@@ -36,19 +47,54 @@
      * A request is sent to the target.
      *
      * @param promptTokens tokens that it has to read
+     * @param nowMillis the monotonic time
      */
-    public void started(int promptTokens) {
+    public void started(int promptTokens, long nowMillis) {
         own++;
         unread += promptTokens;
+        unstarted.addLast(nowMillis);
+    }
+
+    /**
+     * The target began to answer a request.
+     *
+     * @param promptTokens what was given to {@link #started}
+     * @param startedAtMillis when the request was sent
+     * @param nowMillis the monotonic time
+     */
+    public void read(int promptTokens, long startedAtMillis, long nowMillis) {
+        dropped(promptTokens, startedAtMillis);
+        double took = nowMillis - startedAtMillis;
+        firstPieceMillis = (1 - NEWEST) * faded(nowMillis) + NEWEST * took;
+        firstPieceAtMillis = nowMillis;
     }
 
     /**
-     * The target has read a request's prompt, or the request ended before.
+     * A request ended before the target began to answer it.
      *
      * @param promptTokens what was given to {@link #started}
+     * @param startedAtMillis when the request was sent
      */
-    public void read(int promptTokens) {
+    public void dropped(int promptTokens, long startedAtMillis) {
         unread -= promptTokens;
+        unstarted.removeFirstOccurrence(startedAtMillis);
+    }
+
+    private double faded(long nowMillis) {
+        double passed = Math.max(0, nowMillis - firstPieceAtMillis);
+        return firstPieceMillis * Math.pow(0.5, passed / FIRST_PIECE_HALF_LIFE_MILLIS);
+    }
+
+    /**
+     * Returns how long requests wait for the first piece of their answer now: at least as long as
+     * the oldest has waited that has none yet, and about as long as the last ones that got theirs.
+     *
+     * @param nowMillis the monotonic time
+     * @return milliseconds
+     */
+    public double firstPieceMillis(long nowMillis) {
+        Long oldest = unstarted.peekFirst();
+        return Math.max(faded(nowMillis), oldest == null ? 0 : nowMillis - oldest);
     }
 
     /** A request ended, however. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/CopyDuty.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/CopyDuty.java
@@ -7,7 +7,6 @@
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.lease.ConditionalLease;
 import org.tamaracktrack.core.route.ServingConfiguration;
-import org.tamaracktrack.daemon.gateway.Gateway;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.TopicClient;
 import org.tamaracktrack.link.topic.TopicPart;
@@ -59,7 +58,7 @@
             TopicClient topics,
             EngineOrders orders,
             ControlThread control,
-            Supplier<CompletableFuture<Gateway.Demand>> meter) {
+            Supplier<CompletableFuture<DemandBook.Seen>> meter) {
         Objects.requireNonNull(member, "member is null");
         ConditionalLease.Terms terms =
                 new ConditionalLease.Terms(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -5,11 +5,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.fleet.ModelNeed;
-import org.tamaracktrack.daemon.gateway.Gateway;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.RecordBatch;
 import org.tamaracktrack.link.topic.TopicAnswer;
@@ -21,41 +21,43 @@
  * holder of the lease reads it. On the control thread.
  */
 final class DemandExchange {
-    private static final long TICK_MILLIS = 200;
+    private static final long TICK_MILLIS = 100;
 
     /** Demand is written this often; a request that waits for a copy is written at once. */
     private static final long WRITE_EVERY_MILLIS = 1_000;
 
-    private static final long WRITE_WAITING_EVERY_MILLIS = 400;
+    private static final long WRITE_WAITING_EVERY_MILLIS = 700;
     private static final long READ_WAIT_MILLIS = 2_000;
 
     /** Records that come close together cost one read. */
-    private static final long READ_GAP_MILLIS = 120;
+    private static final long READ_GAP_MILLIS = 80;
 
     private static final long RETRY_MILLIS = 500;
 
-    private final String host;
+    private final String process;
     private final TopicClient topics;
     private final TopicPart part;
     private final ControlThread control;
     private final LeaseDriver lease;
     private final DemandBook book;
-    private final Supplier<CompletableFuture<Gateway.Demand>> meter;
-    private final Map<ModelNeed, Integer> unwritten = new HashMap<>();
+    private final Supplier<CompletableFuture<DemandBook.Seen>> meter;
+    private final Map<ModelNeed, Integer> urgent = new HashMap<>();
+    private final Map<ModelNeed, Integer> patient = new HashMap<>();
+    private Set<ModelNeed> waitingWritten = Set.of();
     private long writtenAtMillis;
     private boolean reading;
     private boolean skipHistory;
     private long next;
 
     private DemandExchange(
-            String host,
+            String process,
             TopicClient topics,
             TopicPart part,
             ControlThread control,
             LeaseDriver lease,
             DemandBook book,
-            Supplier<CompletableFuture<Gateway.Demand>> meter) {
-        this.host = host;
+            Supplier<CompletableFuture<DemandBook.Seen>> meter) {
+        this.process = process;
         this.topics = topics;
         this.part = part;
         this.control = control;
@@ -65,16 +67,16 @@
     }
 
     static DemandExchange start(
-            String host,
+            String process,
             TopicClient topics,
             TopicPart part,
             ControlThread control,
             LeaseDriver lease,
             DemandBook book,
-            Supplier<CompletableFuture<Gateway.Demand>> meter) {
+            Supplier<CompletableFuture<DemandBook.Seen>> meter) {
         Objects.requireNonNull(meter, "meter is null");
         DemandExchange exchange =
-                new DemandExchange(host, topics, part, control, lease, book, meter);
+                new DemandExchange(process, topics, part, control, lease, book, meter);
         control.every(TICK_MILLIS, exchange::tick);
         return exchange;
     }
@@ -88,27 +90,33 @@
         }
     }
 
-    private void metered(Gateway.Demand demand) {
+    private void metered(DemandBook.Seen seen) {
         long nowMillis = ControlThread.nowMillis();
         if (lease.holds()) {
-            unwritten.clear();
-            book.add(host, demand.arrived(), demand.waiting(), nowMillis);
+            urgent.clear();
+            patient.clear();
+            book.add(process, seen, nowMillis);
             return;
         }
-        demand.arrived().forEach((need, count) -> unwritten.merge(need, count, Integer::sum));
-        long every = demand.waiting().isEmpty() ? WRITE_EVERY_MILLIS : WRITE_WAITING_EVERY_MILLIS;
-        boolean something = !unwritten.isEmpty() || !demand.waiting().isEmpty();
-        if (something && nowMillis - writtenAtMillis >= every) {
+        seen.urgent().forEach((need, count) -> urgent.merge(need, count, Integer::sum));
+        seen.patient().forEach((need, count) -> patient.merge(need, count, Integer::sum));
+        boolean newlyWaiting = !waitingWritten.containsAll(seen.waiting().keySet());
+        long every = seen.waiting().isEmpty() ? WRITE_EVERY_MILLIS : WRITE_WAITING_EVERY_MILLIS;
+        boolean something = !urgent.isEmpty() || !patient.isEmpty() || !seen.waiting().isEmpty();
+        if (newlyWaiting || something && nowMillis - writtenAtMillis >= every) {
             writtenAtMillis = nowMillis;
-            write(new DutyRecords.DemandRecord(host, Map.copyOf(unwritten), demand.waiting()));
-            unwritten.clear();
+            waitingWritten = seen.waiting().keySet();
+            write(new DemandBook.Seen(urgent, patient, seen.waiting()));
+            urgent.clear();
+            patient.clear();
         }
     }
 
     // A record that is lost is not sent again: the next one says what waits now, and the averages
     // come right within seconds.
-    private void write(DutyRecords.DemandRecord content) {
-        topics.append(part, List.of(DutyRecords.encode(content)), OptionalLong.empty());
+    private void write(DemandBook.Seen seen) {
+        byte[] record = DutyRecords.encode(new DutyRecords.DemandRecord(process, seen));
+        topics.append(part, List.of(record), OptionalLong.empty());
     }
 
     private void read() {
@@ -133,7 +141,11 @@
 
     private void take(RecordBatch batch) {
         if (skipHistory) {
-            // Counts of minutes ago would be taken for demand of now.
+            // Counts of minutes ago would be taken for demand of now; they only tell which models
+            // were ever asked for.
+            batch.records().stream()
+                    .flatMap(record -> DutyRecords.demand(record).stream())
+                    .forEach(record -> book.remember(record.seen()));
             skipHistory = false;
             next = batch.end();
             read();
@@ -142,8 +154,8 @@
         long nowMillis = ControlThread.nowMillis();
         batch.records().stream()
                 .flatMap(record -> DutyRecords.demand(record).stream())
-                .filter(seen -> !seen.host().equals(host))
-                .forEach(seen -> book.add(seen.host(), seen.arrived(), seen.waiting(), nowMillis));
+                .filter(record -> !record.process().equals(process))
+                .forEach(record -> book.add(record.process(), record.seen(), nowMillis));
         next = batch.next();
         if (batch.records().isEmpty()) {
             read();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.id.AdapterId;
@@ -17,9 +18,13 @@
 
     private DutyRecords() {}
 
-    /** What one daemon saw of demand. */
-    record DemandRecord(
-            String host, Map<ModelNeed, Integer> arrived, Map<ModelNeed, Integer> waiting) {}
+    /**
+     * What one daemon saw of demand.
+     *
+     * @param process the daemon
+     * @param seen what it saw
+     */
+    record DemandRecord(String process, DemandBook.Seen seen) {}
 
     static byte[] encode(LeaseRecord content) {
         return Trees.write(
@@ -51,9 +56,10 @@
     static byte[] encode(DemandRecord content) {
         return Trees.write(
                 Map.of(
-                        "host", content.host(),
-                        "arrived", texts(content.arrived()),
-                        "waiting", texts(content.waiting())));
+                        "process", content.process(),
+                        "urgent", texts(content.seen().urgent()),
+                        "patient", texts(content.seen().patient()),
+                        "waiting", texts(content.seen().waiting())));
     }
 
     private static Map<String, Integer> texts(Map<ModelNeed, Integer> counts) {
@@ -66,13 +72,15 @@
         return Trees.parse(bytes)
                 .flatMap(
                         tree ->
-                                Trees.text(tree, "host")
-                                        .map(
-                                                host ->
-                                                        new DemandRecord(
-                                                                host,
-                                                                needs(tree.path("arrived")),
-                                                                needs(tree.path("waiting")))));
+                                Trees.text(tree, "process")
+                                        .map(process -> new DemandRecord(process, seen(tree))));
+    }
+
+    private static DemandBook.Seen seen(JsonNode tree) {
+        return new DemandBook.Seen(
+                needs(tree.path("urgent")),
+                needs(tree.path("patient")),
+                needs(tree.path("waiting")));
     }
 
     private static Map<ModelNeed, Integer> needs(JsonNode counts) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -19,7 +19,7 @@
     private static final long TICK_MILLIS = 100;
 
     /** Who does not hold the lease looks this often whether its holder still renews it. */
-    private static final long WATCH_MILLIS = 800;
+    private static final long WATCH_MILLIS = 700;
 
     private final TopicClient topics;
     private final TopicPart part;
@@ -138,7 +138,7 @@
             long at = offset++;
             DutyRecords.lease(record).ifPresent(content -> lease.read(at, content, nowMillis));
         }
-        if (batch.records().isEmpty()) {
+        if (batch.next() >= batch.end()) {
             lease.readAll(nowMillis);
         } else {
             read();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -107,16 +107,27 @@
                         .filter(name -> books.get(name).known())
                         .collect(Collectors.toMap(Function.identity(), books::get));
         for (int count = 0; count < MOST_ORDERS; count++) {
-            Optional<EngineOrder> next =
-                    CopyPlanner.next(copyView(engine, engines))
-                            .or(() -> AdapterPlanner.next(adapterView(engine, engines)));
-            if (next.isEmpty()) {
+            if (!giveNext(entries, engine, engines, permit)) {
                 return;
             }
-            give(entries.get(next.get().engine()), next.get(), permit);
         }
     }
 
+    private boolean giveNext(
+            Map<TargetIncarnation, TargetEntry> entries,
+            EngineSpecification engine,
+            Map<TargetIncarnation, EngineBook> engines,
+            LeaseDriver.Permit permit) {
+        Optional<CopyPlanner.Move> move = CopyPlanner.next(copyView(engine, engines));
+        Optional<EngineOrder> order =
+                move.map(CopyPlanner.Move::order)
+                        .or(() -> AdapterPlanner.next(adapterView(engine, engines)));
+        order.ifPresent(next -> give(entries.get(next.engine()), next, permit));
+        move.filter(chosen -> chosen.victim().isPresent())
+                .ifPresent(chosen -> books.get(chosen.engine()).makingRoomFor(chosen.model()));
+        return order.isPresent();
+    }
+
     private CopyPlanner.View copyView(
             EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines) {
         Map<ModelId, Integer> waiting =
@@ -131,7 +142,9 @@
                 demand.quick(),
                 demand.slow(),
                 waiting,
-                pace.allows(engine.loadsPerSecond(), ControlThread.nowMillis()));
+                demand::askedBy,
+                pace.allows(engine.loadsPerSecond(), ControlThread.nowMillis()),
+                ControlThread.nowMillis());
     }
 
     private AdapterPlanner.View adapterView(
@@ -207,6 +220,8 @@
         }
         if (outcome == EngineOrders.Outcome.ACCEPTED) {
             book.accepted(ControlThread.nowMillis());
+        } else if (outcome == EngineOrders.Outcome.NOT_TAKEN && book.busy() && order.load()) {
+            book.successorNotTaken(order.model(), ControlThread.nowMillis());
         } else {
             book.unsettled();
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/DemandMeter.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/DemandMeter.java
@@ -2,11 +2,17 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.route.Route;
 
 /** Counts what requests ask of models between two readings. Owned by the traffic thread. */
-public final class DemandMeter {
-    private Map<ModelNeed, Integer> arrived = new HashMap<>();
+final class DemandMeter {
+    /** Requests with a later objective than this can wait for a copy to be loaded. */
+    private static final long PATIENT_MILLIS = 4_000;
+
+    private Map<ModelNeed, Integer> urgent = new HashMap<>();
+    private Map<ModelNeed, Integer> patient = new HashMap<>();
 
     private DemandMeter() {}
 
@@ -14,13 +20,14 @@
         return new DemandMeter();
     }
 
-    void note(ModelNeed need) {
-        arrived.merge(need, 1, Integer::sum);
+    void note(ModelNeed need, Route route) {
+        (route.objectiveMillis() > PATIENT_MILLIS ? patient : urgent).merge(need, 1, Integer::sum);
     }
 
-    Map<ModelNeed, Integer> take() {
-        Map<ModelNeed, Integer> taken = arrived;
-        arrived = new HashMap<>();
-        return taken;
+    DemandBook.Seen take(Map<ModelNeed, Integer> waiting) {
+        DemandBook.Seen seen = new DemandBook.Seen(urgent, patient, waiting);
+        urgent = new HashMap<>();
+        patient = new HashMap<>();
+        return seen;
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -8,15 +8,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.FailureRule;
+import org.tamaracktrack.core.dispatch.LoadTime;
+import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.dispatch.Work;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.route.EngineSpecification;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
 import org.tamaracktrack.core.stream.EventSplitter;
@@ -32,12 +36,14 @@
     /** A caller that waits this long gives up; what is left must cover the way back to it. */
     private static final long WAY_BACK_MILLIS = 10;
 
-    /** Without a word from the caller it is taken to wait for as long as the route allows. */
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final double RETRY_AFTER_LEAST_SECONDS = 0.3;
     private static final double RETRY_AFTER_SPREAD_SECONDS = 0.7;
 
+    /** From the request for an adapter until it is loaded and known to be. */
+    private static final long ADAPTER_MILLIS = 700;
+
     private final GatewayServices services;
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
@@ -55,6 +61,7 @@
     private Optional<TargetAttempt> attempt = Optional.empty();
     private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
     private Optional<XnioExecutor.Key> endTimer = Optional.empty();
+    private long comeBackMillis;
     private int streamStatus;
     private Map<String, String> streamHeaders = Map.of();
     private int notSent;
@@ -124,7 +131,7 @@
         connection.onClosed(this::callerGone);
         CallerConnection.watch(exchange);
         services.allowance(work.service()).request(arrivedMillis);
-        facts.need().ifPresent(services.demand()::note);
+        facts.need().ifPresent(need -> services.demand().note(need, route));
         endTimer = Optional.of(services.after(endsMillis - services.nowMillis(), this::timeIsUp));
         dispatch();
     }
@@ -134,11 +141,35 @@
     }
 
     private void dispatch() {
-        GatewayView view = services.view();
-        long nowMillis = services.nowMillis();
-        services.chooser()
-                .choose(work, view.fleet(), services.loads()::of, tried, nowMillis, services::draw)
-                .ifPresentOrElse(this::send, this::noTarget);
+        choose().ifPresentOrElse(this::sendUnlessTooLate, this::noTarget);
+    }
+
+    private Optional<TargetChooser.Choice> choose() {
+        return services.chooser()
+                .choose(
+                        work,
+                        services.view().fleet(),
+                        services.loads()::of,
+                        tried,
+                        services.nowMillis(),
+                        services::draw);
+    }
+
+    // A request whose first event would come after its caller has left only makes the others
+    // late. Told at once, the caller can come back while it still has time.
+    private void sendUnlessTooLate(TargetChooser.Choice choice) {
+        boolean fresh = tried.isEmpty() && work.need().isPresent();
+        if (fresh && choice.firstPieceMillis() > patienceMillis()) {
+            comeBackMillis = (long) choice.firstPieceMillis();
+            refuseOrGiveUp("overloaded");
+            return;
+        }
+        send(choice.entry());
+    }
+
+    private long patienceMillis() {
+        long waited = services.nowMillis() - arrivedMillis;
+        return Math.min(Patience.millis(route) - waited, leftMillis());
     }
 
     private void send(TargetEntry entry) {
@@ -179,9 +210,10 @@
     }
 
     private void noTarget() {
-        boolean mayComeUp = work.need().isPresent() && tried.isEmpty();
-        long patience = arrivedMillis + Patience.millis(route) - services.nowMillis();
-        if (!mayComeUp || patience <= 0) {
+        long patience = patienceMillis();
+        OptionalLong load = tried.isEmpty() ? loadMillis() : OptionalLong.empty();
+        if (load.isEmpty() || load.getAsLong() > patience) {
+            comeBackMillis = load.orElse(0);
             refuseOrGiveUp("no_target");
             return;
         }
@@ -191,21 +223,30 @@
         }
     }
 
+    /** How long it takes to bring up the model that no target holds. */
+    private OptionalLong loadMillis() {
+        GatewayView view = services.view();
+        return view.configuration()
+                .flatMap(configuration -> configuration.engine(work.service()))
+                .flatMap(engine -> need().map(need -> loadMillis(need, engine, view)))
+                .orElse(OptionalLong.empty());
+    }
+
+    private OptionalLong loadMillis(ModelNeed need, EngineSpecification engine, GatewayView view) {
+        boolean held =
+                view.fleet().ready(work.service()).anyMatch(entry -> entry.holds(need.model()));
+        // Only the adapter is missing: it comes within a fraction of a second.
+        return held
+                ? OptionalLong.of(ADAPTER_MILLIS)
+                : LoadTime.millis(need.model(), work.service(), engine, view.fleet());
+    }
+
     /** Tries again, since the fleet changed. */
     void retryWaiting() {
-        boolean held =
-                services.chooser()
-                        .choose(
-                                work,
-                                services.view().fleet(),
-                                services.loads()::of,
-                                tried,
-                                services.nowMillis(),
-                                services::draw)
-                        .isPresent();
-        if (held && !done) {
+        Optional<TargetChooser.Choice> choice = choose();
+        if (choice.isPresent() && !done) {
             stopWaiting();
-            dispatch();
+            sendUnlessTooLate(choice.get());
         }
     }
 
@@ -377,9 +418,11 @@
     }
 
     // Callers that were refused in the same moment and come back in the same moment are refused
-    // again; spread over most of a second they meet the room that became free meanwhile.
+    // again; spread out they meet the room that became free meanwhile.
     private String retryAfter() {
-        double seconds = RETRY_AFTER_LEAST_SECONDS + RETRY_AFTER_SPREAD_SECONDS * services.draw();
+        double seconds =
+                Math.max(RETRY_AFTER_LEAST_SECONDS, comeBackMillis / MILLIS_PER_SECOND)
+                        + RETRY_AFTER_SPREAD_SECONDS * services.draw();
         return Double.toString(Math.round(seconds * MILLIS_PER_SECOND) / MILLIS_PER_SECOND);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -9,14 +9,13 @@
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.net.InetSocketAddress;
-import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
+import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.fleet.Fleet;
-import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -187,23 +186,12 @@
      *
      * @return the demand, completed on the traffic thread
      */
-    public CompletableFuture<Demand> demand() {
-        CompletableFuture<Demand> reading = new CompletableFuture<>();
-        thread.execute(
-                () ->
-                        reading.complete(
-                                new Demand(services.demand().take(), services.waiting().byNeed())));
+    public CompletableFuture<DemandBook.Seen> demand() {
+        CompletableFuture<DemandBook.Seen> reading = new CompletableFuture<>();
+        thread.execute(() -> reading.complete(services.demand().take(services.waiting().byNeed())));
         return reading;
     }
 
-    /**
-     * What requests ask of models.
-     *
-     * @param arrived requests since the last reading
-     * @param waiting requests that wait for a copy
-     */
-    public record Demand(Map<ModelNeed, Integer> arrived, Map<ModelNeed, Integer> waiting) {}
-
     /** Begins a planned stop: not ready any more, and connections end with their next answer. */
     public void leave() {
         leaving.value = true;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -48,6 +48,7 @@
     private Map<String, String> headers = Map.of();
     private boolean ended;
     private boolean read;
+    private long startedMillis;
 
     private enum Mode {
         NO_HEAD,
@@ -122,7 +123,8 @@
     }
 
     private void send(Sending sending) {
-        load.started(work.promptTokens());
+        startedMillis = services.nowMillis();
+        load.started(work.promptTokens(), startedMillis);
         InetSocketAddress address =
                 new InetSocketAddress(entry.address().ip(), entry.address().port());
         CallLimits limits =
@@ -165,7 +167,10 @@
             return false;
         }
         ended = true;
-        noteRead();
+        if (!read) {
+            read = true;
+            load.dropped(work.promptTokens(), startedMillis);
+        }
         load.ended();
         return true;
     }
@@ -173,7 +178,7 @@
     private void noteRead() {
         if (!read) {
             read = true;
-            load.read(work.promptTokens());
+            load.read(work.promptTokens(), startedMillis, services.nowMillis());
         }
     }
 
