--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -212,7 +212,7 @@
     private void noTarget() {
         long patience = patienceMillis();
         OptionalLong load = tried.isEmpty() ? loadMillis() : OptionalLong.empty();
-        if (load.isEmpty() || load.getAsLong() > patience) {
+        if (load.isEmpty() || load.getAsLong() > patience || services.leaving()) {
             comeBackMillis = load.orElse(0);
             refuseOrGiveUp("no_target");
             return;
@@ -250,6 +250,13 @@
         }
     }
 
+    /** Ends the wait for a target. */
+    void refuseWaiting() {
+        if (!done) {
+            refuseOrGiveUp("leaving");
+        }
+    }
+
     private void stopWaiting() {
         services.waiting().remove(this);
         waitTimer.ifPresent(XnioExecutor.Key::remove);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
@@ -33,6 +34,9 @@
     private static final int MAXIMUM_HEADER_BYTES = 32_768;
     private static final int BACKLOG = 1_024;
 
+    /** New requests are taken this long into a planned stop: the balancer's two misses. */
+    private static final long TAKES_NEW_MILLIS = 2_500;
+
     private final GatewayServices services;
     private final GatewayHandler handler;
     private final Undertow server;
@@ -54,11 +58,11 @@
 
     /** Whether the daemon is about to stop. */
     private static final class Leaving implements BooleanSupplier {
-        private volatile boolean value;
+        private volatile long sinceMillis = Long.MAX_VALUE;
 
         @Override
         public boolean getAsBoolean() {
-            return value;
+            return sinceMillis != Long.MAX_VALUE;
         }
     }
 
@@ -111,7 +115,7 @@
                         GatewayMetrics.of(metrics),
                         leaving,
                         random);
-        GatewayHandler handler = GatewayHandler.of(services);
+        GatewayHandler handler = GatewayHandler.of(services, () -> closing(leaving));
         Undertow server =
                 Undertow.builder()
                         .setWorker(worker)
@@ -157,6 +161,14 @@
         return !leaving.getAsBoolean() && view.configuration().isPresent() && view.fleetKnown();
     }
 
+    // A request taken late in a planned stop would still run when the process has to end, and be
+    // cut. The balancer sends nothing new by then; who keeps a connection is told to come back,
+    // which it does elsewhere.
+    private static boolean closing(Leaving leaving) {
+        return leaving.getAsBoolean()
+                && ControlThread.nowMillis() - leaving.sinceMillis >= TAKES_NEW_MILLIS;
+    }
+
     private static void readiness(HttpServerExchange exchange, boolean ready) {
         exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
@@ -194,7 +206,17 @@
 
     /** Begins a planned stop: not ready any more, and connections end with their next answer. */
     public void leave() {
-        leaving.value = true;
+        leaving.sinceMillis = ControlThread.nowMillis();
+        thread.execute(services.waiting()::refuse);
+    }
+
+    /**
+     * Takes new bounds in.
+     *
+     * @param limits the bounds
+     */
+    public void limit(GatewayLimits limits) {
+        thread.execute(() -> services.limit(limits));
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.ServingConfiguration;
@@ -19,12 +20,15 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger inProgress = new AtomicInteger();
 
-    private GatewayHandler(GatewayServices services) {
+    private final BooleanSupplier closing;
+
+    private GatewayHandler(GatewayServices services, BooleanSupplier closing) {
         this.services = services;
+        this.closing = closing;
     }
 
-    static GatewayHandler of(GatewayServices services) {
-        return new GatewayHandler(services);
+    static GatewayHandler of(GatewayServices services, BooleanSupplier closing) {
+        return new GatewayHandler(services, closing);
     }
 
     int inProgress() {
@@ -38,6 +42,11 @@
             Refusals.answer(exchange, ErrorCode.NOT_READY);
             return;
         }
+        if (closing.getAsBoolean()) {
+            exchange.setPersistent(false);
+            Refusals.answer(exchange, ErrorCode.LEAVING);
+            return;
+        }
         Optional<Route> route =
                 configuration.get().routes().find(host(exchange), exchange.getRequestURI());
         if (route.isEmpty()) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -19,7 +19,7 @@
     private final XnioIoThread thread;
     private final CallerDialect dialect;
     private final TargetChooser chooser;
-    private final GatewayLimits limits;
+    private GatewayLimits limits;
     private final GatewayMetrics metrics;
     private final BooleanSupplier leaving;
     private final RandomGenerator random;
@@ -102,6 +102,11 @@
                                 limits.retriesBesides()));
     }
 
+    void limit(GatewayLimits newer) {
+        limits = newer;
+        allowances.clear();
+    }
+
     XnioExecutor.Key after(long delayMillis, Runnable task) {
         return thread.executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/WaitingRequests.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/WaitingRequests.java
@@ -35,6 +35,11 @@
         }
     }
 
+    /** Refuses each, since this daemon is about to stop and another one can wait for it. */
+    void refuse() {
+        List.copyOf(requests).forEach(ForwardedRequest::refuseWaiting);
+    }
+
     Map<ModelNeed, Integer> byNeed() {
         return requests.stream()
                 .flatMap(request -> request.need().stream())
