Give pressing adapters before loads; bring up models that no engine has at hand

Cause: engines that load from the weight store take no adapters for 9 s, and a model whose last engine left was loaded only once it was asked for. Callers that were refused before go first.

--- a/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
@@ -26,6 +26,9 @@
     /** An adapter that nobody asked for of late may be asked for next. */
     private static final double UNASKED_WORTH = 0.01;
 
+    /** Above what second copies and adapters that nobody asks for are worth. */
+    private static final double PRESSING_WORTH = 0.05;
+
     /** An adapter has to be worth this many times the one that it displaces. */
     private static final double HYSTERESIS = 2;
 
@@ -50,19 +53,35 @@
             ToDoubleFunction<ModelNeed> rate,
             Map<ModelNeed, Integer> waiting) {}
 
-    private record Move(EngineOrder order, double worth) {}
+    /**
+     * An order, and what it gains.
+     *
+     * @param order the order
+     * @param worth requests a second that it serves
+     */
+    public record Move(EngineOrder order, double worth) {
+
+        /**
+         * Returns whether requests ask for the adapter now. Such a move goes before a load of
+         * weights, during which its engine takes no other order for seconds.
+         *
+         * @return true when they do
+         */
+        public boolean pressing() {
+            return worth > PRESSING_WORTH;
+        }
+    }
 
     /**
      * Chooses a move.
      *
      * @param view what is known
-     * @return the order
+     * @return the move
      */
-    public static Optional<EngineOrder> next(View view) {
+    public static Optional<Move> next(View view) {
         return needs(view)
                 .flatMap(need -> moves(view, need))
-                .max(Comparator.comparingDouble(Move::worth))
-                .map(Move::order);
+                .max(Comparator.comparingDouble(Move::worth));
     }
 
     private static Stream<ModelNeed> needs(View view) {
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -34,6 +34,14 @@
     /** What a first copy is worth for each request a second. */
     private static final double FIRST_COPY_WORTH = 1;
 
+    /**
+     * What a first copy is worth if no engine has one at hand either: it would take the longest.
+     */
+    private static final double FAR_COPY_WORTH = 1;
+
+    /** Engines that load from the weight store at once: they take no adapters for that long. */
+    private static final double MOST_LOADING_SHARE = 0.5;
+
     /** What the only copy of a model is worth for each request a second of the last half minute. */
     private static final double ONLY_COPY_WORTH = 2;
 
@@ -130,7 +138,7 @@
     /** The load that room was made for. */
     private static Optional<Move> begun(View view) {
         return view.engines().entrySet().stream()
-                .filter(engine -> engine.getValue().successorMayFollow(view.nowMillis()))
+                .filter(engine -> engine.getValue().successorMayFollow())
                 .flatMap(engine -> begun(view, engine.getKey(), engine.getValue()).stream())
                 .findFirst();
     }
@@ -179,11 +187,17 @@
         if (count == 0) {
             int waits = view.waiting().getOrDefault(model, 0);
             double waiting = waits > 0 ? WAITING_WORTH + EACH_WAITING_WORTH * waits : 0;
-            return waiting + FIRST_COPY_WORTH * rate;
+            return waiting + FIRST_COPY_WORTH * rate + (far(view, model) ? FAR_COPY_WORTH : 0);
         }
         return crowding(rate) / (count * (count + 1.0));
     }
 
+    // When the last engine that had a model leaves, nobody notices until it is asked for and takes
+    // the longest to load; brought up in a calm moment it is within reach from then on.
+    private static boolean far(View view, ModelId model) {
+        return view.engines().values().stream().noneMatch(book -> atHand(book, model));
+    }
+
     // A copy that is asked for twice as much is four times as crowded; a second copy of it takes
     // half of that away. So the few busiest models get many copies before the others get two.
     private static double crowding(double rate) {
@@ -213,6 +227,9 @@
     private static Stream<Move> moves(
             View view, Map<ModelId, Integer> copies, ModelSpecification model) {
         double gain = gain(view, copies, model.model());
+        long loading = view.engines().values().stream().filter(EngineBook::loading).count();
+        boolean storeAllows =
+                view.storeAllows() && loading < MOST_LOADING_SHARE * view.engines().size();
         Set<Object> places =
                 view.engines().values().stream()
                         .filter(book -> book.has(model.model()))
@@ -222,7 +239,7 @@
                 .filter(engine -> engine.getValue().idle())
                 .filter(engine -> engine.getValue().successor().isEmpty())
                 .filter(engine -> !engine.getValue().has(model.model()))
-                .filter(engine -> view.storeAllows() || atHand(engine.getValue(), model.model()))
+                .filter(engine -> storeAllows || atHand(engine.getValue(), model.model()))
                 .flatMap(
                         engine -> {
                             EngineBook book = engine.getValue();
@@ -245,7 +262,8 @@
                                         view.quick().getOrDefault(model, 0.0)
                                                 / copies.getOrDefault(model, 1))
                         .sum();
-        return Math.max(LEAST_ROOM, 1 - load / ENGINE_RATE);
+        double fullness = book.fullness(view.specification().slots());
+        return Math.max(LEAST_ROOM, 1 - Math.max(load / ENGINE_RATE, fullness));
     }
 
     private static boolean atHand(EngineBook book, ModelId model) {
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -24,8 +24,8 @@
     /** Reports lag by some hundred milliseconds; an older one can't contradict an answer. */
     private static final long REPORT_LAG_MILLIS = 400;
 
-    /** An engine that was busy is tried again after this long. */
-    private static final long TRY_AGAIN_MILLIS = 150;
+    /** An engine that nothing is ordered of is asked this often how it fares. */
+    private static final long IDLE_REPORT_MILLIS = 1_000;
 
     private final DataCentreId dataCentre;
     private Optional<EngineReport> report = Optional.empty();
@@ -38,7 +38,8 @@
     private boolean busy;
     private boolean doubtful = true;
     private long orders;
-    private long triedAtMillis = Long.MIN_VALUE / 2;
+    private boolean successorTried;
+    private long reportedAtMillis = Long.MIN_VALUE / 2;
     private long acceptedAtMillis = Long.MIN_VALUE / 2;
 
     private EngineBook(DataCentreId dataCentre) {
@@ -77,6 +78,7 @@
         }
         boolean first = report.isEmpty();
         report = Optional.of(newer);
+        reportedAtMillis = askedAtMillis;
         firstSeenMillis.keySet().retainAll(newer.models().keySet());
         newer.models()
                 .keySet()
@@ -135,6 +137,7 @@
      */
     public void makingRoomFor(ModelId model) {
         successor = Optional.of(model);
+        successorTried = false;
     }
 
     /**
@@ -191,37 +194,35 @@
      * @return true when the engine should be asked
      */
     public boolean wantsReport(long nowMillis) {
+        boolean old = nowMillis - reportedAtMillis >= IDLE_REPORT_MILLIS;
         return sent.isEmpty()
-                && (doubtful || busy)
+                && (doubtful || busy || old)
                 && nowMillis - acceptedAtMillis >= REPORT_LAG_MILLIS;
     }
 
     /**
      * Returns whether the load that room was made for may be tried. An unload that nothing runs on
-     * is over at once, and waiting for a report that says so would cost more than an order that the
-     * engine does not take while it is busy.
+     * is over at once, so the load is tried once without waiting for a report that says so.
      *
-     * @param nowMillis the monotonic time
      * @return true when it may
      */
-    public boolean successorMayFollow(long nowMillis) {
+    public boolean successorMayFollow() {
         return successor.isPresent()
                 && sent.isEmpty()
                 && !doubtful
                 && arriving.isEmpty()
-                && nowMillis - triedAtMillis >= TRY_AGAIN_MILLIS;
+                && (!busy || !successorTried);
     }
 
     /**
      * The engine was still busy with making room.
      *
      * @param model the model that room is made for
-     * @param nowMillis the monotonic time
      */
-    public void successorNotTaken(ModelId model, long nowMillis) {
+    public void successorNotTaken(ModelId model) {
         sent = Optional.empty();
         successor = Optional.of(model);
-        triedAtMillis = nowMillis;
+        successorTried = true;
     }
 
     /**
@@ -242,6 +243,26 @@
         return busy;
     }
 
+    /**
+     * Returns how full the engine was when last heard of.
+     *
+     * @param slots requests that it runs at once
+     * @return 0 for idle, 1 for full, more when requests wait
+     */
+    public double fullness(int slots) {
+        return report.map(last -> (last.running() + last.waiting()) / (double) Math.max(1, slots))
+                .orElse(0.0);
+    }
+
+    /**
+     * Returns whether a model is being loaded.
+     *
+     * @return true when one is
+     */
+    public boolean loading() {
+        return arriving.isPresent();
+    }
+
     /**
      * Returns whether the state was ever reported.
      *
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineReport.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineReport.java
@@ -12,6 +12,8 @@
  *
  * @param orders how many orders it has accepted in this run
  * @param busy whether it is carrying out an order
+ * @param running requests that it runs
+ * @param waiting requests in its queue
  * @param models what it holds
  * @param coming adapters on their way to it
  * @param copiesInMemory models that it can load from main memory
@@ -20,6 +22,8 @@
 public record EngineReport(
         long orders,
         boolean busy,
+        int running,
+        int waiting,
         Map<ModelId, HeldModel> models,
         Set<ModelNeed> coming,
         Set<ModelId> copiesInMemory,
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
@@ -22,8 +22,8 @@
     /** What one request at a model engine adds to the time of the next, from its step time. */
     private static final double ENGINE_REQUEST_MILLIS = 4;
 
-    /** What a request in an engine's queue adds: the time until the batch has room for it. */
-    private static final double ENGINE_WAITING_MILLIS = 30;
+    /** What a request in an engine's queue adds: a full engine ends about ten a second. */
+    private static final double ENGINE_WAITING_MILLIS = 100;
 
     /** Prompt tokens that an engine reads in a millisecond, when it reads nothing else. */
     private static final double TOKENS_PER_MILLI = 19;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -118,14 +118,20 @@
             EngineSpecification engine,
             Map<TargetIncarnation, EngineBook> engines,
             LeaseDriver.Permit permit) {
-        Optional<CopyPlanner.Move> move = CopyPlanner.next(copyView(engine, engines));
-        Optional<EngineOrder> order =
-                move.map(CopyPlanner.Move::order)
-                        .or(() -> AdapterPlanner.next(adapterView(engine, engines)));
-        order.ifPresent(next -> give(entries.get(next.engine()), next, permit));
-        move.filter(chosen -> chosen.victim().isPresent())
-                .ifPresent(chosen -> books.get(chosen.engine()).makingRoomFor(chosen.model()));
-        return order.isPresent();
+        Optional<AdapterPlanner.Move> adapter = AdapterPlanner.next(adapterView(engine, engines));
+        if (adapter.filter(AdapterPlanner.Move::pressing).isPresent()) {
+            give(entries, adapter.get().order(), permit);
+            return true;
+        }
+        Optional<CopyPlanner.Move> copy = CopyPlanner.next(copyView(engine, engines));
+        if (copy.isPresent()) {
+            give(entries, copy.get().order(), permit);
+            copy.filter(chosen -> chosen.victim().isPresent())
+                    .ifPresent(chosen -> books.get(chosen.engine()).makingRoomFor(chosen.model()));
+            return true;
+        }
+        adapter.ifPresent(move -> give(entries, move.order(), permit));
+        return adapter.isPresent();
     }
 
     private CopyPlanner.View copyView(
@@ -175,7 +181,11 @@
         book.report(report.get(), askedAt);
     }
 
-    private void give(TargetEntry target, EngineOrder order, LeaseDriver.Permit permit) {
+    private void give(
+            Map<TargetIncarnation, TargetEntry> entries,
+            EngineOrder order,
+            LeaseDriver.Permit permit) {
+        TargetEntry target = entries.get(order.engine());
         EngineBook book = books.get(order.engine());
         long nowMillis = ControlThread.nowMillis();
         if (fromStore(book, order)) {
@@ -220,8 +230,10 @@
         }
         if (outcome == EngineOrders.Outcome.ACCEPTED) {
             book.accepted(ControlThread.nowMillis());
+            // The engine may take the next one at once; adapters come in rows of eight.
+            tick();
         } else if (outcome == EngineOrders.Outcome.NOT_TAKEN && book.busy() && order.load()) {
-            book.successorNotTaken(order.model(), ControlThread.nowMillis());
+            book.successorNotTaken(order.model());
         } else {
             book.unsettled();
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -41,6 +41,12 @@
     private static final double RETRY_AFTER_LEAST_SECONDS = 0.3;
     private static final double RETRY_AFTER_SPREAD_SECONDS = 0.7;
 
+    /** A caller with less of the route's time than this has been refused before. */
+    private static final double RETURNED = 0.97;
+
+    /** Newcomers are refused while this part of a caller's patience is taken up by waiting. */
+    private static final double NEWCOMERS_SHARE = 0.7;
+
     /** From the request for an adapter until it is loaded and known to be. */
     private static final long ADAPTER_MILLIS = 700;
 
@@ -159,7 +165,7 @@
     // late. Told at once, the caller can come back while it still has time.
     private void sendUnlessTooLate(TargetChooser.Choice choice) {
         boolean fresh = tried.isEmpty() && work.need().isPresent();
-        if (fresh && choice.firstPieceMillis() > patienceMillis()) {
+        if (fresh && choice.firstPieceMillis() > patienceMillis() * share()) {
             comeBackMillis = (long) choice.firstPieceMillis();
             refuseOrGiveUp("overloaded");
             return;
@@ -167,6 +173,14 @@
         send(choice.entry());
     }
 
+    // Callers that were refused before come back with less time than the route gives. They go
+    // before newcomers, who have yet to be refused once.
+    private double share() {
+        boolean returned =
+                facts.waitMillis().orElse(route.timeoutMillis()) < RETURNED * route.timeoutMillis();
+        return returned ? 1 : NEWCOMERS_SHARE;
+    }
+
     private long patienceMillis() {
         long waited = services.nowMillis() - arrivedMillis;
         return Math.min(Patience.millis(route) - waited, leftMillis());
--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -22,6 +22,7 @@
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -269,11 +270,22 @@
 
     private void fail(HttpFailure failure) {
         if (end()) {
-            connection.ifPresent(IoUtils::safeClose);
+            connection.ifPresent(Exchange::reset);
             listener.onFailure(failure);
         }
     }
 
+    // A server that has the request in its queue reads nothing and does not notice an orderly
+    // close; it would run the request for nobody. A reset is noticed at once.
+    private static void reset(ClientConnection open) {
+        try {
+            open.setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException closed) {
+            // It is closed already, which is what is wanted.
+        }
+        IoUtils.safeClose(open);
+    }
+
     private boolean end() {
         if (ended) {
             return false;
