Keep engines below the load at which they fall behind

Cause: an engine with most of its slots taken reads prompts for longer than it ends requests; its streams outlast their time.

--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -48,7 +48,7 @@
     /** What any copy is worth besides. */
     private static final double ANY_COPY_WORTH = 0.03;
 
-    /** What the only copy of a model is worth that was never asked for: demand moves on to such. */
+    /** What a copy of a model is worth that was never asked for: demand moves on to such. */
     private static final double NEW_COPY_WORTH = 0.5;
 
     /** The same for one that urgent requests asked for and then fell silent. */
@@ -211,7 +211,8 @@
             double slow = Math.max(quick, view.slow().getOrDefault(model, 0.0));
             return onlyCopyWorth(view.askedBy().apply(model)) + ONLY_COPY_WORTH * slow;
         }
-        return ANY_COPY_WORTH
+        boolean expected = view.askedBy().apply(model) == AskedBy.NOBODY;
+        return (expected ? NEW_COPY_WORTH : ANY_COPY_WORTH)
                 + DISTURBANCE_WORTH * quick / count
                 + crowding(quick) / (count * (count - 1.0));
     }
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
@@ -25,6 +25,15 @@
     /** What a request in an engine's queue adds: a full engine ends about ten a second. */
     private static final double ENGINE_WAITING_MILLIS = 100;
 
+    /**
+     * An engine with more of its slots taken than this gets more work than it ends: each prompt
+     * that it reads holds up all answers, until streams outlast their time.
+     */
+    private static final double EFFICIENT_SHARE = 0.6;
+
+    /** What each request beyond that adds. */
+    private static final double CROWD_MILLIS = 60;
+
     /** Prompt tokens that an engine reads in a millisecond, when it reads nothing else. */
     private static final double TOKENS_PER_MILLI = 19;
 
@@ -116,7 +125,7 @@
         TargetLoad load = loads.apply(entry.incarnation());
         double busy =
                 work.need().isPresent()
-                        ? engineMillis(work, load, nowMillis)
+                        ? engineMillis(work, load, entry.slots(), nowMillis)
                         : load.outstanding() * SERVICE_REQUEST_MILLIS;
         double distance = entry.dataCentre().equals(home) ? 0 : distanceMillis(work);
         double failing = load.failureShare(nowMillis) * FAILING_MILLIS;
@@ -127,13 +136,15 @@
         return work.need().isPresent() ? ENGINE_DISTANCE_MILLIS : SERVICE_DISTANCE_MILLIS;
     }
 
-    private static double engineMillis(Work work, TargetLoad load, long nowMillis) {
+    private static double engineMillis(Work work, TargetLoad load, int slots, long nowMillis) {
         int toRead = work.promptTokens() - load.keptTokens(scope(work), work.parts());
         double reading = (load.unreadTokens() + Math.max(0, toRead)) / TOKENS_PER_MILLI;
         // Tokens and counts do not show an engine whose memory is full or that is slow; that it
         // makes others wait does.
         double seen = load.waiting() == 0 ? 0 : load.firstPieceMillis(nowMillis);
+        double crowd = Math.max(0, load.outstanding() - EFFICIENT_SHARE * slots);
         return Math.max(reading + load.waiting() * ENGINE_WAITING_MILLIS, seen)
+                + crowd * CROWD_MILLIS
                 + load.outstanding() * ENGINE_REQUEST_MILLIS;
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -39,7 +39,9 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final double RETRY_AFTER_LEAST_SECONDS = 0.3;
-    private static final double RETRY_AFTER_SPREAD_SECONDS = 0.7;
+
+    /** Returns are spread over this part of what is left of the caller's time. */
+    private static final double RETRY_AFTER_SPREAD = 0.15;
 
     /** A caller with less of the route's time than this has been refused before. */
     private static final double RETURNED = 0.97;
@@ -137,7 +139,9 @@
         connection.onClosed(this::callerGone);
         CallerConnection.watch(exchange);
         services.allowance(work.service()).request(arrivedMillis);
-        facts.need().ifPresent(need -> services.demand().note(need, route));
+        if (!returned()) {
+            facts.need().ifPresent(need -> services.demand().note(need, route));
+        }
         endTimer = Optional.of(services.after(endsMillis - services.nowMillis(), this::timeIsUp));
         dispatch();
     }
@@ -176,9 +180,11 @@
     // Callers that were refused before come back with less time than the route gives. They go
     // before newcomers, who have yet to be refused once.
     private double share() {
-        boolean returned =
-                facts.waitMillis().orElse(route.timeoutMillis()) < RETURNED * route.timeoutMillis();
-        return returned ? 1 : NEWCOMERS_SHARE;
+        return returned() ? 1 : NEWCOMERS_SHARE;
+    }
+
+    private boolean returned() {
+        return facts.waitMillis().orElse(route.timeoutMillis()) < RETURNED * route.timeoutMillis();
     }
 
     private long patienceMillis() {
@@ -443,10 +449,14 @@
     private String retryAfter() {
         double seconds =
                 Math.max(RETRY_AFTER_LEAST_SECONDS, comeBackMillis / MILLIS_PER_SECOND)
-                        + RETRY_AFTER_SPREAD_SECONDS * services.draw();
+                        + spreadSeconds() * services.draw();
         return Double.toString(Math.round(seconds * MILLIS_PER_SECOND) / MILLIS_PER_SECOND);
     }
 
+    private double spreadSeconds() {
+        return RETRY_AFTER_SPREAD * leftMillis() / MILLIS_PER_SECOND;
+    }
+
     private static byte[] failureBody(ErrorCode code) {
         return ("{\"error\":\"" + code + "\",\"ran\":\"" + code.ran() + "\"}")
                 .getBytes(StandardCharsets.UTF_8);
