--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -0,0 +1,172 @@
+package org.tamaracktrack.core.copies;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.fleet.HeldModel;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.fleet.Targets;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.route.EngineSpecification;
+import org.tamaracktrack.core.route.ModelSpecification;
+
+/**
+ * The load pattern: few models get most requests, which ones changes within seconds, many are asked
+ * for rarely; an engine holds three.
+ */
+class CopyPlannerTest {
+    private static final long NOW = 100_000;
+    private static final double MODEL_MEGABYTES = 70;
+    private static final double ENGINE_MEGABYTES = 220;
+
+    private final Map<TargetIncarnation, EngineBook> engines = new LinkedHashMap<>();
+    private final Map<ModelId, Double> rates = new HashMap<>();
+    private final Map<ModelId, Integer> waiting = new HashMap<>();
+    private final Map<ModelId, AskedBy> askedBy = new HashMap<>();
+
+    private EngineBook engine(String name, List<String> atHand, String... models) {
+        EngineBook book = EngineBook.of(Targets.HOME);
+        List<HeldModel> held =
+                Arrays.stream(models)
+                        .map(model -> new HeldModel(ModelId.of(model), Set.of()))
+                        .collect(Collectors.toList());
+        Set<ModelId> onDisk =
+                Stream.concat(atHand.stream(), Arrays.stream(models))
+                        .map(ModelId::of)
+                        .collect(Collectors.toSet());
+        book.report(
+                new EngineReport(
+                        0, false, 0, 0, TargetEntry.byModel(held), Set.of(), Set.of(), onDisk),
+                0);
+        engines.put(new TargetIncarnation(TargetId.of(name), 0), book);
+        return book;
+    }
+
+    private Optional<CopyPlanner.Move> next() {
+        Map<ModelId, ModelSpecification> models =
+                Stream.of("hot", "warm", "rare", "other", "silent", "new")
+                        .map(ModelId::of)
+                        .collect(
+                                Collectors.toMap(
+                                        model -> model,
+                                        model ->
+                                                new ModelSpecification(
+                                                        model,
+                                                        MODEL_MEGABYTES,
+                                                        8_600,
+                                                        800,
+                                                        1_700,
+                                                        1,
+                                                        List.of())));
+        return CopyPlanner.next(
+                new CopyPlanner.View(
+                        new EngineSpecification(64, 134_000, ENGINE_MEGABYTES, 8, 1.4, models),
+                        engines,
+                        rates,
+                        rates,
+                        waiting,
+                        model -> askedBy.getOrDefault(model, AskedBy.URGENT),
+                        true,
+                        NOW));
+    }
+
+    private void rate(String model, double perSecond) {
+        rates.put(ModelId.of(model), perSecond);
+    }
+
+    @Nested
+    class Demand {
+
+        @Test
+        void shouldAddACopyOfTheBusiestModelWhenAnEngineHasOneAtHand() {
+            engine("one", List.of(), "hot", "warm", "other");
+            engine("two", List.of("hot"), "silent", "rare", "warm");
+            rate("hot", 15);
+            rate("warm", 3);
+            rate("rare", 0.2);
+
+            CopyPlanner.Move move = next().orElseThrow();
+
+            assertThat(move.model()).isEqualTo(ModelId.of("hot"));
+            assertThat(move.engine().target()).isEqualTo(TargetId.of("two"));
+            assertThat(move.victim()).isEqualTo(Optional.of(ModelId.of("silent")));
+            assertThat(move.order().load()).isFalse();
+        }
+
+        @Test
+        void shouldMoveNothingWhenDemandIsEven() {
+            engine("one", List.of(), "hot", "warm", "other");
+            engine("two", List.of("hot"), "silent", "rare", "new");
+            rate("hot", 1);
+            rate("warm", 1);
+            rate("rare", 1);
+
+            assertThat(next()).isEmpty();
+        }
+
+        // Room is made on one engine. Planned anew before it is there, every engine would make
+        // room for the same model and all others would be gone.
+        @Test
+        void shouldCountAModelAsComingWhenRoomIsMadeForIt() {
+            EngineBook one = engine("one", List.of("rare"), "hot", "other", "silent");
+            engine("two", List.of("rare"), "hot", "other", "silent");
+            waiting.put(ModelId.of("rare"), 1);
+            CopyPlanner.Move first = next().orElseThrow();
+            EngineBook chosen = engines.get(first.engine());
+            chosen.sending(first.order());
+            chosen.makingRoomFor(first.model());
+
+            assertThat(next().filter(move -> move.model().equals(ModelId.of("rare")))).isEmpty();
+            assertThat(one).isNotNull();
+        }
+
+        // Requests that can wait ask for one rare model after the other. They must displace each
+        // other, not the models to which demand moves next.
+        @Test
+        void shouldDisplaceAPatientModelBeforeOneThatWasNeverAskedFor() {
+            engine("one", List.of("rare"), "new", "other", "hot");
+            askedBy.put(ModelId.of("new"), AskedBy.NOBODY);
+            askedBy.put(ModelId.of("other"), AskedBy.PATIENT);
+            waiting.put(ModelId.of("rare"), 1);
+            rate("hot", 2);
+
+            assertThat(next().orElseThrow().victim()).isEqualTo(Optional.of(ModelId.of("other")));
+        }
+
+        @Test
+        void shouldBringUpAModelThatNoEngineHasAtHandWhenItIsCalm() {
+            engine("one", List.of("hot", "warm", "rare", "other", "new"), "hot", "warm");
+            askedBy.put(ModelId.of("silent"), AskedBy.NOBODY);
+
+            assertThat(next().orElseThrow().model()).isEqualTo(ModelId.of("silent"));
+        }
+    }
+
+    @Nested
+    class Memory {
+
+        // The configuration drops a model that an engine still holds. Counted as nothing, the
+        // engine would be ordered to hold more than it can, and crash.
+        @Test
+        void shouldNotLoadBesideAModelThatIsNotConfigured() {
+            engine("one", List.of("hot"), "dropped");
+            rate("hot", 15);
+
+            Optional<CopyPlanner.Move> move = next();
+
+            assertThat(move.filter(chosen -> chosen.victim().isEmpty())).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/copies/EngineBookTest.java
@@ -0,0 +1,124 @@
+package org.tamaracktrack.core.copies;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.fleet.HeldModel;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.fleet.Targets;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.TargetId;
+
+class EngineBookTest {
+    private static final TargetIncarnation ENGINE = new TargetIncarnation(TargetId.of("engine"), 0);
+    private static final ModelId HELD = ModelId.of("held");
+    private static final ModelId NEXT = ModelId.of("next");
+
+    private final EngineBook book = EngineBook.of(Targets.HOME);
+
+    private static EngineReport report(long orders, boolean busy, ModelId... models) {
+        Map<ModelId, HeldModel> held = new java.util.HashMap<>();
+        for (ModelId model : models) {
+            held.put(model, new HeldModel(model, Set.of()));
+        }
+        return new EngineReport(orders, busy, 0, 0, held, Set.of(), Set.of(), Set.of());
+    }
+
+    private static EngineOrder order(boolean load, ModelId model) {
+        return new EngineOrder(ENGINE, load, model, Optional.empty());
+    }
+
+    @BeforeEach
+    void begin() {
+        book.report(report(4, false, HELD), 0);
+    }
+
+    @Nested
+    class Orders {
+
+        @Test
+        void shouldNameTheOrdersAcceptedBeforeWhenOrdersFollowEachOther() {
+            EngineOrder first =
+                    new EngineOrder(ENGINE, true, HELD, Optional.of(AdapterId.of("a1")));
+            assertThat(book.sending(first)).isEqualTo(4);
+            book.accepted(10);
+
+            assertThat(book.sending(first)).isEqualTo(5);
+        }
+
+        // An order is sent and no answer comes. It may still be carried out, so nothing more is
+        // ordered until a report tells what became of it.
+        @Test
+        void shouldNotBeIdleWhenAnOrderIsUnanswered() {
+            book.sending(order(true, NEXT));
+            book.unsettled();
+
+            assertThat(book.idle()).isFalse();
+            assertThat(book.wantsReport(1_000)).isTrue();
+            book.report(report(5, true, HELD), 1_000);
+            assertThat(book.idle()).isFalse();
+            book.report(report(5, false, HELD, NEXT), 2_000);
+            assertThat(book.idle()).isTrue();
+        }
+
+        // A report that was under way when an order was accepted shows the time before. Believed,
+        // the engine would look idle and the next order would name too small a count.
+        @Test
+        void shouldIgnoreAReportThatIsOlderThanTheLastOrder() {
+            book.sending(order(true, NEXT));
+            book.accepted(1_000);
+
+            book.report(report(4, false, HELD), 1_100);
+
+            assertThat(book.idle()).isFalse();
+            assertThat(book.has(NEXT)).isTrue();
+        }
+    }
+
+    @Nested
+    class Room {
+
+        @Test
+        void shouldLoadTheSuccessorOnceTheUnloadWasAccepted() {
+            book.sending(order(false, HELD));
+            book.makingRoomFor(NEXT);
+            assertThat(book.successorMayFollow()).isFalse();
+
+            book.accepted(10);
+
+            assertThat(book.successorMayFollow()).isTrue();
+            assertThat(book.has(NEXT)).isTrue();
+        }
+
+        // Requests still run on the model that makes room. The load is tried once, and again only
+        // when a report shows that the engine is done.
+        @Test
+        void shouldWaitForAReportWhenTheEngineIsStillBusy() {
+            book.sending(order(false, HELD));
+            book.makingRoomFor(NEXT);
+            book.accepted(10);
+            book.sending(order(true, NEXT));
+            book.successorNotTaken(NEXT);
+
+            assertThat(book.successorMayFollow()).isFalse();
+            book.report(report(5, false), 1_000);
+            assertThat(book.successorMayFollow()).isTrue();
+        }
+
+        @Test
+        void shouldForgetTheSuccessorWhenRoomCouldNotBeMade() {
+            book.sending(order(false, HELD));
+            book.makingRoomFor(NEXT);
+
+            book.unsettled();
+
+            assertThat(book.has(NEXT)).isFalse();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/copies/StorePaceTest.java
@@ -0,0 +1,33 @@
+package org.tamaracktrack.core.copies;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+
+class StorePaceTest {
+
+    @Property(seed = "95", tries = 50)
+    void shouldKeepEveryWindowWithinTheStoresRate(
+            @ForAll @DoubleRange(min = 0.5, max = 8) double rate) {
+        StorePace pace = StorePace.empty();
+        List<Long> begun = new ArrayList<>();
+
+        for (long now = 0; now < 30_000; now += 50) {
+            if (pace.allows(rate, now)) {
+                pace.begin(now);
+                begun.add(now);
+            }
+        }
+
+        for (long from = 0; from < 25_000; from += 50) {
+            long start = from;
+            long inWindow = begun.stream().filter(at -> at >= start && at < start + 5_000).count();
+            assertThat((double) inWindow).isAtMost(rate * 5);
+        }
+        assertThat(begun).isNotEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
@@ -0,0 +1,167 @@
+package org.tamaracktrack.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.dispatch.FailureRule.History;
+import org.tamaracktrack.core.dispatch.FailureRule.Next;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.route.Route;
+import org.tamaracktrack.core.route.RouteKind;
+import org.tamaracktrack.core.route.WeightedService;
+
+class FailureRuleTest {
+    private static final long ENOUGH_MILLIS = 1_000;
+
+    private final RetryAllowance plenty = RetryAllowance.of(0, 10_000, 100);
+    private final RetryAllowance none = RetryAllowance.of(0, 10_000, 0);
+
+    private static Route route(RouteKind kind, boolean resumable, int attempts) {
+        return new Route(
+                "route",
+                "host",
+                "/",
+                kind,
+                resumable,
+                10_000,
+                100,
+                0,
+                attempts,
+                List.of(new WeightedService(ServiceId.of("service"), 1)));
+    }
+
+    private Next next(Route route, AttemptEnd end, History history) {
+        return FailureRule.next(route, end, history, ENOUGH_MILLIS, plenty, 0);
+    }
+
+    @Nested
+    class NonIdempotent {
+        private final Route order = route(RouteKind.NON_IDEMPOTENT, false, 3);
+
+        // An order is sent and its connection breaks without an answer. It may have run: sent
+        // again it would be doubled, and "not run" would be untrue.
+        @Test
+        void shouldSayTheOutcomeIsUnknownWhenAnAttemptWasLost() {
+            assertThat(next(order, AttemptEnd.LOST, new History(0, 0, 1, false)))
+                    .isEqualTo(Next.UNKNOWN);
+            assertThat(next(order, AttemptEnd.CUT, new History(0, 0, 1, false)))
+                    .isEqualTo(Next.UNKNOWN);
+        }
+
+        // Every sequence of ends: once it may have run, it never goes out again and is never
+        // called refused.
+        @Test
+        void shouldNeverRepeatNorRefuseWhenItMayHaveRun() {
+            Arrays.stream(AttemptEnd.values())
+                    .forEach(
+                            end -> {
+                                Next next = next(order, end, new History(1, 1, 1, false));
+                                assertWithMessage("after %s", end)
+                                        .that(next)
+                                        .isNotEqualTo(Next.AGAIN);
+                                assertWithMessage("after %s", end)
+                                        .that(next)
+                                        .isNotEqualTo(Next.REFUSE);
+                            });
+        }
+
+        @Test
+        void shouldGoElsewhereWhenTheTargetSaysItDidNotRun() {
+            assertThat(next(order, AttemptEnd.REFUSED, new History(0, 1, 0, false)))
+                    .isEqualTo(Next.AGAIN);
+            assertThat(next(order, AttemptEnd.NOT_SENT, new History(1, 0, 0, false)))
+                    .isEqualTo(Next.AGAIN);
+        }
+
+        @Test
+        void shouldPassTheTargetsFailureOnWhenItRan() {
+            assertThat(next(order, AttemptEnd.FAILED, new History(0, 0, 1, false)))
+                    .isEqualTo(Next.PASS_ON);
+        }
+    }
+
+    @Nested
+    class Idempotent {
+        private final Route lookup = route(RouteKind.IDEMPOTENT, false, 2);
+
+        @Test
+        void shouldRepeatUpToTheRoutesAttemptsWhenLost() {
+            assertThat(next(lookup, AttemptEnd.LOST, new History(0, 0, 1, false)))
+                    .isEqualTo(Next.AGAIN);
+            assertThat(next(lookup, AttemptEnd.LOST, new History(0, 0, 2, false)))
+                    .isEqualTo(Next.UNKNOWN);
+        }
+
+        // A first attempt is lost and the second is refused. The first may have run, so "not run"
+        // would be untrue.
+        @Test
+        void shouldNotCallItRefusedWhenAnEarlierAttemptWasLost() {
+            Next next =
+                    FailureRule.next(
+                            lookup,
+                            AttemptEnd.REFUSED,
+                            new History(0, 1, 1, false),
+                            ENOUGH_MILLIS,
+                            none,
+                            0);
+
+            assertThat(next).isEqualTo(Next.UNKNOWN);
+        }
+
+        // All targets refuse. With the shared allowance used up, repeats would multiply the load.
+        @Test
+        void shouldRefuseWhenTheAllowanceIsUsedUp() {
+            Next next =
+                    FailureRule.next(
+                            lookup,
+                            AttemptEnd.REFUSED,
+                            new History(0, 1, 0, false),
+                            ENOUGH_MILLIS,
+                            none,
+                            0);
+
+            assertThat(next).isEqualTo(Next.REFUSE);
+        }
+    }
+
+    @Nested
+    class Streams {
+
+        // A stream breaks off after events went to the caller. Where it can't be resumed, an
+        // orderly end would make a part look whole.
+        @Test
+        void shouldBreakOffWhenAStreamCannotBeResumed() {
+            Route stream = route(RouteKind.STREAMING, false, 2);
+
+            assertThat(next(stream, AttemptEnd.CUT, new History(0, 0, 1, true)))
+                    .isEqualTo(Next.BREAK);
+        }
+
+        @Test
+        void shouldGoOnElsewhereWhenAStreamCanBeResumed() {
+            Route stream = route(RouteKind.STREAMING, true, 2);
+
+            assertThat(next(stream, AttemptEnd.CUT, new History(0, 0, 1, true)))
+                    .isEqualTo(Next.AGAIN);
+        }
+
+        @Test
+        void shouldGiveUpWhenTooLittleTimeIsLeft() {
+            Route stream = route(RouteKind.STREAMING, true, 2);
+
+            assertThat(
+                            FailureRule.next(
+                                    stream,
+                                    AttemptEnd.CUT,
+                                    new History(0, 0, 1, true),
+                                    5,
+                                    plenty,
+                                    0))
+                    .isEqualTo(Next.BREAK);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
@@ -0,0 +1,107 @@
+package org.tamaracktrack.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.fleet.Targets;
+import org.tamaracktrack.core.id.TargetId;
+
+class TargetChooserTest {
+    private static final long NOW = 10_000;
+
+    private final TargetChooser chooser = TargetChooser.of(Targets.HOME);
+    private final Map<TargetIncarnation, TargetLoad> loads = new HashMap<>();
+    private final Fleet fleet =
+            Targets.fleet(
+                    Targets.engine("near", Targets.HOME, "model"),
+                    Targets.engine("far", Targets.AWAY, "model"),
+                    Targets.engine("without", Targets.HOME, "other"));
+
+    private TargetLoad load(String target) {
+        return loads.computeIfAbsent(
+                new TargetIncarnation(TargetId.of(target), 0), name -> new TargetLoad());
+    }
+
+    private static Work work(PromptPart... parts) {
+        return new Work(
+                Targets.ENGINES, Optional.of(Targets.need("model")), 1_460, 172, List.of(parts));
+    }
+
+    private Optional<String> choose(Work work, List<TargetId> tried) {
+        return chooser.choose(
+                        work,
+                        fleet,
+                        name -> loads.computeIfAbsent(name, any -> new TargetLoad()),
+                        tried,
+                        NOW,
+                        () -> 0)
+                .map(choice -> choice.entry().incarnation().target().value());
+    }
+
+    @Nested
+    class Calm {
+
+        @Test
+        void shouldStayInTheOwnDataCentreWhenNeitherIsBusy() {
+            assertThat(choose(work(), List.of())).hasValue("near");
+        }
+
+        @Test
+        void shouldChooseNobodyWhenEveryHolderHasHadTheRequest() {
+            assertThat(choose(work(), List.of(TargetId.of("near"), TargetId.of("far")))).isEmpty();
+        }
+    }
+
+    @Nested
+    class Busy {
+
+        // Requests come faster than one engine reads prompts. The far engine is idle; staying near
+        // would make every request late.
+        @Test
+        void shouldGoToTheOtherDataCentreWhenPromptsPileUp() {
+            load("near").started(3_000, NOW);
+
+            assertThat(choose(work(), List.of())).hasValue("far");
+        }
+
+        @Test
+        void shouldGoWhereThePromptWasReadWhenLoadsAreEqual() {
+            PromptPart shared = new PromptPart("part", 1_460);
+            load("far").remember("model", List.of(shared));
+            load("near").started(1_000, NOW);
+
+            assertThat(choose(work(shared), List.of())).hasValue("far");
+        }
+
+        // An engine fails part of its requests though its health is good, and so looks idle.
+        @Test
+        void shouldAvoidATargetWhenItsAnswersFail() {
+            for (int count = 0; count < 3; count++) {
+                load("near").answered(true, NOW);
+            }
+
+            assertThat(choose(work(), List.of())).hasValue("far");
+        }
+
+        @Test
+        void shouldTryATargetAgainWhenItsFailuresAreOld() {
+            load("near").answered(true, NOW - 60_000);
+
+            assertThat(choose(work(), List.of())).hasValue("near");
+        }
+
+        @Test
+        void shouldAvoidATargetWhenItCouldNotBeReached() {
+            load("near").unreachable(NOW - 10);
+
+            assertThat(choose(work(), List.of())).hasValue("far");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -0,0 +1,111 @@
+package org.tamaracktrack.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.id.TargetId;
+
+class FleetRegisterTest {
+    private static final TargetId ONE = TargetId.of("one");
+    private static final long RETURNED_AFTER = 2_250;
+
+    private final FleetRegister register = FleetRegister.empty();
+
+    private boolean known() {
+        return register.fleet().entry(ONE).isPresent();
+    }
+
+    @Nested
+    class Entries {
+
+        // A target crashes and starts again under its name. The entry of its first run is
+        // delivered after that of the second. Requests would go to models that are gone.
+        @Test
+        void shouldKeepTheLaterRunWhenAnEntryOfAnEarlierOneComesLate() {
+            register.accept(Targets.entry("one", 200, 1, false, Targets.HOME));
+
+            register.accept(Targets.entry("one", 100, 9, false, Targets.HOME, "model"));
+
+            assertThat(register.entry(ONE).orElseThrow().incarnation().startedAtMillis())
+                    .isEqualTo(200);
+        }
+
+        // A target says that it leaves, and an older entry that calls it ready is read again after
+        // records were forgotten. It must not get new work.
+        @Test
+        void shouldStayLeavingWhenAnOlderEntrySaysReady() {
+            register.accept(Targets.entry("one", 100, 5, true, Targets.HOME));
+
+            register.accept(Targets.entry("one", 100, 5, false, Targets.HOME));
+            register.accept(Targets.entry("one", 100, 4, false, Targets.HOME));
+
+            assertThat(register.entry(ONE).orElseThrow().leaving()).isTrue();
+        }
+
+        @Test
+        void shouldTakeTheNewRunWhenATargetThatLeftStartsAgain() {
+            register.accept(Targets.entry("one", 100, 5, true, Targets.HOME));
+
+            register.accept(Targets.entry("one", 200, 1, false, Targets.HOME));
+
+            assertThat(register.entry(ONE).orElseThrow().leaving()).isFalse();
+        }
+    }
+
+    @Nested
+    class Removal {
+
+        @Test
+        void shouldForgetAtOnceWhenTheRegistryIsCalm() {
+            register.accept(Targets.engine("one", Targets.HOME));
+
+            register.removed(ONE, 10_000);
+
+            assertThat(known()).isFalse();
+        }
+
+        // The registry is away and entries lapse. Its return brings their removals first and the
+        // entries of targets that live a second later. Callers would be refused meanwhile.
+        @Test
+        void shouldKeepALapsedTargetWhenItWritesItselfAgainInTime() {
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+
+            register.removed(ONE, 10_010);
+            register.expire(10_010 + RETURNED_AFTER - 1);
+            assertThat(known()).isTrue();
+            register.accept(Targets.entry("one", 0, 2, false, Targets.HOME));
+            register.expire(20_000);
+
+            assertThat(known()).isTrue();
+        }
+
+        // As before, but the target died during the outage: it must not get work for ever.
+        @Test
+        void shouldForgetALapsedTargetWhenItDoesNotComeBack() {
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+
+            register.removed(ONE, 10_010);
+            register.expire(10_010 + RETURNED_AFTER);
+
+            assertThat(known()).isFalse();
+        }
+
+        // Records were forgotten while this process did not read, among them a removal. The
+        // listing lacks the target.
+        @Test
+        void shouldForgetATargetWhenAListingLacksIt() {
+            register.accept(Targets.engine("one", Targets.HOME));
+
+            register.listed(Set.of(), 10_000);
+            register.expire(10_000 + RETURNED_AFTER);
+
+            assertThat(known()).isFalse();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/Targets.java
@@ -0,0 +1,60 @@
+package org.tamaracktrack.core.fleet;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.TargetId;
+
+/** Registry entries for tests. */
+public final class Targets {
+    public static final ServiceId ENGINES = ServiceId.of("engines");
+    public static final DataCentreId HOME = DataCentreId.of("home");
+    public static final DataCentreId AWAY = DataCentreId.of("away");
+
+    private Targets() {}
+
+    public static TargetEntry engine(String name, DataCentreId place, String... models) {
+        return entry(name, 0, 1, false, place, models);
+    }
+
+    public static TargetEntry entry(
+            String name,
+            long started,
+            long revision,
+            boolean leaving,
+            DataCentreId place,
+            String... models) {
+        return new TargetEntry(
+                new TargetIncarnation(TargetId.of(name), started),
+                ENGINES,
+                new TargetAddress("10.0.0.1", 80),
+                place,
+                64,
+                leaving,
+                revision,
+                TargetEntry.byModel(
+                        Arrays.stream(models)
+                                .map(model -> new HeldModel(ModelId.of(model), Set.of()))
+                                .collect(Collectors.toList())),
+                Set.of(),
+                Set.of());
+    }
+
+    public static Fleet fleet(TargetEntry... entries) {
+        Map<TargetId, TargetEntry> byTarget =
+                Arrays.stream(entries)
+                        .collect(
+                                Collectors.toMap(
+                                        entry -> entry.incarnation().target(), entry -> entry));
+        return Fleet.of(byTarget);
+    }
+
+    public static ModelNeed need(String model) {
+        return new ModelNeed(ModelId.of(model), Optional.empty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
@@ -0,0 +1,201 @@
+package org.tamaracktrack.core.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.tamaracktrack.core.lease.ConditionalLease.Append;
+import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
+import org.tamaracktrack.core.lease.ConditionalLease.Terms;
+
+/** Processes that compete for a lease in a log, with freezes, lost answers and late appends. */
+final class ConditionalLeaseScenario {
+    private static final int PROCESSES = 4;
+    private static final long STEP_MILLIS = 20;
+    private static final long WATCH_MILLIS = 700;
+
+    private final Random random;
+    private final List<LeaseRecord> log = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>((one, other) -> Long.compare(one.atMillis, other.atMillis));
+    private long nowMillis;
+    private long awayUntilMillis;
+    private boolean calm;
+
+    private ConditionalLeaseScenario(Random random, Terms terms) {
+        this.random = random;
+        for (int number = 0; number < PROCESSES; number++) {
+            processes.add(new Process("process-" + number, terms));
+        }
+    }
+
+    static ConditionalLeaseScenario of(long seed, Terms terms) {
+        return new ConditionalLeaseScenario(new Random(seed), terms);
+    }
+
+    /** A moment at which a process believed that it may give orders. */
+    record Act(String process, long term, long atMillis) {}
+
+    private record Event(long atMillis, Runnable task) {}
+
+    private final class Process {
+        private final String name;
+        private final ConditionalLease lease;
+        private final FreezeDetector freezes = FreezeDetector.of(0, 0);
+        private long frozenMillis;
+        private long frozenUntilMillis;
+        private long nextWatchMillis;
+        private boolean calling;
+
+        Process(String name, Terms terms) {
+            this.name = name;
+            this.lease = ConditionalLease.of(name, terms);
+        }
+
+        long steady() {
+            return nowMillis - frozenMillis;
+        }
+
+        boolean frozen() {
+            return nowMillis < frozenUntilMillis;
+        }
+
+        Optional<Act> step() {
+            if (frozen()) {
+                frozenMillis += STEP_MILLIS;
+                return Optional.empty();
+            }
+            if (freezes.froze(steady(), nowMillis)) {
+                lease.distrust();
+            }
+            if (!calling) {
+                call();
+            }
+            OptionalLong term = lease.term(steady());
+            return term.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new Act(name, term.getAsLong(), nowMillis));
+        }
+
+        private void call() {
+            if (lease.mustRead() || !lease.holds(steady()) && steady() >= nextWatchMillis) {
+                nextWatchMillis = steady() + WATCH_MILLIS;
+                read();
+                return;
+            }
+            lease.tick(steady()).ifPresent(this::append);
+        }
+
+        private void read() {
+            calling = true;
+            after(latency(), this::readAtLog);
+        }
+
+        private void readAtLog() {
+            if (nowMillis < awayUntilMillis) {
+                answer(() -> {});
+                return;
+            }
+            int from = (int) lease.readFrom();
+            List<LeaseRecord> records = List.copyOf(log.subList(from, log.size()));
+            answer(
+                    () -> {
+                        long offset = from;
+                        for (LeaseRecord content : records) {
+                            lease.read(offset++, content, steady());
+                        }
+                        lease.readAll(steady());
+                    });
+        }
+
+        private void append(Append append) {
+            calling = true;
+            boolean late = !calm && random.nextInt(12) == 0;
+            boolean lost = late || !calm && random.nextInt(12) == 0;
+            after(
+                    latency() + (late ? 1_000 + random.nextInt(5_000) : 0),
+                    () -> write(append, lost));
+            if (lost) {
+                after(1_500, () -> answer(lease::unanswered));
+            }
+        }
+
+        private void write(Append append, boolean lost) {
+            if (nowMillis < awayUntilMillis) {
+                answerUnless(lost, lease::refused);
+            } else if (log.size() != append.expectedEnd()) {
+                answerUnless(lost, lease::conflict);
+            } else {
+                log.add(append.content());
+                long offset = log.size() - 1;
+                answerUnless(lost, () -> lease.appended(offset, steady()));
+            }
+        }
+
+        private void answerUnless(boolean lost, Runnable task) {
+            if (!lost) {
+                answer(task);
+            }
+        }
+
+        private void answer(Runnable task) {
+            after(
+                    latency(),
+                    () -> {
+                        if (frozen()) {
+                            events.add(new Event(frozenUntilMillis, () -> answer(task)));
+                            return;
+                        }
+                        if (freezes.froze(steady(), nowMillis)) {
+                            lease.distrust();
+                        }
+                        calling = false;
+                        task.run();
+                    });
+        }
+    }
+
+    private void after(long delayMillis, Runnable task) {
+        events.add(new Event(nowMillis + delayMillis, task));
+    }
+
+    private long latency() {
+        return calm || random.nextInt(10) > 0 ? 2 + random.nextInt(5) : random.nextInt(400);
+    }
+
+    /** Ends the failures. */
+    void calm() {
+        calm = true;
+        awayUntilMillis = 0;
+    }
+
+    List<Act> run(long millis) {
+        List<Act> acts = new ArrayList<>();
+        long until = nowMillis + millis;
+        while (nowMillis < until) {
+            nowMillis += STEP_MILLIS;
+            fail();
+            while (!events.isEmpty() && events.peek().atMillis <= nowMillis) {
+                events.poll().task.run();
+            }
+            processes.forEach(process -> process.step().ifPresent(acts::add));
+        }
+        return acts;
+    }
+
+    private void fail() {
+        if (calm) {
+            return;
+        }
+        if (random.nextInt(500) == 0) {
+            awayUntilMillis = nowMillis + random.nextInt(6_000);
+        }
+        if (random.nextInt(300) == 0) {
+            Process victim = processes.get(random.nextInt(PROCESSES));
+            victim.frozenUntilMillis = nowMillis + 200 + random.nextInt(7_000);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
@@ -0,0 +1,113 @@
+package org.tamaracktrack.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
+import org.tamaracktrack.core.lease.ConditionalLease.Terms;
+import org.tamaracktrack.core.lease.ConditionalLeaseScenario.Act;
+
+class ConditionalLeaseTest {
+    private static final Terms TERMS = new Terms(1_300, 450, 3_200, 100);
+
+    @Nested
+    class Histories {
+
+        // Four daemons give orders to the same engines. They freeze for seconds, appends take
+        // effect without an answer or seconds late, the log is away. Two that give orders within
+        // three seconds of each other may load more than an engine holds.
+        @Property(seed = "91", tries = 150)
+        void shouldLeaveAPauseBetweenTwoHoldersWhateverFails(
+                @ForAll @LongRange(max = 1_000_000) long seed) {
+            List<Act> acts = ConditionalLeaseScenario.of(seed, TERMS).run(90_000);
+
+            Act before = null;
+            for (Act act : acts) {
+                if (before != null && !before.process().equals(act.process())) {
+                    assertWithMessage("%s then %s", before, act)
+                            .that(act.atMillis() - before.atMillis())
+                            .isAtLeast(3_000);
+                    assertThat(act.term()).isGreaterThan(before.term());
+                }
+                before = act;
+            }
+        }
+
+        // After any such history the failures end. Without a holder no model would ever be moved
+        // again.
+        @Property(seed = "92", tries = 60)
+        void shouldHaveAHolderWhenFailuresEnd(@ForAll @LongRange(max = 1_000_000) long seed) {
+            ConditionalLeaseScenario scenario = ConditionalLeaseScenario.of(seed, TERMS);
+            scenario.run(30_000);
+            scenario.calm();
+
+            List<Act> acts = scenario.run(15_000);
+
+            assertThat(acts).isNotEmpty();
+        }
+    }
+
+    @Nested
+    class Claims {
+        private final ConditionalLease lease = ConditionalLease.of("self", TERMS);
+
+        @Test
+        void shouldActAtOnceWhenNobodyEverHeld() {
+            lease.readAll(1_000);
+            ConditionalLease.Append claim = lease.tick(1_000).orElseThrow();
+
+            lease.appended(claim.expectedEnd(), 1_004);
+
+            assertThat(lease.term(1_005)).hasValue(0);
+        }
+
+        @Test
+        void shouldWaitForThePauseWhenTheHolderBeforeGaveItUp() {
+            lease.read(0, new LeaseRecord("other", 0, true, false, 1), 1_000);
+            lease.read(1, new LeaseRecord("other", 0, false, true, 2), 2_000);
+            lease.readAll(2_000);
+            ConditionalLease.Append claim = lease.tick(2_200).orElseThrow();
+            lease.appended(claim.expectedEnd(), 2_204);
+
+            assertThat(lease.term(2_300)).isEmpty();
+            assertThat(lease.holds(2_300)).isTrue();
+        }
+
+        @Test
+        void shouldNotClaimWhileTheHolderRenews() {
+            lease.read(0, new LeaseRecord("other", 0, true, false, 1), 1_000);
+            lease.readAll(1_000);
+
+            assertThat(lease.tick(2_000)).isEmpty();
+        }
+
+        // The record of the holder was forgotten before it was read; it may still act by it.
+        @Test
+        void shouldWaitWhenRecordsWereForgotten() {
+            lease.skipped(40, 1_000);
+            lease.readAll(1_000);
+
+            assertThat(lease.tick(2_000)).isEmpty();
+            assertThat(lease.tick(2_500)).isPresent();
+        }
+
+        // The process is frozen past its lease; its steady clock shows nothing of it. The renewal
+        // that it has sent is answered right after. Another process may have begun meanwhile.
+        @Test
+        void shouldNotActWhenAFreezeWasNoticed() {
+            lease.readAll(1_000);
+            ConditionalLease.Append claim = lease.tick(1_000).orElseThrow();
+            lease.appended(claim.expectedEnd(), 1_004);
+
+            lease.distrust();
+
+            assertThat(lease.term(1_010)).isEmpty();
+        }
+    }
+}
