Reset the connection to a target when its request is cancelled

Cause: closed in order, Undertow's client connection waits for the answer of the request under way, so a target never learned that the caller had left and ran the request to its end. Ruled out: the caller's close going unnoticed (it was logged within 4 ms); a linger option set through Undertow's connection, which does not reach the socket before the answer. The test that waits for the target to see the close failed before and passes now.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -175,6 +175,24 @@
         exchange.endExchange();
     }
 
+    /**
+     * Returns where callers reach the gateway.
+     *
+     * @return IP number and port
+     */
+    public InetSocketAddress callersAddress() {
+        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    }
+
+    /**
+     * Returns where the readiness check is answered.
+     *
+     * @return IP number and port
+     */
+    public InetSocketAddress readinessAddress() {
+        return (InetSocketAddress) server.getListenerInfo().get(1).getAddress();
+    }
+
     /**
      * Puts a configuration in force for requests that arrive from now on.
      *
--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -23,6 +23,7 @@
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -275,15 +276,17 @@
         }
     }
 
-    // A server that has the request in its queue reads nothing and does not notice an orderly
-    // close; it would run the request for nobody. A reset is noticed at once.
+    // Closed in order, Undertow's connection first waits for the answer of a request under way, and
+    // the server runs it for nobody. Taken out of Undertow's hands, the connection can be reset,
+    // which the server notices at once.
     private static void reset(ClientConnection open) {
         try {
-            open.setOption(Options.CLOSE_ABORT, true);
+            StreamConnection raw = open.performUpgrade();
+            raw.setOption(Options.CLOSE_ABORT, true);
+            IoUtils.safeClose(raw);
         } catch (IOException closed) {
-            // It is closed already, which is what is wanted.
+            IoUtils.safeClose(open);
         }
-        IoUtils.safeClose(open);
     }
 
     private boolean end() {
