--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the program for the platform and the archive of its classes, all under target/.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+mvn -q -B -ntp -T2 -DskipTests -Dspotless.check.skip=true -Dcheckstyle.skip=true -pl platform -am package
+mkdir -p target
+cp platform/target/tamaracktrack-platform-0.1.0-SNAPSHOT-all.jar target/tamaracktrack.jar
+rm -f target/tamaracktrack.jsa
+java -cp "platform/target/test-classes:target/tamaracktrack.jar" \
+    org.tamaracktrack.platform.ArchiveTraining target/tamaracktrack.jar target/tamaracktrack.jsa
+test -s target/tamaracktrack.jsa
