Notice targets that fall silent without a reset

What may be repeated now goes elsewhere after a second without a word from the target on any connection; what may not is given up once the registry has dropped the target too.

--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -33,8 +33,8 @@
 
     /**
      * The part of it that counts if only requests ask that can wait for seconds. Counted in full,
-     * rarely asked models took every free engine, and a model with twenty requests a
-     * second stayed on two of eight engines for ten seconds.
+     * rarely asked models took every free engine, and a model with twenty requests a second stayed
+     * on two of eight engines for ten seconds.
      */
     private static final double PATIENT_SHARE = 0.4;
 
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -42,6 +42,7 @@
     private int ownAtReport;
     private int unread;
     private long unreachableUntilMillis = Long.MIN_VALUE;
+    private long heardAtMillis = Long.MIN_VALUE / 2;
 
     /**
      * A request is sent to the target.
@@ -133,6 +134,25 @@
         failures.note(true, nowMillis);
     }
 
+    /**
+     * The target sent something, on whatever connection.
+     *
+     * @param nowMillis the monotonic time
+     */
+    public void heard(long nowMillis) {
+        heardAtMillis = nowMillis;
+    }
+
+    /**
+     * Returns how long the target has sent nothing on any connection.
+     *
+     * @param nowMillis the monotonic time
+     * @return milliseconds
+     */
+    public long silentMillis(long nowMillis) {
+        return nowMillis - heardAtMillis;
+    }
+
     /**
      * Returns whether the target may be given work.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -49,6 +49,11 @@
     /** Newcomers are refused while this part of a caller's patience is taken up by waiting. */
     private static final double NEWCOMERS_SHARE = 0.7;
 
+    /** Engines send events every few hundredths of a second, services answer within a quarter. */
+    private static final long SILENT_MILLIS = 1_000;
+
+    private static final long LOOK_MILLIS = 200;
+
     /** From the request for an adapter until it is loaded and known to be. */
     private static final long ADAPTER_MILLIS = 700;
 
@@ -289,6 +294,38 @@
         }
     }
 
+    // A target that died or was cut off sends no reset; its callers would wait for their whole
+    // time.
+    // That it is silent on every connection for as long shows it. What may be repeated goes
+    // elsewhere. What may not is given up only when the registry has dropped the target as well.
+    private void lookForSilence() {
+        if (done) {
+            return;
+        }
+        long nowMillis = services.nowMillis();
+        attempt.filter(sent -> sent.silentMillis(nowMillis) >= SILENT_MILLIS)
+                .ifPresent(this::silent);
+        if (!done) {
+            services.after(LOOK_MILLIS, this::lookForSilence);
+        }
+    }
+
+    private void silent(TargetAttempt sent) {
+        boolean gone =
+                services.view()
+                        .fleet()
+                        .entry(sent.entry().incarnation().target())
+                        .filter(entry -> entry.incarnation().equals(sent.entry().incarnation()))
+                        .isEmpty();
+        boolean mayGoElsewhere =
+                route.repeatable()
+                        && mayHaveRun + 1 < route.maximumAttempts()
+                        && choose().isPresent();
+        if (gone || mayGoElsewhere) {
+            sent.giveUp();
+        }
+    }
+
     private void timeIsUp() {
         if (done) {
             return;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -211,6 +211,15 @@
         services.update(services.view().with(fleet));
     }
 
+    /**
+     * Returns the targets that requests may be sent to now.
+     *
+     * @return the targets
+     */
+    public Fleet targets() {
+        return services.view().fleet();
+    }
+
     /**
      * Returns what requests asked of models since the last reading, and what waits.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -49,6 +49,7 @@
     private boolean ended;
     private boolean read;
     private long startedMillis;
+    private long heardMillis;
 
     private enum Mode {
         NO_HEAD,
@@ -124,6 +125,7 @@
 
     private void send(Sending sending) {
         startedMillis = services.nowMillis();
+        heardMillis = startedMillis;
         load.started(work.promptTokens(), startedMillis);
         InetSocketAddress address =
                 new InetSocketAddress(entry.address().ip(), entry.address().port());
@@ -182,11 +184,28 @@
         }
     }
 
+    /** How long neither this attempt nor any other at the target has heard of it. */
+    long silentMillis(long nowMillis) {
+        return Math.min(nowMillis - heardMillis, load.silentMillis(nowMillis));
+    }
+
+    /** Gives the attempt up, since its target is silent; it may have run. */
+    void giveUp() {
+        load.unreachable(services.nowMillis());
+        failAndClose(AttemptEnd.LOST);
+    }
+
+    private void noteHeard() {
+        heardMillis = services.nowMillis();
+        load.heard(heardMillis);
+    }
+
     @Override
     public void onHead(int answerStatus, Map<String, String> answerHeaders) {
         if (ended) {
             return;
         }
+        noteHeard();
         AnswerFacts facts = services.dialect().answer(answerStatus, answerHeaders);
         // A late or extra answer on a kept connection belongs to another request. Passed on, a
         // caller would get what is not its own; the echoed name shows it.
@@ -224,6 +243,7 @@
         if (ended) {
             return;
         }
+        noteHeard();
         if (mode == Mode.STREAMING) {
             listener.onBytes(ByteBuffer.wrap(bytes));
             return;
