--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -148,6 +148,7 @@
             facts.need().ifPresent(need -> services.demand().note(need, route));
         }
         endTimer = Optional.of(services.after(endsMillis - services.nowMillis(), this::timeIsUp));
+        services.after(SILENT_MILLIS, this::lookForSilence);
         dispatch();
     }
 
