--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -41,6 +41,13 @@
     /** What a first copy is worth for each request a second. */
     private static final double FIRST_COPY_WORTH = 1;
 
+    /**
+     * A model without a copy is more crowded than one with a single copy. Counted as less, four
+     * engines loaded further copies of one model for nine seconds while another with as many
+     * requests had none.
+     */
+    private static final double NO_COPY = 0.75;
+
     /**
      * What a first copy is worth if no engine has one at hand either: it would take the longest.
      */
@@ -197,6 +204,7 @@
             double share = view.askedBy().apply(model) == AskedBy.PATIENT ? PATIENT_SHARE : 1;
             return share * waiting
                     + FIRST_COPY_WORTH * rate
+                    + crowding(rate) / NO_COPY
                     + (far(view, model) ? FAR_COPY_WORTH : 0);
         }
         return crowding(rate) / (count * (count + 1.0));
--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -105,6 +105,18 @@
             assertThat(move.order().load()).isFalse();
         }
 
+        // Two models are asked for alike, one has a copy and one has none. The loads that can be
+        // under way at once must not all go to the first.
+        @Test
+        void shouldBringUpTheModelWithoutACopyFirstWhenTwoAreEquallyBusy() {
+            engine("one", List.of(), "hot", "other", "silent");
+            engine("two", List.of("hot", "warm"), "other", "silent");
+            rate("hot", 25);
+            rate("warm", 25);
+
+            assertThat(next().orElseThrow().model()).isEqualTo(ModelId.of("warm"));
+        }
+
         @Test
         void shouldMoveNothingWhenDemandIsEven() {
             engine("one", List.of(), "hot", "warm", "other");
