--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -104,6 +104,7 @@
      * @param slow requests a second by model, of the last half minute
      * @param waiting requests that wait for a first copy, by model
      * @param askedBy what kind of requests have asked for a model
+     * @param settled whether demand has been seen for long enough to tell what is not asked for
      * @param storeAllows whether a load from the weight store may begin
      * @param nowMillis the monotonic time
      */
@@ -114,6 +115,7 @@
             Map<ModelId, Double> slow,
             Map<ModelId, Integer> waiting,
             Function<ModelId, AskedBy> askedBy,
+            boolean settled,
             boolean storeAllows,
             long nowMillis) {}
 
@@ -229,7 +231,9 @@
             double slow = Math.max(quick, view.slow().getOrDefault(model, 0.0));
             return onlyCopyWorth(view.askedBy().apply(model)) + ONLY_COPY_WORTH * slow;
         }
-        boolean expected = view.askedBy().apply(model) == AskedBy.NOBODY;
+        // In the first seconds every rate is small, also that of the busiest model, whose copies
+        // were placed in advance; taken for unasked, they were unloaded as the day began.
+        boolean expected = !view.settled() || view.askedBy().apply(model) == AskedBy.NOBODY;
         return (expected ? NEW_COPY_WORTH : ANY_COPY_WORTH)
                 + DISTURBANCE_WORTH * quick / count
                 + crowding(quick) / (count * (count - 1.0));
--- a/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
@@ -21,6 +21,9 @@
     /** What daemons say waits is dropped when they do not say so again. */
     private static final long WAITING_MILLIS = 1_500;
 
+    /** Twice the time of the quick average. */
+    private static final long SETTLED_MILLIS = 5_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** What a request that can wait for a load counts against one that can't. */
@@ -33,6 +36,8 @@
     private final Set<ModelId> everUrgent = new HashSet<>();
     private final Set<ModelId> everPatient = new HashSet<>();
 
+    private long firstMillis = Long.MAX_VALUE;
+
     private record Waiting(Map<ModelNeed, Integer> needs, long atMillis) {}
 
     private static final class Rate {
@@ -94,6 +99,9 @@
      */
     public void add(String host, Seen seen, long nowMillis) {
         remember(seen);
+        if (!seen.urgent().isEmpty()) {
+            firstMillis = Math.min(firstMillis, nowMillis);
+        }
         seen.urgent().forEach((need, count) -> rate(need).add(count, nowMillis));
         seen.patient().forEach((need, count) -> rate(need).add(PATIENT * count, nowMillis));
         waitingByHost.put(host, new Waiting(seen.waiting(), nowMillis));
@@ -126,6 +134,16 @@
         return everPatient.contains(model) ? AskedBy.PATIENT : AskedBy.NOBODY;
     }
 
+    /**
+     * Returns whether demand has been seen for long enough to tell which models are not asked for.
+     *
+     * @param nowMillis the monotonic time
+     * @return true when it has
+     */
+    public boolean settled(long nowMillis) {
+        return firstMillis != Long.MAX_VALUE && nowMillis - firstMillis >= SETTLED_MILLIS;
+    }
+
     /**
      * Brings the averages up to the present.
      *
--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -35,6 +35,7 @@
     private final Map<ModelId, Double> rates = new HashMap<>();
     private final Map<ModelId, Integer> waiting = new HashMap<>();
     private final Map<ModelId, AskedBy> askedBy = new HashMap<>();
+    private boolean settled = true;
 
     private EngineBook engine(String name, List<String> atHand, String... models) {
         EngineBook book = EngineBook.of(Targets.HOME);
@@ -78,6 +79,7 @@
                         rates,
                         waiting,
                         model -> askedBy.getOrDefault(model, AskedBy.URGENT),
+                        settled,
                         true,
                         NOW));
     }
@@ -117,6 +119,20 @@
             assertThat(next().orElseThrow().model()).isEqualTo(ModelId.of("warm"));
         }
 
+        // The day begins. The busiest model was placed on several engines in advance, and in the
+        // first second hardly anybody has asked for it yet.
+        @Test
+        void shouldKeepCopiesPlacedInAdvanceWhenDemandHasJustBegun() {
+            engine("one", List.of("rare"), "hot", "other", "silent");
+            engine("two", List.of("rare"), "hot", "warm", "new");
+            rate("hot", 0.1);
+            waiting.put(ModelId.of("rare"), 1);
+            settled = false;
+
+            assertThat(next().flatMap(CopyPlanner.Move::victim))
+                    .isNotEqualTo(Optional.of(ModelId.of("hot")));
+        }
+
         @Test
         void shouldMoveNothingWhenDemandIsEven() {
             engine("one", List.of(), "hot", "warm", "other");
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -149,6 +149,7 @@
                 demand.slow(),
                 waiting,
                 demand::askedBy,
+                demand.settled(ControlThread.nowMillis()),
                 pace.allows(engine.loadsPerSecond(), ControlThread.nowMillis()),
                 ControlThread.nowMillis());
     }
