--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
@@ -16,6 +16,7 @@
 import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.daemon.connection.CallerConnection;
+import org.tamaracktrack.daemon.connection.ConnectionHeaders;
 import org.xnio.IoUtils;
 
 /** The way back to a caller through Undertow, without blocking. */
@@ -23,17 +24,7 @@
     private static final Logger LOG = Logger.getLogger(UndertowCallerChannel.class);
     private static final long STALLED_MILLIS = 30_000;
     private static final long MILLIS_PER_SECOND = 1_000;
-    private static final Set<String> OWN_HEADERS =
-            Set.of(
-                    "connection",
-                    "content-length",
-                    "date",
-                    "keep-alive",
-                    "proxy-authenticate",
-                    "server",
-                    "trailer",
-                    "transfer-encoding",
-                    "upgrade");
+    private static final Set<String> OWN_HEADERS = Set.of("date", "server");
 
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
@@ -131,7 +122,10 @@
     private void putHead(int status, Map<String, String> headers) {
         exchange.setStatusCode(status);
         headers.entrySet().stream()
-                .filter(header -> !OWN_HEADERS.contains(header.getKey()))
+                .filter(
+                        header ->
+                                !OWN_HEADERS.contains(header.getKey())
+                                        && !ConnectionHeaders.contains(header.getKey()))
                 .forEach(
                         header ->
                                 exchange.getResponseHeaders()
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/CallerAnswer.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/CallerAnswer.java
@@ -8,28 +8,14 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.tamaracktrack.daemon.connection.ConnectionHeaders;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 /** Writes one answer to a caller from the traffic thread, without blocking. */
 final class CallerAnswer {
-    /** Headers that concern one connection only, or that this server sets itself. */
-    private static final Set<String> CONNECTION_HEADERS =
-            Set.of(
-                    "connection",
-                    "content-length",
-                    "keep-alive",
-                    "proxy-authenticate",
-                    "proxy-connection",
-                    "te",
-                    "trailer",
-                    "transfer-encoding",
-                    "upgrade");
-
     /** With more than this unwritten, reading from the target pauses. */
     private static final int HIGH_WATER_BYTES = 64 * 1024;
 
@@ -89,7 +75,7 @@
         HeaderMap own = exchange.getResponseHeaders();
         headers.forEach(
                 (name, value) -> {
-                    if (!CONNECTION_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                    if (!ConnectionHeaders.contains(name)) {
                         own.put(HttpString.tryFromString(name), value);
                     }
                 });
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -3,16 +3,13 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.FailureRule;
-import org.tamaracktrack.core.dispatch.LoadTime;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.dispatch.Work;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -20,7 +17,6 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
-import org.tamaracktrack.core.route.EngineSpecification;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
 import org.tamaracktrack.core.stream.EventSplitter;
@@ -29,20 +25,12 @@
 
 /** One request of a caller, from its last byte to the end of its answer. On the traffic thread. */
 final class ForwardedRequest implements TargetAttempt.Listener, CallerAnswer.Flow {
-    private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
     private static final int SUCCESS = 200;
     private static final int FIRST_NON_SUCCESS = 300;
 
     /** A caller that waits this long gives up; what is left must cover the way back to it. */
     private static final long WAY_BACK_MILLIS = 10;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
-    private static final double RETRY_AFTER_LEAST_SECONDS = 0.3;
-
-    /** Returns are spread over this part of what is left of the caller's time. */
-    private static final double RETRY_AFTER_SPREAD = 0.15;
-
     /** A caller with less of the route's time than this has been refused before. */
     private static final double RETURNED = 0.97;
 
@@ -54,9 +42,6 @@
 
     private static final long LOOK_MILLIS = 200;
 
-    /** From the request for an adapter until it is loaded and known to be. */
-    private static final long ADAPTER_MILLIS = 700;
-
     private final GatewayServices services;
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
@@ -237,7 +222,8 @@
 
     private void noTarget() {
         long patience = patienceMillis();
-        OptionalLong load = tried.isEmpty() ? loadMillis() : OptionalLong.empty();
+        OptionalLong load =
+                tried.isEmpty() ? ExpectedLoad.millis(work, services.view()) : OptionalLong.empty();
         if (load.isEmpty() || load.getAsLong() > patience || services.leaving()) {
             comeBackMillis = load.orElse(0);
             refuseOrGiveUp("no_target");
@@ -249,24 +235,6 @@
         }
     }
 
-    /** How long it takes to bring up the model that no target holds. */
-    private OptionalLong loadMillis() {
-        GatewayView view = services.view();
-        return view.configuration()
-                .flatMap(configuration -> configuration.engine(work.service()))
-                .flatMap(engine -> need().map(need -> loadMillis(need, engine, view)))
-                .orElse(OptionalLong.empty());
-    }
-
-    private OptionalLong loadMillis(ModelNeed need, EngineSpecification engine, GatewayView view) {
-        boolean held =
-                view.fleet().ready(work.service()).anyMatch(entry -> entry.holds(need.model()));
-        // Only the adapter is missing: it comes within a fraction of a second.
-        return held
-                ? OptionalLong.of(ADAPTER_MILLIS)
-                : LoadTime.millis(need.model(), work.service(), engine, view.fleet());
-    }
-
     /** Tries again, since the fleet changed. */
     void retryWaiting() {
         Optional<TargetChooser.Choice> choice = choose();
@@ -412,7 +380,12 @@
         if (done) {
             return;
         }
-        logAttempt(end);
+        RequestLog.attemptEnded(
+                facts.attempt(),
+                attempt.map(TargetAttempt::entry),
+                end,
+                services.nowMillis() - arrivedMillis,
+                leftMillis());
         attempt = Optional.empty();
         events.dropPart();
         count(end);
@@ -473,31 +446,9 @@
 
     private void fail(ErrorCode code, String reason) {
         finish(reason, code.status());
-        answer.whole(code.status(), failureHeaders(code), failureBody(code));
-    }
-
-    private Map<String, String> failureHeaders(ErrorCode code) {
-        return code.retryable()
-                ? Map.of("Content-Type", "application/json", "Retry-After", retryAfter())
-                : Map.of("Content-Type", "application/json");
-    }
-
-    // Callers that were refused in the same moment and come back in the same moment are refused
-    // again; spread out they meet the room that became free meanwhile.
-    private String retryAfter() {
-        double seconds =
-                Math.max(RETRY_AFTER_LEAST_SECONDS, comeBackMillis / MILLIS_PER_SECOND)
-                        + spreadSeconds() * services.draw();
-        return Double.toString(Math.round(seconds * MILLIS_PER_SECOND) / MILLIS_PER_SECOND);
-    }
-
-    private double spreadSeconds() {
-        return RETRY_AFTER_SPREAD * leftMillis() / MILLIS_PER_SECOND;
-    }
-
-    private static byte[] failureBody(ErrorCode code) {
-        return ("{\"error\":\"" + code + "\",\"ran\":\"" + code.ran() + "\"}")
-                .getBytes(StandardCharsets.UTF_8);
+        FailureAnswer failure =
+                FailureAnswer.of(code, comeBackMillis, leftMillis(), services.draw());
+        answer.whole(code.status(), failure.headers(), failure.body());
     }
 
     private void finish(String outcome, int status) {
@@ -507,48 +458,19 @@
         endTimer.ifPresent(XnioExecutor.Key::remove);
         connection.onClosed(() -> {});
         services.metrics().ended(route.name(), outcome, firstPieceMillis);
-        logEnd(outcome, status);
-    }
-
-    private void logAttempt(AttemptEnd end) {
-        LOG.info(
-                "event=attempt-ended request="
-                        + facts.attempt()
-                        + " target="
-                        + attempt.map(ended -> ended.entry().incarnation().toString()).orElse("-")
-                        + " end="
-                        + end
-                        + " after_ms="
-                        + (services.nowMillis() - arrivedMillis)
-                        + " left_ms="
-                        + leftMillis());
-    }
-
-    private void logEnd(String outcome, int status) {
-        LOG.info(
-                "event=request request="
-                        + facts.attempt()
-                        + " route="
-                        + route.name()
-                        + " service="
-                        + work.service()
-                        + need().map(model -> " model=" + model).orElse("")
-                        + " outcome="
-                        + outcome
-                        + " status="
-                        + status
-                        + " targets="
-                        + tried
-                        + " refusals="
-                        + refusals
-                        + " first_ms="
-                        + firstPieceMillis
-                        + " total_ms="
-                        + (services.nowMillis() - arrivedMillis)
-                        + " events="
-                        + events.events()
-                        + " configuration="
-                        + configurationVersion);
+        RequestLog.ended(
+                new RequestLog.Ended(
+                        facts.attempt(),
+                        route.name(),
+                        work,
+                        outcome,
+                        status,
+                        tried,
+                        refusals,
+                        firstPieceMillis,
+                        services.nowMillis() - arrivedMillis,
+                        events.events(),
+                        configurationVersion));
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -0,0 +1,90 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.dispatch.AttemptEnd;
+import org.tamaracktrack.core.dispatch.Work;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.TargetId;
+
+/** The lines that tell what became of a request. */
+final class RequestLog {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
+
+    private RequestLog() {}
+
+    /**
+     * How a request ended.
+     *
+     * @param attempt the caller's name for it
+     * @param route its route
+     * @param work where it went and what it needed
+     * @param outcome how it ended
+     * @param status the status that the caller got; 0 for none
+     * @param tried targets that had it
+     * @param refusals targets that said they did not run it
+     * @param firstMillis until the first piece of the answer; -1 for none
+     * @param totalMillis until its end
+     * @param events events passed on
+     * @param configuration the version that its route is from
+     */
+    record Ended(
+            String attempt,
+            String route,
+            Work work,
+            String outcome,
+            int status,
+            List<TargetId> tried,
+            int refusals,
+            long firstMillis,
+            long totalMillis,
+            int events,
+            long configuration) {}
+
+    static void ended(Ended request) {
+        LOG.info(
+                "event=request request="
+                        + request.attempt()
+                        + " route="
+                        + request.route()
+                        + " service="
+                        + request.work().service()
+                        + request.work().need().map(need -> " model=" + need).orElse("")
+                        + " outcome="
+                        + request.outcome()
+                        + " status="
+                        + request.status()
+                        + " targets="
+                        + request.tried()
+                        + " refusals="
+                        + request.refusals()
+                        + " first_ms="
+                        + request.firstMillis()
+                        + " total_ms="
+                        + request.totalMillis()
+                        + " events="
+                        + request.events()
+                        + " configuration="
+                        + request.configuration());
+    }
+
+    static void attemptEnded(
+            String attempt,
+            Optional<TargetEntry> target,
+            AttemptEnd end,
+            long afterMillis,
+            long leftMillis) {
+        LOG.info(
+                "event=attempt-ended request="
+                        + attempt
+                        + " target="
+                        + target.map(entry -> entry.incarnation().toString()).orElse("-")
+                        + " end="
+                        + end
+                        + " after_ms="
+                        + afterMillis
+                        + " left_ms="
+                        + leftMillis);
+    }
+}
