--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -15,6 +15,8 @@
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.dispatch.TargetChooser;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.route.ServingConfiguration;
@@ -133,10 +135,21 @@
                         .setSocketOption(Options.BACKLOG, BACKLOG)
                         .setHandler(root(place.readinessPath(), services, leaving, handler))
                         .build();
-        server.start();
+        listen(server, place);
         return new Gateway(services, handler, server, thread, leaving);
     }
 
+    private static void listen(Undertow server, Place place) {
+        try {
+            server.start();
+        } catch (RuntimeException failure) {
+            throw TamaracktrackException.of(
+                    ErrorCode.INVALID_SETTINGS,
+                    "can't listen at " + place.callers() + " and " + place.readiness(),
+                    failure);
+        }
+    }
+
     private static int port(InetSocketAddress address) {
         return address.getPort();
     }
