--- a/core/src/test/java/org/tamaracktrack/core/copies/EngineBookTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/EngineBookTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -23,7 +24,7 @@
     private final EngineBook book = EngineBook.of(Targets.HOME);
 
     private static EngineReport report(long orders, boolean busy, ModelId... models) {
-        Map<ModelId, HeldModel> held = new java.util.HashMap<>();
+        Map<ModelId, HeldModel> held = new HashMap<>();
         for (ModelId model : models) {
             held.put(model, new HeldModel(model, Set.of()));
         }
