--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -31,6 +31,13 @@
     private static final long FRESH_MILLIS = 400;
 
     private static final long KEPT_MILLIS = 8_000;
+
+    /**
+     * The attempt's own limit lies this much after the request's. Were it the same, whichever timer
+     * came first would decide between a timeout and a lost answer.
+     */
+    private static final long BEYOND_MILLIS = 500;
+
     private static final int FIRST_FAILURE_STATUS = 500;
     private static final int MISDIRECTED_STATUS = 421;
 
@@ -131,7 +138,7 @@
                 new InetSocketAddress(entry.address().ip(), entry.address().port());
         CallLimits limits =
                 new CallLimits(
-                        sending.leftMillis(),
+                        sending.leftMillis() + BEYOND_MILLIS,
                         Math.min(CONNECT_MILLIS, sending.leftMillis()),
                         sending.repeatable() ? KEPT_MILLIS : FRESH_MILLIS);
         HttpCall call =
