--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -42,7 +42,7 @@
     private Optional<StreamSourceChannel> source = Optional.empty();
     private Optional<XnioExecutor.Key> timer = Optional.empty();
     private HttpFailure failureNow = HttpFailure.NOT_SENT;
-    private boolean ended;
+    private volatile boolean ended;
     private boolean wholeSent;
     private long keptMillis;
     private volatile boolean paused;
@@ -289,7 +289,7 @@
         }
     }
 
-    private boolean end() {
+    private synchronized boolean end() {
         if (ended) {
             return false;
         }
