--- a/core/src/main/java/org/tamaracktrack/core/fleet/ModelNeed.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/ModelNeed.java
@@ -12,6 +12,7 @@
  * @param adapter the adapter of that model, if the request names one
  */
 public record ModelNeed(ModelId model, Optional<AdapterId> adapter) {
+    private static final char ADAPTER_MARK = '/';
 
     /** Checks the arguments. */
     public ModelNeed {
@@ -19,8 +20,26 @@
         Objects.requireNonNull(adapter, "adapter is null");
     }
 
+    /**
+     * Reads the text of a need: a model, and after a slash one of its adapters.
+     *
+     * @param text what {@link #toString} gives
+     * @return the need
+     * @throws org.tamaracktrack.core.error.TamaracktrackException with {@code BAD_IDENTIFIER} when
+     *     a part of it is no name
+     */
+    public static ModelNeed parse(String text) {
+        int mark = text.indexOf(ADAPTER_MARK);
+        return mark < 0
+                ? new ModelNeed(ModelId.of(text), Optional.empty())
+                : new ModelNeed(
+                        ModelId.of(text.substring(0, mark)),
+                        Optional.of(AdapterId.of(text.substring(mark + 1))));
+    }
+
     @Override
     public String toString() {
-        return adapter.map(name -> model + "/" + name).orElseGet(model::toString);
+        return adapter.map(name -> model.toString() + ADAPTER_MARK + name)
+                .orElseGet(model::toString);
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
@@ -7,15 +7,11 @@
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.ModelNeed;
-import org.tamaracktrack.core.id.AdapterId;
-import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
 import org.tamaracktrack.link.codec.Trees;
 
 /** The records of the duty's topic. */
 final class DutyRecords {
-    private static final char ADAPTER_MARK = '/';
-
     private DutyRecords() {}
 
     /**
@@ -95,14 +91,8 @@
     }
 
     private static Optional<ModelNeed> need(String text) {
-        int mark = text.indexOf(ADAPTER_MARK);
         try {
-            return Optional.of(
-                    mark < 0
-                            ? new ModelNeed(ModelId.of(text), Optional.empty())
-                            : new ModelNeed(
-                                    ModelId.of(text.substring(0, mark)),
-                                    Optional.of(AdapterId.of(text.substring(mark + 1)))));
+            return Optional.of(ModelNeed.parse(text));
         } catch (TamaracktrackException unreadable) {
             // Only our own daemons write here; a name from a newer version is left out.
             return Optional.empty();
