--- a/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
@@ -37,6 +37,13 @@
     /** A copy beside this many others is not worth an order. */
     private static final int MOST_COPIES = 3;
 
+    /**
+     * An adapter is not unloaded before the requests that wanted it had time to use it: daemons
+     * learn of it up to a second after its load. Without the rest, with requests for more adapters
+     * than an engine has places, an engine got 430 orders in 20 s and served none of them.
+     */
+    private static final long SETTLING_MILLIS = 1_500;
+
     private AdapterPlanner() {}
 
     /**
@@ -47,13 +54,15 @@
      * @param asked models that are asked for
      * @param rate requests a second for an adapter
      * @param waiting requests that wait for a copy
+     * @param nowMillis the monotonic time
      */
     public record View(
             EngineSpecification specification,
             Map<TargetIncarnation, EngineBook> engines,
             Set<ModelId> asked,
             ToDoubleFunction<ModelNeed> rate,
-            Map<ModelNeed, Integer> waiting) {}
+            Map<ModelNeed, Integer> waiting,
+            long nowMillis) {}
 
     /**
      * An order, and what it gains.
@@ -122,7 +131,9 @@
     private static Candidate candidate(
             View view, Map<ModelNeed, Long> copies, TargetIncarnation engine, EngineBook book) {
         Optional<ModelNeed> victim =
-                adapters(book).min(Comparator.comparingDouble(need -> kept(view, copies, need)));
+                adapters(book)
+                        .filter(need -> settled(view, book, need))
+                        .min(Comparator.comparingDouble(need -> kept(view, copies, need)));
         int used = book.held().values().stream().mapToInt(Collection::size).sum();
         return new Candidate(
                 engine,
@@ -133,6 +144,10 @@
                 victim.map(need -> kept(view, copies, need)).orElse(0.0));
     }
 
+    private static boolean settled(View view, EngineBook book, ModelNeed need) {
+        return book.adapterHeldMillis(need, view.nowMillis()) >= SETTLING_MILLIS;
+    }
+
     private static Stream<ModelNeed> needs(View view) {
         return view.specification().models().values().stream()
                 .filter(model -> view.asked().contains(model.model()))
@@ -157,13 +172,17 @@
         if (copies >= MOST_COPIES) {
             return Stream.empty();
         }
-        double waits = copies == 0 ? view.waiting().getOrDefault(need, 0) * WAITING_WORTH : 0;
+        double waits = copies == 0 ? waits(view, need) : 0;
         double worth = (rate(view, need) + waits) / ((copies + 1) * (copies + 1));
         return candidates.stream()
                 .filter(candidate -> lacks(candidate.book(), need))
                 .flatMap(candidate -> move(view, candidate, need, worth).stream());
     }
 
+    private static double waits(View view, ModelNeed need) {
+        return view.waiting().getOrDefault(need, 0) * WAITING_WORTH;
+    }
+
     private static double rate(View view, ModelNeed need) {
         return UNASKED_WORTH + view.rate().applyAsDouble(need);
     }
@@ -201,6 +220,7 @@
 
     private static double kept(View view, Map<ModelNeed, Long> counted, ModelNeed need) {
         long copies = Math.max(1, counted.getOrDefault(need, 1L));
-        return rate(view, need) / (copies * copies);
+        double waits = copies == 1 ? waits(view, need) : 0;
+        return (rate(view, need) + waits) / (copies * copies);
     }
 }
--- a/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.tamaracktrack.core.fleet.ModelNeed;
@@ -121,6 +122,23 @@
         seen.patient().keySet().forEach(need -> everPatient.add(need.model()));
     }
 
+    /**
+     * Returns which models were asked for at some time, to be remembered by whoever gives orders
+     * next.
+     *
+     * @return each of them, as if asked for once
+     */
+    public Seen everAsked() {
+        return new Seen(once(everUrgent), once(everPatient), Map.of());
+    }
+
+    private static Map<ModelNeed, Integer> once(Set<ModelId> models) {
+        return models.stream()
+                .collect(
+                        Collectors.toMap(
+                                model -> new ModelNeed(model, Optional.empty()), model -> 1));
+    }
+
     /**
      * Returns what kind of requests have asked for a model.
      *
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.tamaracktrack.core.fleet.HeldModel;
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.id.AdapterId;
@@ -27,10 +28,14 @@
     /** An engine that nothing is ordered of is asked this often how it fares. */
     private static final long IDLE_REPORT_MILLIS = 1_000;
 
+    /** Idle engines are asked each second; two reports may fail to come. */
+    private static final long SURE_MILLIS = 3 * IDLE_REPORT_MILLIS;
+
     private final DataCentreId dataCentre;
     private Optional<EngineReport> report = Optional.empty();
     private Map<ModelId, Set<AdapterId>> held = new HashMap<>();
     private final Map<ModelId, Long> firstSeenMillis = new HashMap<>();
+    private final Map<ModelNeed, Long> adapterLoadedMillis = new HashMap<>();
     private Optional<ModelId> arriving = Optional.empty();
     private Optional<ModelId> departing = Optional.empty();
     private Optional<ModelId> successor = Optional.empty();
@@ -166,8 +171,10 @@
             Set<AdapterId> adapters = held.computeIfAbsent(order.model(), model -> new HashSet<>());
             if (order.load()) {
                 adapters.add(order.adapter().get());
+                adapterLoadedMillis.put(new ModelNeed(order.model(), order.adapter()), nowMillis);
             } else {
                 adapters.remove(order.adapter().get());
+                adapterLoadedMillis.remove(new ModelNeed(order.model(), order.adapter()));
             }
             return;
         }
@@ -263,6 +270,26 @@
         return arriving.isPresent();
     }
 
+    /**
+     * Returns what the engine holds, if that is sure enough to send it requests by.
+     *
+     * @param nowMillis the monotonic time
+     * @return the models with their adapters, also adapters that load within milliseconds; empty
+     *     when the outcome of an order is not known or reports fail to come
+     */
+    public Optional<Map<ModelId, HeldModel>> sureToHold(long nowMillis) {
+        boolean old = nowMillis - reportedAtMillis > SURE_MILLIS;
+        if (doubtful || report.isEmpty() || old) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                held.entrySet().stream()
+                        .collect(
+                                Collectors.toMap(
+                                        Map.Entry::getKey,
+                                        entry -> new HeldModel(entry.getKey(), entry.getValue()))));
+    }
+
     /**
      * Returns whether the state was ever reported.
      *
@@ -292,6 +319,17 @@
         return nowMillis - firstSeenMillis.getOrDefault(model, nowMillis);
     }
 
+    /**
+     * Returns for how long an adapter has been held.
+     *
+     * @param adapter model and adapter
+     * @param nowMillis the monotonic time
+     * @return milliseconds since its load was accepted; very many when this book does not know
+     */
+    public long adapterHeldMillis(ModelNeed adapter, long nowMillis) {
+        return nowMillis - adapterLoadedMillis.getOrDefault(adapter, Long.MIN_VALUE / 2);
+    }
+
     /**
      * Returns the model that is being loaded.
      *
--- a/core/src/main/java/org/tamaracktrack/core/fleet/TargetEntry.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/TargetEntry.java
@@ -48,6 +48,26 @@
         copiesOnDisk = Set.copyOf(copiesOnDisk);
     }
 
+    /**
+     * Returns the same entry with other models.
+     *
+     * @param held what the target holds, by model
+     * @return the entry
+     */
+    public TargetEntry holding(Map<ModelId, HeldModel> held) {
+        return new TargetEntry(
+                incarnation,
+                service,
+                address,
+                dataCentre,
+                slots,
+                leaving,
+                revision,
+                held,
+                copiesInMemory,
+                copiesOnDisk);
+    }
+
     /**
      * Indexes held models by name.
      *
--- a/core/src/main/java/org/tamaracktrack/core/lease/ConditionalLease.java
+++ b/core/src/main/java/org/tamaracktrack/core/lease/ConditionalLease.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /**
  * One holder at a time by records in a log that has no clock and appends on the condition of its
@@ -18,6 +19,7 @@
     private static final String NOBODY = "";
 
     private final String self;
+    private final Supplier<Optional<Contact>> contact;
     private final Terms terms;
     private long nonce;
     private long end;
@@ -31,6 +33,7 @@
     private long actFromMillis;
     private long nextAppendMillis;
     private boolean left;
+    private Optional<Contact> holderContact = Optional.empty();
 
     /**
      * Times of a lease, in milliseconds.
@@ -76,9 +79,23 @@
      * @param claim whether it begins a term
      * @param release whether it ends one
      * @param nonce tells a process its own records apart
+     * @param contact where the holder can be reached, if it can
      */
     public record LeaseRecord(
-            String holder, long term, boolean claim, boolean release, long nonce) {}
+            String holder,
+            long term,
+            boolean claim,
+            boolean release,
+            long nonce,
+            Optional<Contact> contact) {}
+
+    /**
+     * Where a holder can be reached.
+     *
+     * @param address its IP number and port
+     * @param secret what both ends of a connection prove to know
+     */
+    public record Contact(String address, String secret) {}
 
     /**
      * A record to append.
@@ -90,8 +107,9 @@
 
     private record Sent(LeaseRecord content, long atMillis) {}
 
-    private ConditionalLease(String self, Terms terms) {
+    private ConditionalLease(String self, Supplier<Optional<Contact>> contact, Terms terms) {
         this.self = self;
+        this.contact = contact;
         this.terms = terms;
     }
 
@@ -99,13 +117,25 @@
      * Returns a lease that is not held.
      *
      * @param self names this process; no other has the name
+     * @param contact where others reach this process, asked for when it writes a record
      * @param terms its times
      * @return the lease
      */
-    public static ConditionalLease of(String self, Terms terms) {
+    public static ConditionalLease of(
+            String self, Supplier<Optional<Contact>> contact, Terms terms) {
         Objects.requireNonNull(self, "self is null");
+        Objects.requireNonNull(contact, "contact is null");
         Objects.requireNonNull(terms, "terms is null");
-        return new ConditionalLease(self, terms);
+        return new ConditionalLease(self, contact, terms);
+    }
+
+    /**
+     * Returns where another process can be reached that holds the lease, as far as is known.
+     *
+     * @return the contact; empty when nobody holds, this process does, or the holder named none
+     */
+    public Optional<Contact> otherHolder() {
+        return released || holder.equals(self) ? Optional.empty() : holderContact;
     }
 
     /**
@@ -152,6 +182,7 @@
         holder = content.holder();
         term = content.claim() ? offset : content.term();
         released = content.release();
+        holderContact = content.contact();
         holderSeenMillis = nowMillis;
         if (!holder.equals(self)) {
             trustedUntilMillis = Long.MIN_VALUE;
@@ -180,6 +211,7 @@
         // Somebody may hold by a record that nobody can read any more.
         end = first;
         holder = "unknown";
+        holderContact = Optional.empty();
         released = false;
         holderSeenMillis = nowMillis;
         trustedUntilMillis = Long.MIN_VALUE;
@@ -199,7 +231,8 @@
         if (!own && !free(nowMillis)) {
             return Optional.empty();
         }
-        LeaseRecord content = new LeaseRecord(self, own ? term : 0, !own, false, ++nonce);
+        LeaseRecord content =
+                new LeaseRecord(self, own ? term : 0, !own, false, ++nonce, contact.get());
         return sent(content, nowMillis);
     }
 
@@ -276,7 +309,7 @@
         if (!holding) {
             return Optional.empty();
         }
-        return sent(new LeaseRecord(self, term, false, true, ++nonce), nowMillis);
+        return sent(new LeaseRecord(self, term, false, true, ++nonce, contact.get()), nowMillis);
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/message/Message.java
+++ b/core/src/main/java/org/tamaracktrack/core/message/Message.java
@@ -36,6 +36,7 @@
     @JsonSubTypes.Type(value = Message.ConfigurationOffer.class, name = "configurationOffer"),
     @JsonSubTypes.Type(value = Message.OwnershipQuery.class, name = "ownershipQuery"),
     @JsonSubTypes.Type(value = Message.OwnershipOffer.class, name = "ownershipOffer"),
+    @JsonSubTypes.Type(value = Message.Records.class, name = "records"),
 })
 public sealed interface Message {
 
@@ -220,6 +221,24 @@
     /** Entry to entry: send what the ownership stream says, since the log can't be read. */
     record OwnershipQuery() implements Message {}
 
+    /**
+     * Records of a partition of a log, passed on so that the receiver need not read them itself.
+     *
+     * @param topic the topic
+     * @param partition the partition's number
+     * @param from the offset of the first
+     * @param records their bytes in order; none when a read found nothing new
+     * @param end where the partition ended
+     */
+    record Records(String topic, int partition, long from, List<byte[]> records, long end)
+            implements Message {
+
+        /** Copies the list. */
+        public Records {
+            records = List.copyOf(records);
+        }
+    }
+
     /**
      * Entry to entry: who owns which target.
      *
--- a/core/src/test/java/org/tamaracktrack/core/copies/AdapterPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/AdapterPlannerTest.java
@@ -36,6 +36,7 @@
     private final Map<ModelNeed, Integer> waiting = new HashMap<>();
     private List<AdapterId> adapters = adapters("busy", "calm", "idle");
     private int ratesRead;
+    private long nowMillis = 10_000;
 
     private static List<AdapterId> adapters(String... names) {
         return Stream.of(names).map(AdapterId::of).collect(Collectors.toList());
@@ -77,7 +78,8 @@
                             ratesRead++;
                             return rates.getOrDefault(need, 0.0);
                         },
-                        waiting));
+                        waiting,
+                        nowMillis));
     }
 
     @Test
@@ -126,6 +128,45 @@
         assertThat(next()).isEmpty();
     }
 
+    // Requests wait for three adapters, an engine has two places. The giver takes one out for the
+    // third, which makes the first wait again, and so on: an order every few milliseconds, and no
+    // adapter stays for long enough to serve the requests that it was loaded for.
+    @Test
+    void shouldComeToRestWhenRequestsWaitForMoreAdaptersThanThereArePlaces() {
+        EngineBook book = engine("one");
+        List.of("busy", "calm", "idle").forEach(name -> waiting.put(need(name), 1));
+
+        int orders = 0;
+        Optional<AdapterPlanner.Move> move = next();
+        while (move.isPresent() && orders < 100) {
+            book.sending(move.get().order());
+            book.accepted(nowMillis);
+            orders++;
+            nowMillis += 6;
+            move = next();
+        }
+
+        assertThat(orders).isEqualTo(PLACES);
+    }
+
+    @Test
+    void shouldMakeRoomForTheNextOnceTheRequestsThatWaitedWereServed() {
+        EngineBook book = engine("one", "calm");
+        waiting.put(need("busy"), 1);
+        book.sending(next().orElseThrow().order());
+        book.accepted(nowMillis);
+        waiting.clear();
+        waiting.put(need("idle"), 1);
+        rates.put(need("calm"), 100.0);
+
+        assertThat(next()).isEmpty();
+        nowMillis += 1_600;
+
+        AdapterPlanner.Move move = next().orElseThrow();
+        assertThat(move.order().load()).isFalse();
+        assertThat(move.order().adapter()).isEqualTo(need("busy").adapter());
+    }
+
     @Test
     void shouldOrderNothingOfAnEngineThatIsCarryingAnOrderOut() {
         engine("one")
--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
@@ -52,7 +52,7 @@
 
         Process(String name, Terms terms) {
             this.name = name;
-            this.lease = ConditionalLease.of(name, terms);
+            this.lease = ConditionalLease.of(name, Optional::empty, terms);
         }
 
         long steady() {
--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -64,7 +65,7 @@
 
     @Nested
     class Claims {
-        private final ConditionalLease lease = ConditionalLease.of("self", TERMS);
+        private final ConditionalLease lease = ConditionalLease.of("self", Optional::empty, TERMS);
 
         @Test
         void shouldActAtOnceWhenNobodyEverHeld() {
@@ -78,8 +79,8 @@
 
         @Test
         void shouldWaitForThePauseWhenTheHolderBeforeGaveItUp() {
-            lease.read(0, new LeaseRecord("other", 0, true, false, 1), 1_000);
-            lease.read(1, new LeaseRecord("other", 0, false, true, 2), 2_000);
+            lease.read(0, new LeaseRecord("other", 0, true, false, 1, Optional.empty()), 1_000);
+            lease.read(1, new LeaseRecord("other", 0, false, true, 2, Optional.empty()), 2_000);
             lease.readAll(2_000);
             ConditionalLease.Append claim = lease.tick(2_200).orElseThrow();
             lease.appended(claim.expectedEnd(), 2_204);
@@ -90,7 +91,7 @@
 
         @Test
         void shouldNotClaimWhileTheHolderRenews() {
-            lease.read(0, new LeaseRecord("other", 0, true, false, 1), 1_000);
+            lease.read(0, new LeaseRecord("other", 0, true, false, 1, Optional.empty()), 1_000);
             lease.readAll(1_000);
 
             assertThat(lease.tick(2_000)).isEmpty();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.RecordBatch;
 import org.tamaracktrack.link.topic.TopicAnswer;
@@ -17,8 +18,9 @@
 import org.tamaracktrack.link.topic.TopicPart;
 
 /**
- * Brings what each daemon sees of demand to the one that gives orders: the others append it, the
- * holder of the lease reads it. On the control thread.
+ * Brings what each daemon sees of demand to the one that gives orders: the others tell it, or
+ * append it when they have no connection to it; the holder of the lease reads it. On the control
+ * thread.
  */
 final class DemandExchange {
     private static final long TICK_MILLIS = 100;
@@ -34,17 +36,26 @@
 
     private static final long RETRY_MILLIS = 500;
 
+    /**
+     * How often the holder writes down which models were ever asked for; the store keeps records
+     * for 20 s. A successor that did not know took every copy for one that may be asked for next,
+     * and kept copies that nobody wanted: a fifth fewer requests in time until the day's end.
+     */
+    private static final long REMEMBER_EVERY_MILLIS = 4_000;
+
     private final String process;
     private final TopicClient topics;
     private final TopicPart part;
     private final ControlThread control;
     private final LeaseDriver lease;
+    private final RecordRelay relay;
     private final DemandBook book;
     private final Supplier<CompletableFuture<DemandBook.Seen>> meter;
     private final Map<ModelNeed, Integer> urgent = new HashMap<>();
     private final Map<ModelNeed, Integer> patient = new HashMap<>();
     private Set<ModelNeed> waitingWritten = Set.of();
     private long writtenAtMillis;
+    private long rememberedAtMillis;
     private boolean reading;
     private boolean skipHistory;
     private long next;
@@ -55,6 +66,7 @@
             TopicPart part,
             ControlThread control,
             LeaseDriver lease,
+            RecordRelay relay,
             DemandBook book,
             Supplier<CompletableFuture<DemandBook.Seen>> meter) {
         this.process = process;
@@ -62,6 +74,7 @@
         this.part = part;
         this.control = control;
         this.lease = lease;
+        this.relay = relay;
         this.book = book;
         this.meter = meter;
     }
@@ -72,11 +85,13 @@
             TopicPart part,
             ControlThread control,
             LeaseDriver lease,
+            RecordRelay relay,
             DemandBook book,
             Supplier<CompletableFuture<DemandBook.Seen>> meter) {
         Objects.requireNonNull(meter, "meter is null");
         DemandExchange exchange =
-                new DemandExchange(process, topics, part, control, lease, book, meter);
+                new DemandExchange(process, topics, part, control, lease, relay, book, meter);
+        control.post(() -> relay.onTold(part, exchange::told));
         control.every(TICK_MILLIS, exchange::tick);
         return exchange;
     }
@@ -96,6 +111,7 @@
             urgent.clear();
             patient.clear();
             book.add(process, seen, nowMillis);
+            writeDownAsked(nowMillis);
             return;
         }
         seen.urgent().forEach((need, count) -> urgent.merge(need, count, Integer::sum));
@@ -112,11 +128,39 @@
         }
     }
 
+    private void writeDownAsked(long nowMillis) {
+        DemandBook.Seen asked = book.everAsked();
+        boolean nothing = asked.urgent().isEmpty() && asked.patient().isEmpty();
+        if (nothing || nowMillis - rememberedAtMillis < REMEMBER_EVERY_MILLIS) {
+            return;
+        }
+        rememberedAtMillis = nowMillis;
+        append(DutyRecords.encode(new DutyRecords.DemandRecord(process, asked)));
+    }
+
+    private void append(byte[] record) {
+        topics.append(part, List.of(record), OptionalLong.empty());
+    }
+
     // A record that is lost is not sent again: the next one says what waits now, and the averages
     // come right within seconds.
     private void write(DemandBook.Seen seen) {
         byte[] record = DutyRecords.encode(new DutyRecords.DemandRecord(process, seen));
-        topics.append(part, List.of(record), OptionalLong.empty());
+        if (!relay.tell(part, record)) {
+            append(record);
+        }
+    }
+
+    private void told(byte[] record) {
+        if (lease.holds()) {
+            add(record, ControlThread.nowMillis());
+        }
+    }
+
+    private void add(byte[] bytes, long nowMillis) {
+        DutyRecords.demand(bytes)
+                .filter(record -> !record.process().equals(process))
+                .ifPresent(record -> book.add(record.process(), record.seen(), nowMillis));
     }
 
     private void read() {
@@ -152,10 +196,7 @@
             return;
         }
         long nowMillis = ControlThread.nowMillis();
-        batch.records().stream()
-                .flatMap(record -> DutyRecords.demand(record).stream())
-                .filter(record -> !record.process().equals(process))
-                .forEach(record -> book.add(record.process(), record.seen(), nowMillis));
+        batch.records().forEach(record -> add(record, nowMillis));
         next = batch.next();
         if (batch.records().isEmpty()) {
             read();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
@@ -2,11 +2,19 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.fleet.HeldModel;
 import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.lease.ConditionalLease.Contact;
 import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
 import org.tamaracktrack.link.codec.Trees;
 
@@ -22,14 +30,84 @@
      */
     record DemandRecord(String process, DemandBook.Seen seen) {}
 
+    /**
+     * What an engine holds.
+     *
+     * @param target the engine and its run
+     * @param models its models with their adapters; empty when that is no longer sure
+     */
+    record Holding(TargetIncarnation target, Optional<Map<ModelId, HeldModel>> models) {}
+
+    static byte[] encode(Holding content) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("target", content.target().target().value());
+        fields.put("started", content.target().startedAtMillis());
+        content.models()
+                .ifPresent(
+                        models -> {
+                            Map<String, List<String>> adapters = new LinkedHashMap<>();
+                            models.values()
+                                    .forEach(
+                                            held ->
+                                                    adapters.put(
+                                                            held.model().value(),
+                                                            held.adapters().stream()
+                                                                    .map(AdapterId::value)
+                                                                    .collect(Collectors.toList())));
+                            fields.put("models", adapters);
+                        });
+        return Trees.write(fields);
+    }
+
+    static Optional<Holding> holding(byte[] bytes) {
+        return Trees.parse(bytes)
+                .flatMap(
+                        tree ->
+                                Trees.text(tree, "target")
+                                        .map(
+                                                target ->
+                                                        new Holding(
+                                                                new TargetIncarnation(
+                                                                        TargetId.of(target),
+                                                                        Trees.whole(tree, "started")
+                                                                                .orElse(0L)),
+                                                                models(tree))));
+    }
+
+    private static Optional<Map<ModelId, HeldModel>> models(JsonNode tree) {
+        if (!tree.has("models")) {
+            return Optional.empty();
+        }
+        JsonNode models = tree.path("models");
+        Map<ModelId, HeldModel> held = new LinkedHashMap<>();
+        models.fieldNames()
+                .forEachRemaining(
+                        name ->
+                                held.put(
+                                        ModelId.of(name),
+                                        new HeldModel(
+                                                ModelId.of(name),
+                                                Trees.elements(models, name)
+                                                        .map(JsonNode::textValue)
+                                                        .map(AdapterId::of)
+                                                        .collect(Collectors.toSet()))));
+        return Optional.of(held);
+    }
+
     static byte[] encode(LeaseRecord content) {
-        return Trees.write(
-                Map.of(
-                        "holder", content.holder(),
-                        "term", content.term(),
-                        "claim", content.claim(),
-                        "release", content.release(),
-                        "nonce", content.nonce()));
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("holder", content.holder());
+        fields.put("term", content.term());
+        fields.put("claim", content.claim());
+        fields.put("release", content.release());
+        fields.put("nonce", content.nonce());
+        content.contact()
+                .ifPresent(
+                        contact -> {
+                            fields.put("address", contact.address());
+                            fields.put("secret", contact.secret());
+                        });
+        return Trees.write(fields);
     }
 
     static Optional<LeaseRecord> lease(byte[] bytes) {
@@ -46,7 +124,16 @@
                                                                 Trees.flag(tree, "claim"),
                                                                 Trees.flag(tree, "release"),
                                                                 Trees.whole(tree, "nonce")
-                                                                        .orElse(0L))));
+                                                                        .orElse(0L),
+                                                                contact(tree))));
+    }
+
+    private static Optional<Contact> contact(JsonNode tree) {
+        return Trees.text(tree, "address")
+                .flatMap(
+                        address ->
+                                Trees.text(tree, "secret")
+                                        .map(secret -> new Contact(address, secret)));
     }
 
     static byte[] encode(DemandRecord content) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -4,9 +4,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.lease.ConditionalLease;
 import org.tamaracktrack.core.lease.FreezeDetector;
+import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.RecordBatch;
 import org.tamaracktrack.link.topic.TopicAnswer;
@@ -21,28 +23,47 @@
     /** Who does not hold the lease looks this often whether its holder still renews it. */
     private static final long WATCH_MILLIS = 700;
 
+    /**
+     * The same while the holder passes its records on: longer than the pause between two of them
+     * and the time that a slow store takes for one.
+     */
+    private static final long RELAYED_WATCH_MILLIS = 900;
+
     private final TopicClient topics;
     private final TopicPart part;
     private final ControlThread control;
     private final ConditionalLease lease;
+    private final RecordRelay relay;
     private final FreezeDetector freezes =
             FreezeDetector.of(ControlThread.nowMillis(), System.currentTimeMillis());
     private boolean calling;
     private long nextWatchMillis;
     private boolean held;
+    private Optional<CompletableFuture<Void>> leaving = Optional.empty();
 
     private LeaseDriver(
-            TopicClient topics, TopicPart part, ControlThread control, ConditionalLease lease) {
+            TopicClient topics,
+            TopicPart part,
+            ControlThread control,
+            ConditionalLease lease,
+            RecordRelay relay) {
         this.topics = topics;
         this.part = part;
         this.control = control;
         this.lease = lease;
+        this.relay = relay;
     }
 
     static LeaseDriver start(
-            TopicClient topics, TopicPart part, ControlThread control, ConditionalLease lease) {
+            TopicClient topics,
+            TopicPart part,
+            ControlThread control,
+            ConditionalLease lease,
+            RecordRelay relay) {
         Objects.requireNonNull(lease, "lease is null");
-        LeaseDriver driver = new LeaseDriver(topics, part, control, lease);
+        Objects.requireNonNull(relay, "relay is null");
+        LeaseDriver driver = new LeaseDriver(topics, part, control, lease, relay);
+        control.post(() -> relay.onRecords(part, driver.new Relayed()));
         control.every(TICK_MILLIS, driver::tick);
         return driver;
     }
@@ -92,9 +113,32 @@
         }
     }
 
+    /** The holder's records, passed on as it appends them. */
+    private final class Relayed implements RecordRelay.Reader {
+        // Whoever reads a record later than it was appended waits longer before it claims, so it
+        // is safe to learn of it by any way; what is missing before it has to be read.
+        @Override
+        public void onBatch(RecordBatch batch) {
+            if (lease.mustRead() || batch.from() != lease.readFrom()) {
+                return;
+            }
+            long nowMillis = ControlThread.nowMillis();
+            batch.records().stream()
+                    .flatMap(record -> DutyRecords.lease(record).stream())
+                    .forEach(content -> lease.read(batch.from(), content, nowMillis));
+            nextWatchMillis = nowMillis + RELAYED_WATCH_MILLIS;
+        }
+
+        @Override
+        public void onLost() {
+            nextWatchMillis = ControlThread.nowMillis();
+        }
+    }
+
     private void tick() {
         noticeFreeze();
         noteChange();
+        relay.holder(lease.holds(ControlThread.nowMillis()), lease.otherHolder());
         if (calling) {
             return;
         }
@@ -123,6 +167,7 @@
 
     private void readDone(TopicAnswer<RecordBatch> answer) {
         calling = false;
+        leaving.ifPresent(this::release);
         long nowMillis = ControlThread.nowMillis();
         if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
             lease.skipped(expired.first(), nowMillis);
@@ -147,17 +192,16 @@
 
     private void append(ConditionalLease.Append append) {
         calling = true;
-        topics.append(
-                        part,
-                        List.of(DutyRecords.encode(append.content())),
-                        OptionalLong.of(append.expectedEnd()))
-                .thenAccept(answer -> control.post(() -> appended(answer)));
+        List<byte[]> record = List.of(DutyRecords.encode(append.content()));
+        topics.append(part, record, OptionalLong.of(append.expectedEnd()))
+                .thenAccept(answer -> control.post(() -> appended(answer, record)));
     }
 
-    private void appended(TopicAnswer<Long> answer) {
+    private void appended(TopicAnswer<Long> answer, List<byte[]> record) {
         calling = false;
         if (answer instanceof TopicAnswer.Done<Long> done) {
             lease.appended(done.value(), ControlThread.nowMillis());
+            relay.publish(part, new RecordBatch(done.value(), record, done.value() + 1));
         } else if (answer instanceof TopicAnswer.Conflict<Long>) {
             lease.conflict();
         } else if (answer instanceof TopicAnswer.Unknown<Long>) {
@@ -166,10 +210,33 @@
             lease.refused();
         }
         noteChange();
+        leaving.ifPresent(this::release);
+    }
+
+    /**
+     * Gives the lease up, so that another daemon need not wait for it to lapse.
+     *
+     * @return completed when that is written, or there is nothing to write
+     */
+    CompletableFuture<Void> leave() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        leaving = Optional.of(done);
+        release(done);
+        return done;
     }
 
-    /** Gives the lease up, so that another daemon need not wait for it to lapse. */
-    void leave() {
-        lease.leave(ControlThread.nowMillis()).ifPresent(this::append);
+    // A renewal may be on its way. The release written before its answer would expect the log to
+    // end where it no longer does and be refused, and the next holder would wait for the lease to
+    // lapse; so it follows the answer.
+    private void release(CompletableFuture<Void> done) {
+        if (calling) {
+            return;
+        }
+        Optional<ConditionalLease.Append> release = lease.leave(ControlThread.nowMillis());
+        if (release.isPresent()) {
+            append(release.get());
+        } else {
+            done.complete(null);
+        }
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -17,6 +17,7 @@
 import org.tamaracktrack.core.copies.EngineReport;
 import org.tamaracktrack.core.copies.StorePace;
 import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.HeldModel;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.ModelId;
@@ -44,6 +45,7 @@
     private final LeaseDriver lease;
     private final ControlThread control;
     private final DemandBook demand;
+    private final HoldingsExchange holdings;
     private final StorePace pace = StorePace.empty();
     private final Map<TargetIncarnation, EngineBook> books = new HashMap<>();
     private final Map<TargetIncarnation, Long> askedAtMillis = new HashMap<>();
@@ -52,17 +54,26 @@
     private long lastTerm = -1;
 
     private OrderGiver(
-            EngineOrders orders, LeaseDriver lease, ControlThread control, DemandBook demand) {
+            EngineOrders orders,
+            LeaseDriver lease,
+            ControlThread control,
+            DemandBook demand,
+            HoldingsExchange holdings) {
         this.orders = orders;
         this.lease = lease;
         this.control = control;
         this.demand = demand;
+        this.holdings = holdings;
     }
 
     static OrderGiver start(
-            EngineOrders orders, LeaseDriver lease, ControlThread control, DemandBook demand) {
+            EngineOrders orders,
+            LeaseDriver lease,
+            ControlThread control,
+            DemandBook demand,
+            HoldingsExchange holdings) {
         Objects.requireNonNull(orders, "orders is null");
-        OrderGiver giver = new OrderGiver(orders, lease, control, demand);
+        OrderGiver giver = new OrderGiver(orders, lease, control, demand, holdings);
         control.every(TICK_MILLIS, giver::tick);
         return giver;
     }
@@ -82,6 +93,7 @@
     private void tick() {
         Optional<LeaseDriver.Permit> permit = lease.permit();
         if (permit.isEmpty()) {
+            holdings.publish(Map.of());
             return;
         }
         if (permit.get().term() != lastTerm) {
@@ -95,6 +107,16 @@
         configuration.stream()
                 .flatMap(inForce -> inForce.services().values().stream())
                 .forEach(service -> serve(service, permit.get()));
+        holdings.publish(sure());
+    }
+
+    private Map<TargetIncarnation, Map<ModelId, HeldModel>> sure() {
+        long nowMillis = ControlThread.nowMillis();
+        Map<TargetIncarnation, Map<ModelId, HeldModel>> sure = new HashMap<>();
+        books.forEach(
+                (engine, book) ->
+                        book.sureToHold(nowMillis).ifPresent(held -> sure.put(engine, held)));
+        return sure;
     }
 
     private void followAnother() {
@@ -171,7 +193,8 @@
     private AdapterPlanner.View adapterView(
             EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines) {
         Set<ModelId> asked = new HashSet<>(demand.slow().keySet());
-        return new AdapterPlanner.View(engine, engines, asked, demand::slow, demand.waiting());
+        return new AdapterPlanner.View(
+                engine, engines, asked, demand::slow, demand.waiting(), ControlThread.nowMillis());
     }
 
     private void askForReport(TargetEntry entry) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.undertow.util.StatusCodes;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -224,6 +225,17 @@
         services.update(services.view().with(fleet));
     }
 
+    /**
+     * Returns the version of the configuration in force.
+     *
+     * @return the version; empty before the first
+     */
+    public OptionalLong version() {
+        return services.view().configuration().stream()
+                .mapToLong(ServingConfiguration::version)
+                .findFirst();
+    }
+
     /**
      * Returns the targets that requests may be sent to now.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.KeyedRecord;
 import org.tamaracktrack.link.topic.NewestPage;
@@ -14,23 +16,37 @@
 
 /**
  * Follows a partition that keeps the newest record of each key: a listing first, then the records
- * that come, and a listing again when records were forgotten before they were read. On the control
- * thread.
+ * that come, and a listing again when records were forgotten before they were read. The records
+ * come from the holder of the lease, which passes on what it reads; from reads of its own when it
+ * hears nothing of the holder, or not everything. On the control thread.
  */
 public final class KeyedFollower {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.topics");
     private static final long FIRST_RETRY_MILLIS = 100;
     private static final long MOST_RETRY_MILLIS = 800;
 
+    /**
+     * How long a read of the holder waits: each tells the other daemons that there is nothing new.
+     */
+    private static final long HOLDER_WAIT_MILLIS = 900;
+
+    private static final long NOT_LISTED = -1;
+
     private final TopicClient topics;
     private final TopicPart part;
     private final ControlThread control;
     private final Listener listener;
     private final Pace pace;
+    private final RecordRelay relay;
     private final List<KeyedRecord> listing = new ArrayList<>();
-    private long next;
+    private long next = NOT_LISTED;
+    private long listedAt;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean away;
+    private boolean busy;
+    private boolean checking;
+    private long relayedNext;
+    private long relayedAtMillis = Long.MIN_VALUE / 2;
 
     /** Hears of records, on the control thread. */
     public interface Listener {
@@ -63,17 +79,45 @@
      */
     public record Pace(long waitMillis, long gapMillis) {}
 
+    /** What the holder of the lease passes on. */
+    private final class Relayed implements RecordRelay.Reader {
+        @Override
+        public void onBatch(RecordBatch batch) {
+            relayedAtMillis = ControlThread.nowMillis();
+            relayedNext = Math.max(relayedNext, batch.next());
+            if (next == NOT_LISTED) {
+                return;
+            }
+            back();
+            // With a gap before the batch, the records are read of the store.
+            if (batch.from() <= next) {
+                deliver(batch);
+            }
+            follow();
+        }
+
+        @Override
+        public void onLost() {
+            relayedAtMillis = Long.MIN_VALUE / 2;
+            if (next != NOT_LISTED) {
+                follow();
+            }
+        }
+    }
+
     private KeyedFollower(
             TopicClient topics,
             TopicPart part,
             ControlThread control,
             Pace pace,
-            Listener listener) {
+            Listener listener,
+            RecordRelay relay) {
         this.topics = topics;
         this.part = part;
         this.control = control;
         this.pace = pace;
         this.listener = listener;
+        this.relay = relay;
     }
 
     /**
@@ -84,18 +128,25 @@
      * @param control the thread that the listener is called on
      * @param pace how often to read
      * @param listener hears of records
+     * @param relay passes on what the holder of the lease reads
      */
     public static void start(
             TopicClient topics,
             TopicPart part,
             ControlThread control,
             Pace pace,
-            Listener listener) {
-        KeyedFollower follower = new KeyedFollower(topics, part, control, pace, listener);
-        control.post(follower::list);
+            Listener listener,
+            RecordRelay relay) {
+        KeyedFollower follower = new KeyedFollower(topics, part, control, pace, listener, relay);
+        control.post(
+                () -> {
+                    relay.onRecords(part, follower.new Relayed());
+                    follower.list();
+                });
     }
 
     private void list() {
+        next = NOT_LISTED;
         listing.clear();
         readPage("", true);
     }
@@ -114,7 +165,7 @@
         if (first) {
             // Pages are no snapshot. Following from the end at the first page, a change between
             // two pages is read again and none is missed.
-            next = page.end();
+            listedAt = page.end();
         }
         listing.addAll(page.records());
         if (page.more() && !page.records().isEmpty()) {
@@ -123,15 +174,39 @@
         }
         listener.onListing(List.copyOf(listing));
         listing.clear();
+        next = listedAt;
         follow();
     }
 
     private void follow() {
-        topics.read(part, next, pace.waitMillis())
+        if (busy || next == NOT_LISTED) {
+            return;
+        }
+        long passed = ControlThread.nowMillis() - relayedAtMillis;
+        if (passed < RecordRelay.STALE_MILLIS && relayedNext <= next) {
+            checkAfter(RecordRelay.STALE_MILLIS - passed);
+            return;
+        }
+        busy = true;
+        topics.read(part, next, relay.holding() ? HOLDER_WAIT_MILLIS : pace.waitMillis())
                 .thenAccept(answer -> control.post(() -> records(answer)));
     }
 
+    private void checkAfter(long millis) {
+        if (checking) {
+            return;
+        }
+        checking = true;
+        control.after(
+                millis,
+                () -> {
+                    checking = false;
+                    follow();
+                });
+    }
+
     private void records(TopicAnswer<RecordBatch> answer) {
+        busy = false;
         if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
             LOG.info(
                     "event=records-expired part="
@@ -149,13 +224,35 @@
         }
         back();
         RecordBatch batch = done.value();
-        if (batch.records().isEmpty()) {
+        relay.publish(part, batch);
+        if (batch.next() <= next) {
             follow();
             return;
         }
-        listener.onRecords(decode(batch));
-        next = batch.next();
-        control.after(Math.max(1, pace.gapMillis()), this::follow);
+        deliver(batch);
+        pause(Math.max(1, pace.gapMillis()));
+    }
+
+    // Records may be relayed while they are being read.
+    private void deliver(RecordBatch batch) {
+        List<KeyedRecord> unread =
+                decode(batch).stream()
+                        .filter(record -> record.offset() >= next)
+                        .collect(Collectors.toList());
+        next = Math.max(next, batch.next());
+        if (!unread.isEmpty()) {
+            listener.onRecords(unread);
+        }
+    }
+
+    private void pause(long millis) {
+        busy = true;
+        control.after(
+                millis,
+                () -> {
+                    busy = false;
+                    follow();
+                });
     }
 
     private List<KeyedRecord> decode(RecordBatch batch) {
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RecordRelayTest.java
@@ -0,0 +1,136 @@
+package org.tamaracktrack.daemon.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.lease.ConditionalLease.Contact;
+import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.TopicPart;
+
+class RecordRelayTest {
+    private static final TopicPart PART = new TopicPart("topic", 0);
+    private static final byte[] RECORD = "record".getBytes(StandardCharsets.UTF_8);
+
+    private final List<RecordBatch> heard = new ArrayList<>();
+    private final List<byte[]> told = new ArrayList<>();
+    private RelayPair pair;
+    private int lost;
+
+    @BeforeEach
+    void start() throws IOException {
+        pair = RelayPair.start();
+        pair.onControl(
+                () -> {
+                    pair.follower()
+                            .onRecords(
+                                    PART,
+                                    new RecordRelay.Reader() {
+                                        @Override
+                                        public void onBatch(RecordBatch batch) {
+                                            heard.add(batch);
+                                        }
+
+                                        @Override
+                                        public void onLost() {
+                                            lost++;
+                                        }
+                                    });
+                    pair.holder().onTold(PART, told::add);
+                });
+    }
+
+    @AfterEach
+    void close() {
+        pair.close();
+    }
+
+    private void publishUntilHeard() {
+        pair.await(
+                () -> {
+                    pair.holder().publish(PART, new RecordBatch(7, List.of(RECORD), 8));
+                    return !heard.isEmpty();
+                });
+    }
+
+    @Test
+    void shouldPassOnWhatTheHolderReads() {
+        pair.hold();
+
+        publishUntilHeard();
+
+        assertThat(heard.get(0).from()).isEqualTo(7);
+        assertThat(heard.get(0).end()).isEqualTo(8);
+        assertThat(heard.get(0).records().get(0)).isEqualTo(RECORD);
+    }
+
+    @Test
+    void shouldTellTheHolderOnceItWasHeardOf() {
+        pair.hold();
+        publishUntilHeard();
+
+        pair.onControl(() -> assertThat(pair.follower().tell(PART, RECORD)).isTrue());
+
+        pair.await(() -> !told.isEmpty());
+        assertThat(told.get(0)).isEqualTo(RECORD);
+    }
+
+    // A holder that is frozen keeps its connections. What is told to it then would be lost, so the
+    // caller has to hear that it wasn't told, and appends it to the log.
+    @Test
+    void shouldNotTellWhenTheHolderFellSilent() {
+        pair.hold();
+        publishUntilHeard();
+
+        pair.await(() -> !pair.follower().tell(PART, RECORD));
+
+        assertThat(lost).isEqualTo(0);
+    }
+
+    @Test
+    void shouldNotTellWhenNobodyHolds() {
+        pair.onControl(() -> assertThat(pair.follower().tell(PART, RECORD)).isFalse());
+    }
+
+    // The holder gives the lease up. Nothing more comes from it, and the other daemon must not
+    // wait for silence to be noticed before it reads the log itself.
+    @Test
+    void shouldSayLostWhenTheHolderNoLongerHolds() {
+        pair.hold();
+        publishUntilHeard();
+
+        pair.onControl(() -> pair.holder().holder(false, Optional.empty()));
+
+        pair.await(() -> lost == 1);
+    }
+
+    @Test
+    void shouldNotServeWhoDoesNotKnowTheSecret() {
+        Contact real = pair.holder().contact().orElseThrow();
+        pair.onControl(() -> pair.holder().holder(true, Optional.empty()));
+        pair.onControl(
+                () ->
+                        pair.follower()
+                                .holder(
+                                        false,
+                                        Optional.of(new Contact(real.address(), "another"))));
+
+        pair.await(() -> lost == 1);
+
+        assertThat(heard).isEmpty();
+    }
+
+    @Test
+    void shouldGoOnWithoutAHolderWhoseAddressCannotBeRead() {
+        Optional<Contact> unreadable = Optional.of(new Contact("nowhere", "secret"));
+        pair.onControl(() -> pair.follower().holder(false, unreadable));
+
+        pair.onControl(() -> assertThat(pair.follower().tell(PART, RECORD)).isFalse());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
@@ -0,0 +1,105 @@
+package org.tamaracktrack.daemon.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The relays of a holder and of one other daemon, connected over loopback. */
+public final class RelayPair implements AutoCloseable {
+    private static final long PATIENCE_MILLIS = 20_000;
+    private static final long LOOK_MILLIS = 10;
+
+    private final ControlThread control = ControlThread.of("test");
+    private final XnioWorker worker;
+    private final RecordRelay holder;
+    private final RecordRelay follower;
+
+    private RelayPair() throws IOException {
+        worker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder()
+                                        .set(Options.WORKER_IO_THREADS, 1)
+                                        .set(Options.THREAD_DAEMON, true)
+                                        .getMap());
+        holder =
+                RecordRelay.of(worker, control, Optional.of(new InetSocketAddress("127.0.0.1", 0)));
+        follower = RecordRelay.of(worker, control, Optional.empty());
+    }
+
+    public static RelayPair start() throws IOException {
+        return new RelayPair();
+    }
+
+    public ControlThread control() {
+        return control;
+    }
+
+    public RecordRelay holder() {
+        return holder;
+    }
+
+    public RecordRelay follower() {
+        return follower;
+    }
+
+    /** The relay of a further daemon, which nobody reaches. */
+    public RecordRelay unconnected() {
+        return RecordRelay.of(worker, control, Optional.empty());
+    }
+
+    /** The one daemon takes the lease, the other learns of it. */
+    public void hold() {
+        onControl(() -> holder.holder(true, Optional.empty()));
+        onControl(() -> follower.holder(false, holder.contact()));
+    }
+
+    /** Runs something on the control thread and waits for its end. */
+    public void onControl(Runnable task) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        control.post(
+                () -> {
+                    task.run();
+                    done.complete(null);
+                });
+        done.join();
+    }
+
+    /** Waits until something holds, looked at on the control thread. */
+    public void await(BooleanSupplier condition) {
+        long untilNanos = System.nanoTime() + Duration.ofMillis(PATIENCE_MILLIS).toNanos();
+        boolean[] holds = {false};
+        while (!holds[0]) {
+            if (System.nanoTime() > untilNanos) {
+                throw new AssertionError("did not come about in " + PATIENCE_MILLIS + " ms");
+            }
+            CompletableFuture<Void> looked = new CompletableFuture<>();
+            control.after(
+                    LOOK_MILLIS,
+                    () -> {
+                        holds[0] = condition.getAsBoolean();
+                        looked.complete(null);
+                    });
+            looked.join();
+        }
+    }
+
+    @Override
+    public void close() {
+        onControl(
+                () -> {
+                    holder.close();
+                    follower.close();
+                });
+        control.close();
+        worker.shutdownNow();
+    }
+}
--- a/link/src/main/java/org/tamaracktrack/link/frame/FrameConnection.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/FrameConnection.java
@@ -11,7 +11,6 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.message.Message;
-import org.tamaracktrack.link.codec.Codecs;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
@@ -20,8 +19,6 @@
 final class FrameConnection implements Connection {
     static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
     private static final Logger LOG = Logger.getLogger(FrameConnection.class);
-    private static final int READ_BYTES = 64 * 1024;
-    private static final long MAXIMUM_QUEUED_BYTES = 32L * 1024 * 1024;
     private static final long HANDSHAKE_MILLIS = 3_000;
     private static final int FRAMES_AT_ONCE = 64;
 
@@ -35,10 +32,12 @@
     private final ConnectionHandler handler;
     private final Handshake handshake;
     private final boolean initiator;
+    private final MessageCodec codec;
     private final FrameDecoder decoder = FrameDecoder.of(Handshake.MAXIMUM_FRAME_BYTES);
     private final AtomicReference<State> state = new AtomicReference<>(State.PROVING);
     private final Deque<ByteBuffer> queue = new ArrayDeque<>();
-    private final ByteBuffer input = ByteBuffer.allocate(READ_BYTES);
+    private final ByteBuffer input;
+    private final long maximumQueuedBytes;
     private final String remote;
     private long queuedBytes;
 
@@ -46,8 +45,12 @@
             StreamConnection stream,
             ConnectionHandler handler,
             Handshake handshake,
-            boolean initiator) {
+            boolean initiator,
+            XnioFrameTransport.Format format) {
         this.stream = stream;
+        this.codec = format.codec();
+        this.input = ByteBuffer.allocate(format.readBytes());
+        this.maximumQueuedBytes = format.queuedBytes();
         this.handler = handler;
         this.handshake = handshake;
         this.initiator = initiator;
@@ -58,8 +61,10 @@
             StreamConnection stream,
             ConnectionHandler handler,
             Handshake handshake,
-            boolean initiator) {
-        FrameConnection connection = new FrameConnection(stream, handler, handshake, initiator);
+            boolean initiator,
+            XnioFrameTransport.Format format) {
+        FrameConnection connection =
+                new FrameConnection(stream, handler, handshake, initiator, format);
         connection.begin();
         return connection;
     }
@@ -89,14 +94,14 @@
         if (state.get() != State.OPEN) {
             return false;
         }
-        return enqueue(Codecs.encode(Codecs.messagePack(), message));
+        return enqueue(codec.encode(message));
     }
 
     private boolean enqueue(byte[] body) {
         synchronized (queue) {
             // A peer that stops reading would let this queue grow until the heap is full and every
             // other connection suffers; past the bound the sender is told that nothing was queued.
-            if (queuedBytes + body.length > MAXIMUM_QUEUED_BYTES || state.get() == State.CLOSED) {
+            if (queuedBytes + body.length > maximumQueuedBytes || state.get() == State.CLOSED) {
                 return false;
             }
             queue.add(FrameDecoder.encode(body));
@@ -169,15 +174,7 @@
         if (state.get() == State.PROVING) {
             prove(frame);
         } else if (state.get() == State.OPEN) {
-            handler.onMessage(this, decodeMessage(frame));
-        }
-    }
-
-    private static Message decodeMessage(byte[] frame) {
-        try {
-            return Codecs.decode(Codecs.messagePack(), frame, Message.class);
-        } catch (TamaracktrackException failure) {
-            throw TamaracktrackException.of(ErrorCode.BAD_FRAME, "not a message", failure);
+            handler.onMessage(this, codec.decode(frame));
         }
     }
 
--- a/link/src/main/java/org/tamaracktrack/link/frame/XnioFrameTransport.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/XnioFrameTransport.java
@@ -29,12 +29,30 @@
 
     private final String sharedSecret;
     private final XnioWorker worker;
+    private final boolean ownWorker;
+    private final Format format;
     private final SecureRandom random = new SecureRandom();
     private final Set<AcceptingChannel<StreamConnection>> servers = ConcurrentHashMap.newKeySet();
 
-    private XnioFrameTransport(String sharedSecret, XnioWorker worker) {
+    private XnioFrameTransport(
+            String sharedSecret, XnioWorker worker, boolean ownWorker, Format format) {
         this.sharedSecret = sharedSecret;
         this.worker = worker;
+        this.ownWorker = ownWorker;
+        this.format = format;
+    }
+
+    /**
+     * How messages are written, and what a connection may take of memory.
+     *
+     * @param codec writes and reads messages
+     * @param readBytes read at once
+     * @param queuedBytes waiting to be sent, beyond which messages are not taken
+     */
+    public record Format(MessageCodec codec, int readBytes, long queuedBytes) {
+        /** For connections that carry requests and answers. */
+        static final Format REQUESTS =
+                new Format(new EveryMessageCodec(), 64 * 1024, 32L * 1024 * 1024);
     }
 
     /**
@@ -47,12 +65,28 @@
     public static XnioFrameTransport of(String sharedSecret) {
         Objects.requireNonNull(sharedSecret, "sharedSecret is null");
         try {
-            return new XnioFrameTransport(sharedSecret, worker());
+            return new XnioFrameTransport(sharedSecret, worker(), true, Format.REQUESTS);
         } catch (IOException failure) {
             throw TamaracktrackException.of(ErrorCode.INTERNAL, "can't start XNIO", failure);
         }
     }
 
+    /**
+     * Returns a transport on the threads of another part of the program.
+     *
+     * @param sharedSecret what both ends prove to know
+     * @param worker the threads; not stopped when the transport is closed
+     * @param format how messages are written, and what a connection may take of memory
+     * @return the transport
+     */
+    public static XnioFrameTransport sharing(
+            String sharedSecret, XnioWorker worker, Format format) {
+        Objects.requireNonNull(sharedSecret, "sharedSecret is null");
+        Objects.requireNonNull(worker, "worker is null");
+        Objects.requireNonNull(format, "format is null");
+        return new XnioFrameTransport(sharedSecret, worker, false, format);
+    }
+
     private static XnioWorker worker() throws IOException {
         return Xnio.getInstance()
                 .createWorker(
@@ -96,7 +130,7 @@
             StreamConnection stream = accepting.accept();
             while (stream != null) {
                 FrameConnection.start(
-                        stream, handler, Handshake.responder(sharedSecret, nonce()), false);
+                        stream, handler, Handshake.responder(sharedSecret, nonce()), false, format);
                 stream = accepting.accept();
             }
         } catch (IOException failure) {
@@ -116,7 +150,8 @@
                                         stream,
                                         handler,
                                         Handshake.initiator(sharedSecret, nonce()),
-                                        true),
+                                        true,
+                                        format),
                         socketOptions());
         opening.addNotifier((future, attachment) -> report(future, address, handler), null);
         worker.getIoThread().executeAfter(opening::cancel, CONNECT_MILLIS, TimeUnit.MILLISECONDS);
@@ -149,6 +184,8 @@
     @Override
     public void close() {
         servers.forEach(IoUtils::safeClose);
-        worker.shutdownNow();
+        if (ownWorker) {
+            worker.shutdownNow();
+        }
     }
 }
