--- a/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
@@ -18,6 +18,7 @@
 import org.tamaracktrack.core.lease.ConditionalLease.Contact;
 import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.daemon.settings.IpAddresses;
 import org.tamaracktrack.link.frame.Connection;
 import org.tamaracktrack.link.frame.ConnectionHandler;
 import org.tamaracktrack.link.frame.FrameTransport;
@@ -127,8 +128,7 @@
         try {
             InetSocketAddress used = listening.listen(wanted, new FollowerHandler());
             transport = Optional.of(listening);
-            return Optional.of(
-                    new Contact(used.getAddress().getHostAddress() + ':' + used.getPort(), secret));
+            return Optional.of(new Contact(IpAddresses.format(used), secret));
         } catch (TamaracktrackException unusable) {
             // Without it every daemon reads the store itself; the next record tries again.
             LOG.error("event=relay-not-listening problem=\"" + unusable.getMessage() + '"');
@@ -205,26 +205,14 @@
 
     private void connect(Contact holder) {
         nextConnectMillis = ControlThread.nowMillis() + RETRY_MILLIS;
-        Optional<InetSocketAddress> address = address(holder);
-        if (address.isEmpty()) {
-            LOG.warn("event=relay-contact-unreadable address=" + holder.address());
-            return;
-        }
-        Link opening = new Link(holder);
-        link = Optional.of(opening);
-        XnioFrameTransport.sharing(holder.secret(), worker, FORMAT).connect(address.get(), opening);
-    }
-
-    private static Optional<InetSocketAddress> address(Contact holder) {
-        int colon = holder.address().lastIndexOf(':');
         try {
-            return Optional.of(
-                    new InetSocketAddress(
-                            holder.address().substring(0, colon),
-                            Integer.parseInt(holder.address().substring(colon + 1))));
-        } catch (IllegalArgumentException | IndexOutOfBoundsException unreadable) {
-            // The caller says so, and goes on without a connection.
-            return Optional.empty();
+            InetSocketAddress wanted = IpAddresses.parse(holder.address());
+            Link opening = new Link(holder);
+            link = Optional.of(opening);
+            XnioFrameTransport.sharing(holder.secret(), worker, FORMAT).connect(wanted, opening);
+        } catch (TamaracktrackException unreadable) {
+            // Without a connection every read is of the store.
+            LOG.warn("event=relay-contact-unreadable address=" + holder.address());
         }
     }
 
