Take demand once a tick, and drop bounds that nothing can reach

The giver of orders grouped all rates and all waiting requests anew for each of up to sixteen orders of a tick, and once more for each order's log line; demand does not change within a tick. Every model or adapter that a candidate holds is counted, so no count of it is below one. The follower's own guard for a listing under way made a second one needless. No decision changes.

--- a/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
@@ -219,7 +219,7 @@
     }
 
     private static double kept(View view, Map<ModelNeed, Long> counted, ModelNeed need) {
-        long copies = Math.max(1, counted.getOrDefault(need, 1L));
+        long copies = counted.get(need);
         double waits = copies == 1 ? waits(view, need) : 0;
         return (rate(view, need) + waits) / (copies * copies);
     }
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -234,13 +234,12 @@
 
     private static Candidate candidate(
             View view, Counts counts, TargetIncarnation engine, EngineBook book) {
-        Map<ModelId, Double> losses =
+        Optional<Map.Entry<ModelId, Double>> least =
                 book.held().keySet().stream()
                         .filter(held -> view.waiting().getOrDefault(held, 0) == 0)
                         .filter(held -> book.heldMillis(held, view.nowMillis()) >= SETTLING_MILLIS)
-                        .collect(Collectors.toMap(held -> held, held -> loss(view, counts, held)));
-        Optional<Map.Entry<ModelId, Double>> least =
-                losses.entrySet().stream().min(Map.Entry.comparingByValue());
+                        .map(held -> Map.entry(held, loss(view, counts, held)))
+                        .min(Map.Entry.comparingByValue());
         return new Candidate(
                 engine,
                 book,
@@ -272,9 +271,9 @@
     }
 
     private static double loss(View view, Counts counts, ModelId model) {
-        int count = Math.max(1, counts.copiesOf(model));
+        int count = counts.copiesOf(model);
         double quick = view.quick().getOrDefault(model, 0.0);
-        if (count <= 1) {
+        if (count == 1) {
             double slow = Math.max(quick, view.slow().getOrDefault(model, 0.0));
             return onlyCopyWorth(view.askedBy().apply(model)) + ONLY_COPY_WORTH * slow;
         }
@@ -329,7 +328,7 @@
                         .mapToDouble(
                                 model ->
                                         view.quick().getOrDefault(model, 0.0)
-                                                / Math.max(1, counts.copiesOf(model)))
+                                                / counts.copiesOf(model))
                         .sum();
         double fullness = book.fullness(view.specification().slots());
         return Math.max(LEAST_ROOM, 1 - Math.max(load / ENGINE_RATE, fullness));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -1,7 +1,6 @@
 package org.tamaracktrack.daemon.copies;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,6 +17,7 @@
 import org.tamaracktrack.core.copies.StorePace;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.fleet.HeldModel;
+import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.ModelId;
@@ -104,9 +104,10 @@
             LOG.info("event=order-duty-begins term=" + lastTerm);
         }
         demand.fade(ControlThread.nowMillis());
+        Asked asked = Asked.of(demand);
         configuration.stream()
                 .flatMap(inForce -> inForce.services().values().stream())
-                .forEach(service -> serve(service, permit.get()));
+                .forEach(service -> serve(service, asked, permit.get()));
         holdings.publish(sure());
     }
 
@@ -129,11 +130,33 @@
                 .forEach(engine -> pace.follow(engine.loadsPerSecond(), ControlThread.nowMillis()));
     }
 
-    private void serve(ServiceSpecification service, LeaseDriver.Permit permit) {
-        service.engine().ifPresent(engine -> serve(service.service(), engine, permit));
+    /** Demand as of a tick, which gives up to sixteen orders by it. */
+    private record Asked(
+            Map<ModelId, Double> quick,
+            Map<ModelId, Double> slow,
+            Map<ModelNeed, Integer> waiting,
+            Map<ModelId, Integer> waitingByModel) {
+
+        static Asked of(DemandBook demand) {
+            Map<ModelNeed, Integer> waiting = demand.waiting();
+            return new Asked(
+                    demand.quick(),
+                    demand.slow(),
+                    waiting,
+                    waiting.entrySet().stream()
+                            .collect(
+                                    Collectors.groupingBy(
+                                            entry -> entry.getKey().model(),
+                                            Collectors.summingInt(Map.Entry::getValue))));
+        }
+    }
+
+    private void serve(ServiceSpecification service, Asked asked, LeaseDriver.Permit permit) {
+        service.engine().ifPresent(engine -> serve(service.service(), engine, asked, permit));
     }
 
-    private void serve(ServiceId service, EngineSpecification engine, LeaseDriver.Permit permit) {
+    private void serve(
+            ServiceId service, EngineSpecification engine, Asked asked, LeaseDriver.Permit permit) {
         Map<TargetIncarnation, TargetEntry> entries =
                 fleet.ready(service)
                         .collect(Collectors.toMap(TargetEntry::incarnation, Function.identity()));
@@ -143,7 +166,7 @@
                         .filter(name -> books.get(name).known())
                         .collect(Collectors.toMap(Function.identity(), books::get));
         for (int count = 0; count < MOST_ORDERS; count++) {
-            if (!giveNext(entries, engine, engines, permit)) {
+            if (!giveNext(entries, engine, engines, asked, permit)) {
                 return;
             }
         }
@@ -153,37 +176,33 @@
             Map<TargetIncarnation, TargetEntry> entries,
             EngineSpecification engine,
             Map<TargetIncarnation, EngineBook> engines,
+            Asked asked,
             LeaseDriver.Permit permit) {
-        Optional<AdapterPlanner.Move> adapter = AdapterPlanner.next(adapterView(engine, engines));
+        Optional<AdapterPlanner.Move> adapter =
+                AdapterPlanner.next(adapterView(engine, engines, asked));
         if (adapter.filter(AdapterPlanner.Move::pressing).isPresent()) {
-            give(entries, adapter.get().order(), permit);
+            give(entries, adapter.get().order(), asked, permit);
             return true;
         }
-        Optional<CopyPlanner.Move> copy = CopyPlanner.next(copyView(engine, engines));
+        Optional<CopyPlanner.Move> copy = CopyPlanner.next(copyView(engine, engines, asked));
         if (copy.isPresent()) {
-            give(entries, copy.get().order(), permit);
+            give(entries, copy.get().order(), asked, permit);
             copy.filter(chosen -> chosen.victim().isPresent())
                     .ifPresent(chosen -> books.get(chosen.engine()).makingRoomFor(chosen.model()));
             return true;
         }
-        adapter.ifPresent(move -> give(entries, move.order(), permit));
+        adapter.ifPresent(move -> give(entries, move.order(), asked, permit));
         return adapter.isPresent();
     }
 
     private CopyPlanner.View copyView(
-            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines) {
-        Map<ModelId, Integer> waiting =
-                demand.waiting().entrySet().stream()
-                        .collect(
-                                Collectors.groupingBy(
-                                        entry -> entry.getKey().model(),
-                                        Collectors.summingInt(Map.Entry::getValue)));
+            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines, Asked asked) {
         return new CopyPlanner.View(
                 engine,
                 engines,
-                demand.quick(),
-                demand.slow(),
-                waiting,
+                asked.quick(),
+                asked.slow(),
+                asked.waitingByModel(),
                 demand::askedBy,
                 demand.settled(ControlThread.nowMillis()),
                 pace.allows(engine.loadsPerSecond(), ControlThread.nowMillis()),
@@ -191,10 +210,14 @@
     }
 
     private AdapterPlanner.View adapterView(
-            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines) {
-        Set<ModelId> asked = new HashSet<>(demand.slow().keySet());
+            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines, Asked asked) {
         return new AdapterPlanner.View(
-                engine, engines, asked, demand::slow, demand.waiting(), ControlThread.nowMillis());
+                engine,
+                engines,
+                asked.slow().keySet(),
+                demand::slow,
+                asked.waiting(),
+                ControlThread.nowMillis());
     }
 
     private void askForReport(TargetEntry entry) {
@@ -222,6 +245,7 @@
     private void give(
             Map<TargetIncarnation, TargetEntry> entries,
             EngineOrder order,
+            Asked asked,
             LeaseDriver.Permit permit) {
         TargetEntry target = entries.get(order.engine());
         EngineBook book = books.get(order.engine());
@@ -246,7 +270,7 @@
                         + " holds="
                         + book.held()
                         + " demand="
-                        + demand.quick().getOrDefault(order.model(), 0.0));
+                        + asked.quick().getOrDefault(order.model(), 0.0));
         orders.send(target, order, authority, permit::valid)
                 .thenAccept(outcome -> control.post(() -> settled(order, outcome)));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -99,9 +99,7 @@
         @Override
         public void onLost() {
             relayedAtMillis = Long.MIN_VALUE / 2;
-            if (next != NOT_LISTED) {
-                follow();
-            }
+            follow();
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
@@ -230,8 +230,9 @@
                 new Message.Records(
                         part.topic(), part.part(), batch.from(), batch.records(), batch.end());
         // One that takes nothing any more is closed; it reads the store instead.
-        new ArrayList<>(followers)
-                .stream().filter(follower -> !follower.send(message)).forEach(this::drop);
+        Set.copyOf(followers).stream()
+                .filter(follower -> !follower.send(message))
+                .forEach(this::drop);
     }
 
     private void drop(Connection follower) {
