Release the lease after a read on its way; take a holding that can't be read for none

A holding with a name that is none threw, and the rest of its message was dropped; it says nothing now, as demand's names do. The tests of this package and of the follower share one log in memory. Two test classes state what they wait for as assertions too. DutyRecords has a test of its own.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
@@ -60,18 +60,22 @@
     }
 
     static Optional<Holding> holding(byte[] bytes) {
-        return Trees.parse(bytes)
-                .flatMap(
-                        tree ->
-                                Trees.text(tree, "target")
-                                        .map(
-                                                target ->
-                                                        new Holding(
-                                                                new TargetIncarnation(
-                                                                        TargetId.of(target),
-                                                                        Trees.whole(tree, "started")
-                                                                                .orElse(0L)),
-                                                                models(tree))));
+        try {
+            return Trees.parse(bytes)
+                    .flatMap(
+                            tree ->
+                                    Trees.text(tree, "target")
+                                            .map(target -> holding(TargetId.of(target), tree)));
+        } catch (TamaracktrackException unreadable) {
+            // Only our own daemons say this; one with names of a newer version says nothing of use,
+            // and the registry's word holds.
+            return Optional.empty();
+        }
+    }
+
+    private static Holding holding(TargetId target, JsonNode tree) {
+        long started = Trees.whole(tree, "started").orElse(0L);
+        return new Holding(new TargetIncarnation(target, started), models(tree));
     }
 
     private static Optional<Map<ModelId, HeldModel>> models(JsonNode tree) {
@@ -88,7 +92,7 @@
                                         new HeldModel(
                                                 ModelId.of(name),
                                                 Trees.elements(models, name)
-                                                        .map(JsonNode::textValue)
+                                                        .map(JsonNode::asText)
                                                         .map(AdapterId::of)
                                                         .collect(Collectors.toSet()))));
         return Optional.of(held);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -167,7 +167,6 @@
 
     private void readDone(TopicAnswer<RecordBatch> answer) {
         calling = false;
-        leaving.ifPresent(this::release);
         long nowMillis = ControlThread.nowMillis();
         if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
             lease.skipped(expired.first(), nowMillis);
@@ -175,6 +174,7 @@
             take(done.value(), nowMillis);
         }
         // Any other answer: the store is away, nobody can claim; the next tick reads again.
+        leaving.ifPresent(this::release);
     }
 
     private void take(RecordBatch batch, long nowMillis) {
@@ -225,9 +225,9 @@
         return done;
     }
 
-    // A renewal may be on its way. The release written before its answer would expect the log to
-    // end where it no longer does and be refused, and the next holder would wait for the lease to
-    // lapse; so it follows the answer.
+    // A renewal or a read may be on its way. The release written before its answer would expect the
+    // log to end where it no longer does and be refused, and the next holder would wait for the
+    // lease to lapse; so it follows the answer.
     private void release(CompletableFuture<Void> done) {
         if (calling) {
             return;
--- a/daemon/src/test/java/org/tamaracktrack/daemon/copies/DemandExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/copies/DemandExchangeTest.java
@@ -1,5 +1,7 @@
 package org.tamaracktrack.daemon.copies;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +14,7 @@
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.lease.ConditionalLease;
+import org.tamaracktrack.daemon.relay.MemoryLog;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.relay.RelayPair;
 import org.tamaracktrack.link.topic.TopicPart;
@@ -82,6 +85,7 @@
         daemon("other", pair.follower(), leases, new MemoryLog(), ASKED);
 
         pair.await(() -> knows(holder));
+        pair.onControl(() -> assertThat(holder.askedBy(MODEL)).isEqualTo(AskedBy.URGENT));
     }
 
     // The daemon that gives orders is killed. What it was told went over connections and is lost
@@ -100,5 +104,6 @@
         DemandBook next = daemon("next", pair.unconnected(), new MemoryLog(), demands, NOTHING);
 
         pair.await(() -> knows(next));
+        pair.onControl(() -> assertThat(next.askedBy(MODEL)).isEqualTo(AskedBy.URGENT));
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/copies/DutyRecordsTest.java
@@ -0,0 +1,123 @@
+package org.tamaracktrack.daemon.copies;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tamaracktrack.core.copies.DemandBook;
+import org.tamaracktrack.core.fleet.HeldModel;
+import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.AdapterId;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.lease.ConditionalLease.Contact;
+import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
+
+class DutyRecordsTest {
+    private static final ModelId MODEL = ModelId.of("model");
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    class Leases {
+
+        @Test
+        void shouldReadWhatItWrote() {
+            LeaseRecord record =
+                    new LeaseRecord(
+                            "host", 7, true, false, 3, Optional.of(new Contact("10.0.0.1:9", "s")));
+
+            assertThat(DutyRecords.lease(DutyRecords.encode(record)))
+                    .isEqualTo(Optional.of(record));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "{", "[]", "{\"term\":1}", "{\"holder\":1}"})
+        void shouldTakeNothingFromWhatIsNoRecord(String text) {
+            assertThat(DutyRecords.lease(bytes(text))).isEmpty();
+        }
+    }
+
+    @Nested
+    class Demands {
+
+        @Test
+        void shouldReadWhatItWrote() {
+            ModelNeed need = new ModelNeed(MODEL, Optional.of(AdapterId.of("adapter")));
+            DutyRecords.DemandRecord record =
+                    new DutyRecords.DemandRecord(
+                            "host",
+                            new DemandBook.Seen(Map.of(need, 2), Map.of(), Map.of(need, 1)));
+
+            assertThat(DutyRecords.demand(DutyRecords.encode(record)))
+                    .isEqualTo(Optional.of(record));
+        }
+
+        @Test
+        void shouldLeaveOutANameThatIsNone() {
+            DutyRecords.DemandRecord record =
+                    DutyRecords.demand(bytes("{\"process\":\"p\",\"urgent\":{\"\":1,\"model\":2}}"))
+                            .orElseThrow();
+
+            assertThat(record.seen().urgent())
+                    .containsExactly(new ModelNeed(MODEL, Optional.empty()), 2);
+        }
+    }
+
+    @Nested
+    class HoldingsOfEngines {
+        private final TargetIncarnation engine = new TargetIncarnation(TargetId.of("engine"), 5);
+
+        @Test
+        void shouldReadWhatItWrote() {
+            DutyRecords.Holding holding =
+                    new DutyRecords.Holding(
+                            engine,
+                            Optional.of(
+                                    TargetEntry.byModel(
+                                            List.of(
+                                                    new HeldModel(
+                                                            MODEL,
+                                                            Set.of(AdapterId.of("adapter")))))));
+
+            assertThat(DutyRecords.holding(DutyRecords.encode(holding)))
+                    .isEqualTo(Optional.of(holding));
+        }
+
+        @Test
+        void shouldTellNothingHeldFromNoLongerSure() {
+            DutyRecords.Holding empty = new DutyRecords.Holding(engine, Optional.of(Map.of()));
+            DutyRecords.Holding unsure = new DutyRecords.Holding(engine, Optional.empty());
+
+            assertThat(DutyRecords.holding(DutyRecords.encode(empty)))
+                    .isEqualTo(Optional.of(empty));
+            assertThat(DutyRecords.holding(DutyRecords.encode(unsure)))
+                    .isEqualTo(Optional.of(unsure));
+        }
+
+        // One record that can't be read must not keep the others of its message from being taken.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    "{\"started\":1}",
+                    "{\"target\":\"\"}",
+                    "{\"target\":\"t\",\"models\":{\"\":[]}}",
+                    "{\"target\":\"t\",\"models\":{\"m\":[{}]}}"
+                })
+        void shouldTakeNothingFromWhatIsNoRecord(String text) {
+            assertThat(DutyRecords.holding(bytes(text))).isEmpty();
+        }
+    }
+}
--- a/daemon/src/test/java/org/tamaracktrack/daemon/copies/HoldingsExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/copies/HoldingsExchangeTest.java
@@ -1,5 +1,7 @@
 package org.tamaracktrack.daemon.copies;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +36,7 @@
     private RelayPair pair;
     private HoldingsExchange giver;
     private HoldingsExchange other;
-    private Fleet known = Fleet.empty();
+    private volatile Fleet known = Fleet.empty();
 
     @BeforeEach
     void start() throws IOException {
@@ -67,6 +69,11 @@
         return known.entry(ENGINE.target()).orElseThrow().models();
     }
 
+    private void awaitTheRegistrysWord() {
+        pair.await(() -> held().isEmpty());
+        assertThat(held()).isEmpty();
+    }
+
     // The giver says it once, before the other daemon has a connection: it has to hear it anyhow.
     @Test
     void shouldTellANewcomerWhatWasSaidBefore() {
@@ -79,6 +86,7 @@
                     giver.publish(Map.of(ENGINE, HELD));
                     return held().equals(HELD);
                 });
+        assertThat(held()).isEqualTo(HELD);
     }
 
     @Test
@@ -87,7 +95,7 @@
 
         pair.onControl(() -> giver.publish(Map.of()));
 
-        pair.await(() -> held().isEmpty());
+        awaitTheRegistrysWord();
     }
 
     // The giver is frozen: its connections stay open, it says nothing more, and what it said
@@ -96,7 +104,7 @@
     void shouldGoBackToTheRegistryWhenTheGiverFallsSilent() {
         shouldTellANewcomerWhatWasSaidBefore();
 
-        pair.await(() -> held().isEmpty());
+        awaitTheRegistrysWord();
     }
 
     @Test
@@ -105,7 +113,7 @@
 
         pair.onControl(() -> pair.holder().holder(false, Optional.empty()));
 
-        pair.await(() -> held().isEmpty());
+        awaitTheRegistrysWord();
     }
 
     // A daemon takes the lease over. What the giver before it said is no longer kept up to date.
@@ -115,6 +123,6 @@
 
         pair.onControl(() -> pair.follower().holder(true, Optional.empty()));
 
-        pair.await(() -> held().isEmpty());
+        awaitTheRegistrysWord();
     }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/copies/LeaseDriverTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/copies/LeaseDriverTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.lease.ConditionalLease;
 import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
+import org.tamaracktrack.daemon.relay.MemoryLog;
 import org.tamaracktrack.daemon.relay.RelayPair;
 import org.tamaracktrack.link.topic.TopicPart;
 
@@ -55,7 +56,7 @@
         pair.await(driver::holds);
         int before = log.records().size();
         CompletableFuture<Void> go = new CompletableFuture<>();
-        pair.onControl(() -> log.hold(go));
+        pair.onControl(() -> log.holdAppends(go));
         pair.await(() -> log.records().size() > before);
 
         pair.onControl(
@@ -69,6 +70,29 @@
         pair.onControl(() -> assertThat(driver.holds()).isFalse());
     }
 
+    // The answer to a renewal is lost, so the log is read to find out, and a planned stop begins.
+    // Written before what was read is taken in, the release would expect the log to end before the
+    // renewal and be refused.
+    @Test
+    void shouldReleaseAfterTheReadThatIsOnItsWay() {
+        LeaseDriver driver = driver();
+        pair.await(driver::holds);
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        pair.onControl(
+                () -> {
+                    log.loseNextAnswer();
+                    log.holdReads(go);
+                });
+        int before = log.reads();
+        pair.await(() -> log.reads() > before);
+
+        pair.onControl(driver::leave);
+        pair.onControl(() -> go.complete(null));
+
+        pair.await(() -> last().release());
+        pair.onControl(() -> assertThat(driver.holds()).isFalse());
+    }
+
     @Test
     void shouldHaveNothingToReleaseWhenAnotherHolds() {
         holderAppends(true);
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -3,74 +3,23 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tamaracktrack.daemon.relay.MemoryLog;
 import org.tamaracktrack.daemon.relay.RelayPair;
 import org.tamaracktrack.link.topic.KeyedRecord;
-import org.tamaracktrack.link.topic.NewestPage;
-import org.tamaracktrack.link.topic.RecordBatch;
-import org.tamaracktrack.link.topic.TopicAnswer;
-import org.tamaracktrack.link.topic.TopicClient;
 import org.tamaracktrack.link.topic.TopicPart;
 
 class KeyedFollowerTest {
     private static final TopicPart PART = new TopicPart("keyed", 0);
 
-    private final List<String> records = new ArrayList<>();
-    private final List<CompletableFuture<TopicAnswer<RecordBatch>>> waiting = new ArrayList<>();
+    private final MemoryLog log = new MemoryLog();
     private final List<String> heard = new ArrayList<>();
     private RelayPair pair;
-    private int reads;
-
-    /** A log on the control thread: a read that finds nothing waits until it is answered. */
-    private final class Log implements TopicClient {
-        @Override
-        public CompletableFuture<TopicAnswer<NewestPage>> newest(TopicPart part, String afterKey) {
-            return CompletableFuture.completedFuture(
-                    new TopicAnswer.Done<>(new NewestPage(List.of(), false, 0)));
-        }
-
-        @Override
-        public CompletableFuture<TopicAnswer<RecordBatch>> read(
-                TopicPart part, long from, long waitMillis) {
-            reads++;
-            if (from < records.size()) {
-                return CompletableFuture.completedFuture(new TopicAnswer.Done<>(batch(from)));
-            }
-            CompletableFuture<TopicAnswer<RecordBatch>> answer = new CompletableFuture<>();
-            waiting.add(answer);
-            return answer;
-        }
-
-        @Override
-        public Optional<KeyedRecord> keyed(byte[] bytes, long offset) {
-            return Optional.of(
-                    new KeyedRecord(
-                            new String(bytes, StandardCharsets.UTF_8), Optional.empty(), offset));
-        }
-
-        @Override
-        public CompletableFuture<TopicAnswer<Long>> append(
-                TopicPart part, List<byte[]> added, OptionalLong expectedEnd) {
-            throw new AssertionError("a follower writes nothing");
-        }
-    }
-
-    private RecordBatch batch(long from) {
-        List<byte[]> bytes =
-                records.subList((int) from, records.size()).stream()
-                        .map(text -> text.getBytes(StandardCharsets.UTF_8))
-                        .collect(Collectors.toList());
-        return new RecordBatch(from, bytes, records.size());
-    }
 
     @BeforeEach
     void start() throws IOException {
@@ -78,7 +27,7 @@
         pair.onControl(
                 () ->
                         KeyedFollower.start(
-                                new Log(),
+                                log,
                                 PART,
                                 pair.control(),
                                 new KeyedFollower.Pace(1_300, 1),
@@ -104,7 +53,7 @@
                                     }
                                 },
                                 pair.follower()));
-        pair.await(() -> waiting.size() == 1);
+        pair.await(log::hasWaitingRead);
     }
 
     @AfterEach
@@ -112,18 +61,8 @@
         pair.close();
     }
 
-    private void answerWaiting() {
-        pair.onControl(
-                () -> {
-                    waiting.forEach(
-                            answer ->
-                                    answer.complete(new TopicAnswer.Done<>(batch(records.size()))));
-                    waiting.clear();
-                });
-    }
-
     private void publish(long from) {
-        pair.onControl(() -> pair.holder().publish(PART, batch(from)));
+        pair.onControl(() -> pair.holder().publish(PART, log.batch(from)));
     }
 
     /** The holder is heard of, and the read that waited from before is over. */
@@ -131,25 +70,25 @@
         pair.hold();
         pair.await(
                 () -> {
-                    pair.holder().publish(PART, batch(0));
+                    pair.holder().publish(PART, log.batch(0));
                     return pair.follower().tell(PART, new byte[0]);
                 });
-        answerWaiting();
+        pair.onControl(log::endWaits);
     }
 
     @Test
     void shouldReadNothingWhileTheHolderPassesRecordsOn() {
         follow();
-        int before = reads;
+        int before = log.reads();
 
-        records.add("a");
+        log.add("a");
         publish(0);
         pair.await(() -> heard.equals(List.of("a")));
-        records.add("b");
+        log.add("b");
         publish(1);
         pair.await(() -> heard.equals(List.of("a", "b")));
 
-        assertThat(reads).isEqualTo(before);
+        assertThat(log.reads()).isEqualTo(before);
     }
 
     // The connection was lost for a moment and a record with it. The next one that is passed on
@@ -157,7 +96,7 @@
     @Test
     void shouldReadTheLogWhenRecordsWereNotPassedOn() {
         follow();
-        records.addAll(List.of("a", "b", "c"));
+        List.of("a", "b", "c").forEach(log::add);
 
         publish(2);
 
@@ -169,21 +108,21 @@
     @Test
     void shouldReadTheLogWhenTheHolderFallsSilent() {
         follow();
-        int before = reads;
+        int before = log.reads();
 
-        records.add("a");
+        log.add("a");
         pair.await(() -> heard.equals(List.of("a")));
 
-        assertThat(reads).isGreaterThan(before);
+        assertThat(log.reads()).isGreaterThan(before);
     }
 
     @Test
     void shouldReadTheLogAtOnceWhenTheHolderIsLost() {
         follow();
-        int before = reads;
+        int before = log.reads();
         pair.onControl(() -> pair.holder().holder(false, Optional.empty()));
 
-        pair.await(() -> reads > before);
+        pair.await(() -> log.reads() > before);
     }
 
     @Test
@@ -191,15 +130,14 @@
         pair.hold();
         pair.await(
                 () -> {
-                    pair.holder().publish(PART, batch(0));
+                    pair.holder().publish(PART, log.batch(0));
                     return pair.follower().tell(PART, new byte[0]);
                 });
-        records.add("a");
+        log.add("a");
         publish(0);
         pair.await(() -> !heard.isEmpty());
 
-        pair.onControl(
-                () -> waiting.forEach(answer -> answer.complete(new TopicAnswer.Done<>(batch(0)))));
+        pair.onControl(log::endWaits);
         pair.onControl(() -> assertThat(heard).containsExactly("a"));
     }
 }
