--- a/core/src/main/java/org/tamaracktrack/core/dispatch/Work.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/Work.java
@@ -12,15 +12,10 @@
  * @param service where the request goes
  * @param need the model; empty for a plain service
  * @param promptTokens tokens to read
- * @param answerTokens tokens to make at most
  * @param parts the prompt's parts in order
  */
 public record Work(
-        ServiceId service,
-        Optional<ModelNeed> need,
-        int promptTokens,
-        int answerTokens,
-        List<PromptPart> parts) {
+        ServiceId service, Optional<ModelNeed> need, int promptTokens, List<PromptPart> parts) {
 
     /** Checks the arguments. */
     public Work {
--- a/core/src/main/java/org/tamaracktrack/core/route/EngineSpecification.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/EngineSpecification.java
@@ -8,7 +8,6 @@
  * What the model engines of a service can hold and run.
  *
  * @param slots requests at once on one engine
- * @param contextTokens tokens that the requests on one engine may hold together
  * @param megabytes accelerator memory for weights and adapters on one engine
  * @param adapterPlaces adapters on one engine
  * @param loadsPerSecond loads from the weight store, all engines together
@@ -16,7 +15,6 @@
  */
 public record EngineSpecification(
         int slots,
-        long contextTokens,
         double megabytes,
         int adapterPlaces,
         double loadsPerSecond,
--- a/core/src/main/java/org/tamaracktrack/core/route/ServiceSpecification.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/ServiceSpecification.java
@@ -8,11 +8,9 @@
  * A service behind the routes.
  *
  * @param service its name
- * @param maximumConnections connections that one target accepts from all callers together
  * @param engine what its engines can hold; empty for a plain service
  */
-public record ServiceSpecification(
-        ServiceId service, int maximumConnections, Optional<EngineSpecification> engine) {
+public record ServiceSpecification(ServiceId service, Optional<EngineSpecification> engine) {
 
     /** Checks the arguments. */
     public ServiceSpecification {
--- a/core/src/test/java/org/tamaracktrack/core/copies/AdapterPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/AdapterPlannerTest.java
@@ -71,7 +71,7 @@
         return AdapterPlanner.next(
                 new AdapterPlanner.View(
                         new EngineSpecification(
-                                64, 134_000, ENGINE_MEGABYTES, PLACES, 1.4, Map.of(MODEL, model)),
+                                64, ENGINE_MEGABYTES, PLACES, 1.4, Map.of(MODEL, model)),
                         engines,
                         Set.of(MODEL),
                         need -> {
--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -74,7 +74,7 @@
                                                         List.of())));
         return CopyPlanner.next(
                 new CopyPlanner.View(
-                        new EngineSpecification(64, 134_000, ENGINE_MEGABYTES, 8, 1.4, models),
+                        new EngineSpecification(64, ENGINE_MEGABYTES, 8, 1.4, models),
                         engines,
                         rates,
                         rates,
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
@@ -30,8 +30,7 @@
     }
 
     private static Work work(PromptPart... parts) {
-        return new Work(
-                Targets.ENGINES, Optional.of(Targets.need("model")), 1_460, 172, List.of(parts));
+        return new Work(Targets.ENGINES, Optional.of(Targets.need("model")), 1_460, List.of(parts));
     }
 
     private Optional<String> choose(Work work, List<TargetId> tried) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -83,13 +83,7 @@
         this.configurationVersion = accepted.configurationVersion();
         this.headers = exchange.getRequestHeaders();
         this.endsMillis = arrivedMillis + Math.min(route.timeoutMillis(), callerWaits());
-        this.work =
-                new Work(
-                        accepted.service(),
-                        facts.need(),
-                        facts.promptTokens(),
-                        facts.answerTokens(),
-                        facts.parts());
+        this.work = new Work(accepted.service(), facts.need(), facts.promptTokens(), facts.parts());
         this.answer = CallerAnswer.of(exchange, services::leaving, this);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestFacts.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestFacts.java
@@ -14,7 +14,6 @@
  * @param waitMillis how long the caller waits, if it says so
  * @param need the model that the request names
  * @param promptTokens tokens in the prompt
- * @param answerTokens tokens in the answer at most
  * @param parts the prompt's parts in order
  * @param resumeAfter the last event that the caller has of an earlier attempt's stream
  */
@@ -23,7 +22,6 @@
         OptionalLong waitMillis,
         Optional<ModelNeed> need,
         int promptTokens,
-        int answerTokens,
         List<PromptPart> parts,
         Optional<String> resumeAfter) {
 
