--- a/daemon/src/main/java/org/tamaracktrack/daemon/operations/HttpFront.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/operations/HttpFront.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import org.xnio.Options;
+import org.xnio.XnioWorker;
 
 /** The HTTP server of a daemon, with its limits against slow and half-open callers. */
 public final class HttpFront implements AutoCloseable {
@@ -34,6 +35,36 @@
      */
     public static HttpFront start(
             InetSocketAddress address, int maximumConnections, HttpHandler handler) {
+        return start(
+                Undertow.builder().setIoThreads(IO_THREADS).setWorkerThreads(WORKER_THREADS),
+                address,
+                maximumConnections,
+                handler);
+    }
+
+    /**
+     * Starts a server on the threads of another part of the program.
+     *
+     * @param worker the threads; not stopped when the server is closed
+     * @param address where to listen; port 0 for any free one
+     * @param maximumConnections how many connections get an answer other than a refusal
+     * @param handler serves the requests
+     * @return the running server
+     */
+    public static HttpFront sharing(
+            XnioWorker worker,
+            InetSocketAddress address,
+            int maximumConnections,
+            HttpHandler handler) {
+        Objects.requireNonNull(worker, "worker is null");
+        return start(Undertow.builder().setWorker(worker), address, maximumConnections, handler);
+    }
+
+    private static HttpFront start(
+            Undertow.Builder builder,
+            InetSocketAddress address,
+            int maximumConnections,
+            HttpHandler handler) {
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(handler, "handler is null");
         // A flood of connections would use up memory and file descriptors, and callers who already
@@ -41,10 +72,7 @@
         // the rest; connections that never send a request are closed by the two time limits.
         int highWater = maximumConnections + SPARE_CONNECTIONS;
         Undertow server =
-                Undertow.builder()
-                        .addHttpListener(address.getPort(), address.getAddress().getHostAddress())
-                        .setIoThreads(IO_THREADS)
-                        .setWorkerThreads(WORKER_THREADS)
+                builder.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
                         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_MILLIS)
                         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLIS)
                         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
