--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -23,60 +23,15 @@
  * rarely asked models stay within reach of a quick load.
  */
 public final class CopyPlanner {
-    /** Requests a second that one copy serves well while its engine serves others too. */
-    private static final double COPY_RATE = 6;
-
     /** Requests a second, of all models, at which an engine is about full. */
     private static final double ENGINE_RATE = 12;
 
-    /** What a first copy is worth to requests that wait now, and to each of them. */
-    private static final double WAITING_WORTH = 4;
-
-    private static final double EACH_WAITING_WORTH = 1;
-
-    /**
-     * The part of it that counts if only requests ask that can wait for seconds. Counted in full,
-     * rarely asked models took every free engine, and a model with twenty requests a second stayed
-     * on two of eight engines for ten seconds.
-     */
-    private static final double PATIENT_SHARE = 0.4;
-
-    /** What a first copy is worth for each request a second. */
-    private static final double FIRST_COPY_WORTH = 1;
-
-    /**
-     * A model without a copy is more crowded than one with a single copy. Counted as less, four
-     * engines loaded further copies of one model for nine seconds while another with as many
-     * requests had none.
-     */
-    private static final double NO_COPY = 0.75;
-
-    /**
-     * What a first copy is worth if no engine has one at hand either: it would take the longest.
-     */
-    private static final double FAR_COPY_WORTH = 1;
-
     /** Engines that load from the weight store at once: they take no adapters for that long. */
     private static final double MOST_LOADING_SHARE = 0.5;
 
-    /** What the only copy of a model is worth for each request a second of the last half minute. */
-    private static final double ONLY_COPY_WORTH = 2;
-
-    /** What any copy is worth besides. */
-    private static final double ANY_COPY_WORTH = 0.03;
-
-    /** What a copy of a model is worth that was never asked for: demand moves on to such. */
-    private static final double NEW_COPY_WORTH = 0.5;
-
-    /** The same for one that urgent requests asked for and then fell silent. */
-    private static final double SILENT_COPY_WORTH = 0.2;
-
     /** A copy is not unloaded before the requests that wanted it had time to use it. */
     private static final long SETTLING_MILLIS = 1_500;
 
-    /** What an unload costs for each request a second that has to finish or go elsewhere. */
-    private static final double DISTURBANCE_WORTH = 0.1;
-
     /**
      * A move has to be worth this many times what it displaces, so that moves do not undo others.
      */
@@ -85,10 +40,13 @@
     /** A move that gains less is not worth its load and the pause that it causes. */
     private static final double LEAST_GAIN = 0.15;
 
-    /** What is left of a copy's worth if it comes from disk, and from the weight store. */
-    private static final double FROM_DISK = 0.9;
+    /**
+     * For about this long demand stays where it is. A copy that takes part of it to load is worth
+     * that part less.
+     */
+    private static final double HORIZON_MILLIS = 20_000;
 
-    private static final double FROM_STORE = 0.6;
+    private static final double LEAST_SPEED = 0.1;
 
     /** A first copy in a data centre saves bytes between data centres. */
     private static final double NEW_DATA_CENTRE = 1.25;
@@ -104,7 +62,7 @@
      * @param specification what engines can hold
      * @param engines the engines that take work
      * @param quick requests a second by model, of the last seconds
-     * @param slow requests a second by model, of the last half minute
+     * @param expected requests a second by model that are to be expected
      * @param waiting requests that wait for a first copy, by model
      * @param askedBy what kind of requests have asked for a model
      * @param settled whether demand has been seen for long enough to tell what is not asked for
@@ -115,7 +73,7 @@
             EngineSpecification specification,
             Map<TargetIncarnation, EngineBook> engines,
             Map<ModelId, Double> quick,
-            Map<ModelId, Double> slow,
+            Map<ModelId, Double> expected,
             Map<ModelId, Integer> waiting,
             Function<ModelId, AskedBy> askedBy,
             boolean settled,
@@ -154,21 +112,35 @@
         return begun(view).or(() -> best(view));
     }
 
-    /** The load that room was made for. */
+    /** The load that room was made for, or the next unload for it. */
     private static Optional<Move> begun(View view) {
         return view.engines().entrySet().stream()
                 .filter(engine -> engine.getValue().successorMayFollow())
-                .flatMap(engine -> begun(view, engine.getKey(), engine.getValue()).stream())
+                .flatMap(engine -> begun(view, engine).stream())
                 .findFirst();
     }
 
-    private static Optional<Move> begun(View view, TargetIncarnation engine, EngineBook book) {
+    private static Optional<Move> begun(
+            View view, Map.Entry<TargetIncarnation, EngineBook> engine) {
+        EngineBook book = engine.getValue();
         return book.successor()
                 .flatMap(view.specification()::model)
                 .filter(model -> !book.held().containsKey(model.model()))
-                .filter(model -> fits(view.specification(), book, model))
                 .filter(model -> view.storeAllows() || atHand(book, model.model()))
-                .map(model -> new Move(engine, model.model(), Optional.empty(), 0));
+                .flatMap(model -> begun(view, engine, model));
+    }
+
+    private static Optional<Move> begun(
+            View view, Map.Entry<TargetIncarnation, EngineBook> engine, ModelSpecification model) {
+        EngineBook book = engine.getValue();
+        if (fits(view.specification(), book, model)) {
+            return Optional.of(new Move(engine.getKey(), model.model(), Optional.empty(), 0));
+        }
+        if (!book.idle()) {
+            return Optional.empty();
+        }
+        Candidate candidate = candidate(view, Counts.of(view), CopyWorth.of(view), engine);
+        return move(candidate, model, 0).filter(move -> move.victim().isPresent());
     }
 
     // All that does not depend on the pair of engine and model is worked out once: counted anew for
@@ -176,11 +148,12 @@
     // second, on hosts that have a quarter of a core; it takes 2.3 ms (a loop of passes, JIT warm).
     private static Optional<Move> best(View view) {
         Counts counts = Counts.of(view);
+        CopyWorth worth = CopyWorth.of(view);
         List<Candidate> candidates =
                 view.engines().entrySet().stream()
                         .filter(engine -> engine.getValue().idle())
                         .filter(engine -> engine.getValue().successor().isEmpty())
-                        .map(engine -> candidate(view, counts, engine.getKey(), engine.getValue()))
+                        .map(engine -> candidate(view, counts, worth, engine))
                         .collect(Collectors.toList());
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -189,7 +162,7 @@
         boolean storeAllows =
                 view.storeAllows() && loading < MOST_LOADING_SHARE * view.engines().size();
         return view.specification().models().values().stream()
-                .flatMap(model -> moves(view, counts, candidates, storeAllows, model))
+                .flatMap(model -> moves(view, counts, worth, candidates, storeAllows, model))
                 .max(Comparator.comparingDouble(Move::worth));
     }
 
@@ -206,7 +179,9 @@
         }
 
         private void count(EngineBook book) {
-            book.held().keySet().forEach(model -> count(book, model));
+            book.held().keySet().stream()
+                    .filter(model -> book.going().filter(model::equals).isEmpty())
+                    .forEach(model -> count(book, model));
             book.coming()
                     .filter(model -> !book.held().containsKey(model))
                     .ifPresent(model -> count(book, model));
@@ -223,83 +198,58 @@
         }
     }
 
-    /** An engine that can take an order, and the copy that is missed least there. */
+    /** An engine that can take an order, and its copies that may go, least missed first. */
     private record Candidate(
             TargetIncarnation engine,
             EngineBook book,
-            double usedMegabytes,
+            double freeMegabytes,
             double room,
-            Optional<ModelId> victim,
-            double loss) {}
+            List<Victim> victims) {}
+
+    /** A copy that may be unloaded, and what is lost with it. */
+    private record Victim(ModelId model, double megabytes, double loss) {}
 
     private static Candidate candidate(
-            View view, Counts counts, TargetIncarnation engine, EngineBook book) {
-        Optional<Map.Entry<ModelId, Double>> least =
-                book.held().keySet().stream()
-                        .filter(held -> view.waiting().getOrDefault(held, 0) == 0)
-                        .filter(held -> book.heldMillis(held, view.nowMillis()) >= SETTLING_MILLIS)
-                        .map(held -> Map.entry(held, loss(view, counts, held)))
-                        .min(Map.Entry.comparingByValue());
+            View view,
+            Counts counts,
+            CopyWorth worth,
+            Map.Entry<TargetIncarnation, EngineBook> engine) {
+        EngineBook book = engine.getValue();
+        List<Victim> victims =
+                book.held().entrySet().stream()
+                        .filter(held -> mayGo(view, book, held.getKey()))
+                        .map(
+                                held ->
+                                        new Victim(
+                                                held.getKey(),
+                                                megabytes(view.specification(), held),
+                                                worth.loss(
+                                                        held.getKey(),
+                                                        counts.copiesOf(held.getKey()))))
+                        .sorted(Comparator.comparingDouble(Victim::loss))
+                        .collect(Collectors.toList());
         return new Candidate(
-                engine,
+                engine.getKey(),
                 book,
-                used(view.specification(), book),
+                view.specification().megabytes() - used(view.specification(), book),
                 room(view, counts, book),
-                least.map(Map.Entry::getKey),
-                least.map(Map.Entry::getValue).orElse(0.0));
+                victims);
     }
 
-    private static double gain(View view, Counts counts, ModelId model) {
-        int count = counts.copiesOf(model);
-        double rate = view.quick().getOrDefault(model, 0.0);
-        if (count == 0) {
-            int waits = view.waiting().getOrDefault(model, 0);
-            double waiting = waits > 0 ? WAITING_WORTH + EACH_WAITING_WORTH * waits : 0;
-            double share = view.askedBy().apply(model) == AskedBy.PATIENT ? PATIENT_SHARE : 1;
-            // When the last engine that had a model leaves, nobody notices until it is asked for
-            // and takes the longest to load; brought up in a calm moment it is within reach.
-            double far = counts.atHand().contains(model) ? 0 : FAR_COPY_WORTH;
-            return share * waiting + FIRST_COPY_WORTH * rate + crowding(rate) / NO_COPY + far;
-        }
-        return crowding(rate) / (count * (count + 1.0));
-    }
-
-    // A copy that is asked for twice as much is four times as crowded; a second copy of it takes
-    // half of that away. So the few busiest models get many copies before the others get two.
-    private static double crowding(double rate) {
-        return rate * rate / COPY_RATE;
-    }
-
-    private static double loss(View view, Counts counts, ModelId model) {
-        int count = counts.copiesOf(model);
-        double quick = view.quick().getOrDefault(model, 0.0);
-        if (count == 1) {
-            double slow = Math.max(quick, view.slow().getOrDefault(model, 0.0));
-            return onlyCopyWorth(view.askedBy().apply(model)) + ONLY_COPY_WORTH * slow;
-        }
-        // In the first seconds every rate is small, also that of the busiest model, whose copies
-        // were placed in advance; taken for unasked, they were unloaded as the day began.
-        boolean expected = !view.settled() || view.askedBy().apply(model) == AskedBy.NOBODY;
-        return (expected ? NEW_COPY_WORTH : ANY_COPY_WORTH)
-                + DISTURBANCE_WORTH * quick / count
-                + crowding(quick) / (count * (count - 1.0));
-    }
-
-    private static double onlyCopyWorth(AskedBy askedBy) {
-        return switch (askedBy) {
-            case NOBODY -> NEW_COPY_WORTH;
-            case PATIENT -> ANY_COPY_WORTH;
-            case URGENT -> SILENT_COPY_WORTH;
-        };
+    private static boolean mayGo(View view, EngineBook book, ModelId model) {
+        return view.waiting().getOrDefault(model, 0) == 0
+                && book.heldMillis(model, view.nowMillis()) >= SETTLING_MILLIS;
     }
 
     private static Stream<Move> moves(
             View view,
             Counts counts,
+            CopyWorth copyWorth,
             List<Candidate> candidates,
             boolean storeAllows,
             ModelSpecification model) {
-        double gain = gain(view, counts, model.model());
+        ModelId name = model.model();
+        double gain = copyWorth.gain(name, counts.copiesOf(name), counts.atHand().contains(name));
         if (gain <= LEAST_GAIN) {
             return Stream.empty();
         }
@@ -313,10 +263,10 @@
                             boolean newPlace = !places.contains(book.dataCentre());
                             double worth =
                                     gain
-                                            * speed(book, model.model())
+                                            * speed(book, model)
                                             * candidate.room()
                                             * (newPlace ? NEW_DATA_CENTRE : 1);
-                            return move(view, candidate, model, worth).stream();
+                            return move(candidate, model, worth).stream();
                         })
                 .filter(move -> move.worth() > LEAST_GAIN);
     }
@@ -327,7 +277,7 @@
                 book.held().keySet().stream()
                         .mapToDouble(
                                 model ->
-                                        view.quick().getOrDefault(model, 0.0)
+                                        view.expected().getOrDefault(model, 0.0)
                                                 / counts.copiesOf(model))
                         .sum();
         double fullness = book.fullness(view.specification().slots());
@@ -338,29 +288,36 @@
         return book.inMemory(model) || book.onDisk(model);
     }
 
-    private static double speed(EngineBook book, ModelId model) {
-        if (book.inMemory(model)) {
-            return 1;
+    private static double speed(EngineBook book, ModelSpecification model) {
+        return Math.max(LEAST_SPEED, 1 - loadMillis(book, model) / HORIZON_MILLIS);
+    }
+
+    private static double loadMillis(EngineBook book, ModelSpecification model) {
+        if (book.inMemory(model.model())) {
+            return model.memoryMillis();
         }
-        return book.onDisk(model) ? FROM_DISK : FROM_STORE;
+        return book.onDisk(model.model()) ? model.diskMillis() : model.storeMillis();
     }
 
+    // Models differ in size, so one may take the room of several.
     private static Optional<Move> move(
-            View view, Candidate candidate, ModelSpecification model, double worth) {
-        double megabytes = candidate.usedMegabytes() + model.megabytes();
-        if (megabytes <= view.specification().megabytes()) {
-            return Optional.of(
-                    new Move(candidate.engine(), model.model(), Optional.empty(), worth));
+            Candidate candidate, ModelSpecification model, double worth) {
+        double missing = model.megabytes() - candidate.freeMegabytes();
+        double lost = 0;
+        Optional<ModelId> first = Optional.empty();
+        for (Victim victim : candidate.victims()) {
+            if (missing <= 0) {
+                break;
+            }
+            missing -= victim.megabytes();
+            lost += victim.loss();
+            first = first.or(() -> Optional.of(victim.model()));
+        }
+        if (missing > 0) {
+            return Optional.empty();
         }
-        return candidate
-                .victim()
-                .map(
-                        victim ->
-                                new Move(
-                                        candidate.engine(),
-                                        model.model(),
-                                        Optional.of(victim),
-                                        worth - HYSTERESIS * candidate.loss()));
+        return Optional.of(
+                new Move(candidate.engine(), model.model(), first, worth - HYSTERESIS * lost));
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/DemandBook.java
@@ -13,7 +13,8 @@
  * How much each model and adapter is asked for, over all daemons. Owned by the control thread.
  *
  * <p>Two averages are kept: a quick one that follows demand as it moves within seconds, and a slow
- * one by which a model that is asked for every few seconds is not taken for unused.
+ * one by which a model that is asked for every few seconds is not taken for unused. What a model
+ * was asked for at most of late is remembered besides, since demand moves among the same models.
  */
 public final class DemandBook {
     private static final double QUICK_MILLIS = 2_500;
@@ -34,6 +35,7 @@
 
     private final Map<ModelNeed, Rate> rates = new HashMap<>();
     private final Map<String, Waiting> waitingByHost = new HashMap<>();
+    private final RememberedDemand remembered = RememberedDemand.empty();
     private final Set<ModelId> everUrgent = new HashSet<>();
     private final Set<ModelId> everPatient = new HashSet<>();
 
@@ -117,26 +119,38 @@
      *
      * @param seen what a daemon saw
      */
-    public void remember(Seen seen) {
+    private void remember(Seen seen) {
         seen.urgent().keySet().forEach(need -> everUrgent.add(need.model()));
         seen.patient().keySet().forEach(need -> everPatient.add(need.model()));
     }
 
+    /**
+     * Takes in what another giver of orders wrote down by {@link #everAsked}.
+     *
+     * @param asked the models that were asked for, with their greatest rates
+     * @param nowMillis the monotonic time
+     */
+    public void recall(Seen asked, long nowMillis) {
+        remember(asked);
+        asked.urgent().forEach((need, rate) -> remembered.recall(need.model(), rate, nowMillis));
+    }
+
     /**
      * Returns which models were asked for at some time, to be remembered by whoever gives orders
      * next.
      *
-     * @return each of them, as if asked for once
+     * @return each of them, with the greatest number of requests a second of late, at least one
      */
     public Seen everAsked() {
-        return new Seen(once(everUrgent), once(everPatient), Map.of());
+        return new Seen(greatest(everUrgent), greatest(everPatient), Map.of());
     }
 
-    private static Map<ModelNeed, Integer> once(Set<ModelId> models) {
+    private Map<ModelNeed, Integer> greatest(Set<ModelId> models) {
         return models.stream()
                 .collect(
                         Collectors.toMap(
-                                model -> new ModelNeed(model, Optional.empty()), model -> 1));
+                                model -> new ModelNeed(model, Optional.empty()),
+                                model -> Math.max(1, (int) Math.ceil(remembered.peak(model)))));
     }
 
     /**
@@ -171,6 +185,17 @@
         rates.values().forEach(rate -> rate.fade(nowMillis));
         rates.values().removeIf(rate -> rate.slow < FORGOTTEN);
         waitingByHost.values().removeIf(said -> nowMillis - said.atMillis() > WAITING_MILLIS);
+        remembered.note(quick(), nowMillis);
+    }
+
+    /**
+     * Returns requests a second by model that are to be expected in the next seconds: those of now,
+     * or what a model that has fallen silent may be asked for again.
+     *
+     * @return the rates
+     */
+    public Map<ModelId, Double> expected() {
+        return remembered.expected(quick());
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -354,12 +354,30 @@
     }
 
     /**
-     * Returns the model that is being loaded, or that room is made for.
+     * Returns the model that is being loaded, is about to be, or that room is made for. Orders that
+     * are still on their way count: several are given in one pass, and without it one model that a
+     * single request waited for was loaded on four engines at once.
      *
      * @return the model
      */
     public Optional<ModelId> coming() {
-        return arriving.or(() -> successor);
+        return arriving.or(() -> successor).or(() -> ordered(true));
+    }
+
+    /**
+     * Returns the model that an unload on its way concerns. It counts as gone: otherwise both
+     * copies of a model can be given up in one pass, each for the other's sake.
+     *
+     * @return the model
+     */
+    public Optional<ModelId> going() {
+        return ordered(false);
+    }
+
+    private Optional<ModelId> ordered(boolean load) {
+        return sent.filter(EngineOrder::ofModel)
+                .filter(order -> order.load() == load)
+                .map(EngineOrder::model);
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -164,6 +164,40 @@
             assertThat(one).isNotNull();
         }
 
+        // One request waits for a model, and several engines have room for it. Orders on their way
+        // did not count, so all engines began to load it and were lost to other models.
+        @Test
+        void shouldLoadAModelOnceWhenSeveralEnginesHaveRoomForIt() {
+            engine("one", List.of("rare"), "hot");
+            engine("two", List.of("rare"), "hot");
+            waiting.put(ModelId.of("rare"), 1);
+            CopyPlanner.Move first = next().orElseThrow();
+            engines.get(first.engine()).sending(first.order());
+
+            assertThat(next().filter(move -> move.model().equals(ModelId.of("rare")))).isEmpty();
+        }
+
+        // Two copies of a model that has fallen silent, and two others are waited for. In one pass
+        // each copy was given up because of the other, and the next request for it found none.
+        @Test
+        void shouldKeepOneCopyWhenTwoCouldGoInOnePass() {
+            engine("one", List.of("rare"), "silent", "hot", "warm");
+            engine("two", List.of("other"), "silent", "hot", "warm");
+            rate("hot", 20);
+            rate("warm", 20);
+            rate("silent", 1);
+            waiting.put(ModelId.of("rare"), 1);
+            waiting.put(ModelId.of("other"), 1);
+            CopyPlanner.Move first = next().orElseThrow();
+            assertThat(first.victim()).isEqualTo(Optional.of(ModelId.of("silent")));
+            EngineBook book = engines.get(first.engine());
+            book.sending(first.order());
+            book.makingRoomFor(first.model());
+
+            assertThat(next().flatMap(CopyPlanner.Move::victim))
+                    .isNotEqualTo(Optional.of(ModelId.of("silent")));
+        }
+
         // Requests that can wait ask for one rare model after the other. They must displace each
         // other, not the models to which demand moves next.
         @Test
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -189,7 +189,7 @@
             // were ever asked for.
             batch.records().stream()
                     .flatMap(record -> DutyRecords.demand(record).stream())
-                    .forEach(record -> book.remember(record.seen()));
+                    .forEach(record -> book.recall(record.seen(), ControlThread.nowMillis()));
             skipHistory = false;
             next = batch.end();
             read();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -134,6 +134,7 @@
     private record Asked(
             Map<ModelId, Double> quick,
             Map<ModelId, Double> slow,
+            Map<ModelId, Double> expected,
             Map<ModelNeed, Integer> waiting,
             Map<ModelId, Integer> waitingByModel) {
 
@@ -142,6 +143,7 @@
             return new Asked(
                     demand.quick(),
                     demand.slow(),
+                    demand.expected(),
                     waiting,
                     waiting.entrySet().stream()
                             .collect(
@@ -201,7 +203,7 @@
                 engine,
                 engines,
                 asked.quick(),
-                asked.slow(),
+                asked.expected(),
                 asked.waitingByModel(),
                 demand::askedBy,
                 demand.settled(ControlThread.nowMillis()),
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -31,9 +31,6 @@
     /** A caller that waits this long gives up; what is left must cover the way back to it. */
     private static final long WAY_BACK_MILLIS = 10;
 
-    /** A caller with less of the route's time than this has been refused before. */
-    private static final double RETURNED = 0.97;
-
     /** Newcomers are refused while this part of a caller's patience is taken up by waiting. */
     private static final double NEWCOMERS_SHARE = 0.7;
 
@@ -55,6 +52,7 @@
     private final CallerAnswer answer;
     private final HeaderMap headers;
     private final PieceTimes pieces;
+    private final boolean returned;
     private final List<TargetId> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
     private Optional<TargetAttempt> attempt = Optional.empty();
@@ -84,6 +82,9 @@
         this.headers = exchange.getRequestHeaders();
         this.endsMillis = arrivedMillis + Math.min(route.timeoutMillis(), callerWaits());
         this.work = new Work(accepted.service(), facts.need(), facts.promptTokens(), facts.parts());
+        this.returned =
+                services.callerWaits(route.name())
+                        .returned(facts.waitMillis().orElse(route.timeoutMillis()));
         this.pieces = PieceTimes.since(arrivedMillis);
         this.answer = CallerAnswer.of(exchange, services::leaving, this);
     }
@@ -124,7 +125,7 @@
         connection.onClosed(this::callerGone);
         CallerConnection.watch(exchange);
         services.allowance(work.service()).request(arrivedMillis);
-        if (!returned()) {
+        if (!returned) {
             facts.need().ifPresent(need -> services.demand().note(need, route));
         }
         endTimer = Optional.of(services.after(endsMillis - services.nowMillis(), this::timeIsUp));
@@ -166,11 +167,7 @@
     // Callers that were refused before come back with less time than the route gives. They go
     // before newcomers, who have yet to be refused once.
     private double share() {
-        return returned() ? 1 : NEWCOMERS_SHARE;
-    }
-
-    private boolean returned() {
-        return facts.waitMillis().orElse(route.timeoutMillis()) < RETURNED * route.timeoutMillis();
+        return returned ? 1 : NEWCOMERS_SHARE;
     }
 
     private long patienceMillis() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
+import org.tamaracktrack.core.dispatch.CallerWaits;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
@@ -27,6 +28,7 @@
     private final WaitingRequests waiting = WaitingRequests.empty();
     private final DemandMeter demand = DemandMeter.empty();
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
+    private final Map<String, CallerWaits> waits = new HashMap<>();
     private volatile GatewayView view = GatewayView.empty();
 
     GatewayServices(
@@ -102,6 +104,10 @@
                                 limits.retriesBesides()));
     }
 
+    CallerWaits callerWaits(String route) {
+        return waits.computeIfAbsent(route, name -> CallerWaits.empty());
+    }
+
     void limit(GatewayLimits newer) {
         // With new allowances every daemon could spend its part without requests once more.
         if (!newer.equals(limits)) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/PieceTimes.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/PieceTimes.java
@@ -1,6 +1,8 @@
 package org.tamaracktrack.daemon.gateway;
 
-/** When the pieces of one answer came, from the request's arrival on. Owned by the traffic thread. */
+/**
+ * When the pieces of one answer came, from the request's arrival on. Owned by the traffic thread.
+ */
 final class PieceTimes {
     private static final long NONE = -1;
 
