--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -38,6 +38,13 @@
     /** A move that gains less is not worth its load and the pause that it causes. */
     private static final double LEAST_GAIN = 0.15;
 
+    /**
+     * What it costs to move a model's only copy to an engine with free room before its place is
+     * taken: an order and a load more. Counted as the loss of an only copy, rarely asked models
+     * kept the busiest ones off three of eight engines for fifteen seconds.
+     */
+    private static final double REFUGE_LOSS = 0.3;
+
     /**
      * For about this long demand stays where it is. A copy that takes part of it to load is worth
      * that part less.
@@ -113,7 +120,7 @@
     /** The load that room was made for, or the next unload for it. */
     private static Optional<Move> begun(View view) {
         return view.engines().entrySet().stream()
-                .filter(engine -> engine.getValue().successorMayFollow())
+                .filter(engine -> engine.getValue().successorMayFollow(view.nowMillis()))
                 .flatMap(engine -> begun(view, engine).stream())
                 .findFirst();
     }
@@ -202,13 +209,34 @@
             double idleShare,
             List<Victim> victims) {}
 
-    /** A copy that may be unloaded, and what is lost with it. */
-    private record Victim(ModelId model, double megabytes, double loss, double share) {}
-
     /**
-     * The copies that make room for another: the first of them, what is lost, and freed of work.
+     * A copy that may be unloaded.
+     *
+     * @param model the model
+     * @param megabytes the room that it leaves
+     * @param loss what is lost with it
+     * @param share requests a second that it takes off others
+     * @param refuge where the model's only copy can go first
      */
-    private record Room(Optional<ModelId> first, double loss, double freed) {}
+    private record Victim(
+            ModelId model,
+            double megabytes,
+            double loss,
+            double share,
+            Optional<TargetIncarnation> refuge) {}
+
+    /** The copies that make room for another, and what is lost with them in all. */
+    private record Room(List<Victim> victims, double loss, double freed) {
+
+        Optional<ModelId> first() {
+            return victims.stream().map(Victim::model).findFirst();
+        }
+
+        /** A model that goes to another engine before anything else. */
+        Optional<Victim> toRefuge() {
+            return victims.stream().filter(victim -> victim.refuge().isPresent()).findFirst();
+        }
+    }
 
     private static Candidate candidate(
             View view, CopyWorth worth, Map.Entry<TargetIncarnation, EngineBook> engine) {
@@ -216,23 +244,45 @@
         List<Victim> victims =
                 book.held().entrySet().stream()
                         .filter(held -> mayGo(view, book, held.getKey()))
-                        .map(
-                                held ->
-                                        new Victim(
-                                                held.getKey(),
-                                                megabytes(view.specification(), held),
-                                                worth.loss(held.getKey(), engine.getKey()),
-                                                worth.share(held.getKey(), engine.getKey())))
+                        .map(held -> victim(view, worth, engine.getKey(), held))
                         .sorted(Comparator.comparingDouble(Victim::loss))
                         .collect(Collectors.toList());
         return new Candidate(
                 engine.getKey(),
                 book,
-                view.specification().megabytes() - used(view.specification(), book),
+                free(view, book),
                 Math.max(LEAST_IDLE, 1 - book.fullness(view.specification().slots())),
                 victims);
     }
 
+    private static Victim victim(
+            View view,
+            CopyWorth worth,
+            TargetIncarnation engine,
+            Map.Entry<ModelId, Set<AdapterId>> held) {
+        double megabytes = megabytes(view.specification(), held);
+        Optional<TargetIncarnation> refuge =
+                worth.onlyCopy(held.getKey()) ? refuge(view, engine, megabytes) : Optional.empty();
+        double loss = refuge.isPresent() ? REFUGE_LOSS : worth.loss(held.getKey(), engine);
+        return new Victim(
+                held.getKey(), megabytes, loss, worth.share(held.getKey(), engine), refuge);
+    }
+
+    private static Optional<TargetIncarnation> refuge(
+            View view, TargetIncarnation from, double megabytes) {
+        return view.engines().entrySet().stream()
+                .filter(engine -> !engine.getKey().equals(from))
+                .filter(engine -> engine.getValue().idle())
+                .filter(engine -> engine.getValue().successor().isEmpty())
+                .filter(engine -> free(view, engine.getValue()) >= megabytes)
+                .max(Comparator.comparingDouble(engine -> free(view, engine.getValue())))
+                .map(Map.Entry::getKey);
+    }
+
+    private static double free(View view, EngineBook book) {
+        return view.specification().megabytes() - used(view.specification(), book);
+    }
+
     private static boolean mayGo(View view, EngineBook book, ModelId model) {
         return view.waiting().getOrDefault(model, 0) == 0
                 && book.heldMillis(model, view.nowMillis()) >= SETTLING_MILLIS;
@@ -279,8 +329,16 @@
                         * speed(candidate.book(), model)
                         * candidate.idleShare()
                         * (newPlace ? NEW_DATA_CENTRE : 1);
-        return new Move(
-                candidate.engine(), model.model(), room.first(), gain - HYSTERESIS * room.loss());
+        double worth = gain - HYSTERESIS * room.loss();
+        return room.toRefuge()
+                .map(
+                        victim ->
+                                new Move(
+                                        victim.refuge().orElseThrow(),
+                                        victim.model(),
+                                        Optional.empty(),
+                                        worth))
+                .orElseGet(() -> new Move(candidate.engine(), model.model(), room.first(), worth));
     }
 
     private static boolean atHand(EngineBook book, ModelId model) {
@@ -301,19 +359,20 @@
     // Models differ in size, so one may take the room of several.
     private static Optional<Room> room(Candidate candidate, ModelSpecification model) {
         double missing = model.megabytes() - candidate.freeMegabytes();
-        double lost = 0;
-        double freed = 0;
-        Optional<ModelId> first = Optional.empty();
+        List<Victim> taken = new ArrayList<>();
         for (Victim victim : candidate.victims()) {
             if (missing <= 0) {
                 break;
             }
             missing -= victim.megabytes();
-            lost += victim.loss();
-            freed += victim.share();
-            first = first.or(() -> Optional.of(victim.model()));
+            taken.add(victim);
+        }
+        if (missing > 0) {
+            return Optional.empty();
         }
-        return missing > 0 ? Optional.empty() : Optional.of(new Room(first, lost, freed));
+        double lost = taken.stream().mapToDouble(Victim::loss).sum();
+        double freed = taken.stream().mapToDouble(Victim::share).sum();
+        return Optional.of(new Room(taken, lost, freed));
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
@@ -83,6 +83,11 @@
         return copies.getOrDefault(model, List.of()).size();
     }
 
+    /** Whether a model has just one copy. */
+    boolean onlyCopy(ModelId model) {
+        return count(model) == 1;
+    }
+
     /** The most that spreading a model's requests over one more copy can gain. */
     double mostSpread(ModelId model) {
         return rate(model);
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -39,6 +39,9 @@
      */
     private static final int MOST_IDLE_REPORTS = 2;
 
+    /** How often a load is tried while the engine makes room for it; it loads in 300 ms or more. */
+    private static final long TRY_AGAIN_MILLIS = 150;
+
     private final DataCentreId dataCentre;
     private Optional<EngineReport> report = Optional.empty();
     private Map<ModelId, Set<AdapterId>> held = new HashMap<>();
@@ -51,7 +54,7 @@
     private boolean busy;
     private boolean doubtful = true;
     private long orders;
-    private boolean successorTried;
+    private long successorTriedMillis = Long.MIN_VALUE / 2;
     private int idleReports;
     private long reportedAtMillis = Long.MIN_VALUE / 2;
     private long acceptedAtMillis = Long.MIN_VALUE / 2;
@@ -155,7 +158,7 @@
      */
     public void makingRoomFor(ModelId model) {
         successor = Optional.of(model);
-        successorTried = false;
+        successorTriedMillis = Long.MIN_VALUE / 2;
         idleReports = 0;
     }
 
@@ -222,28 +225,31 @@
     }
 
     /**
-     * Returns whether the load that room was made for may be tried. An unload that nothing runs on
-     * is over at once, so the load is tried once without waiting for a report that says so.
+     * Returns whether the load that room was made for may be tried. An unload is over as soon as
+     * the last request on it ends, up to half a second before a report says so; so the load is
+     * tried again and again meanwhile, which an engine that is still busy refuses.
      *
+     * @param nowMillis the monotonic time
      * @return true when it may
      */
-    public boolean successorMayFollow() {
+    public boolean successorMayFollow(long nowMillis) {
         return successor.isPresent()
                 && sent.isEmpty()
                 && !doubtful
                 && arriving.isEmpty()
-                && (!busy || !successorTried);
+                && (!busy || nowMillis - successorTriedMillis >= TRY_AGAIN_MILLIS);
     }
 
     /**
      * The engine was still busy with making room.
      *
      * @param model the model that room is made for
+     * @param nowMillis the monotonic time
      */
-    public void successorNotTaken(ModelId model) {
+    public void successorNotTaken(ModelId model, long nowMillis) {
         sent = Optional.empty();
         successor = Optional.of(model);
-        successorTried = true;
+        successorTriedMillis = nowMillis;
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -220,6 +220,42 @@
         }
     }
 
+    @Nested
+    class Spread {
+
+        // One engine is busy with the only copy of the busiest model; another holds rarely asked
+        // models, each the only copy, and hardly works. Callers of the busy model are refused.
+        // The rare one goes where there is room first, and is never without a copy.
+        @Test
+        void shouldBringAnOnlyCopyElsewhereBeforeItsPlaceIsTaken() {
+            engine("busy", List.of(), "hot", "warm", "other");
+            engine("idle", List.of("hot"), "rare", "silent", "new");
+            engine("spacious", List.of("rare", "silent"), "warm", "other");
+            rate("hot", 30);
+            rate("rare", 1);
+            rate("silent", 1);
+            rate("new", 1);
+
+            CopyPlanner.Move move = next().orElseThrow();
+
+            assertThat(move.victim()).isEmpty();
+            assertThat(move.engine().target()).isEqualTo(TargetId.of("spacious"));
+        }
+
+        // Two models are equally busy; one engine has none of them, one has both. The further copy
+        // goes to the engine with the least to do, though both have room.
+        @Test
+        void shouldPlaceAFurtherCopyWhereTheLeastWorkIs() {
+            engine("one", List.of(), "hot", "warm", "other");
+            engine("two", List.of("hot"), "warm", "other");
+            engine("three", List.of("hot"), "other", "silent");
+            rate("hot", 20);
+            rate("warm", 20);
+
+            assertThat(next().orElseThrow().engine().target()).isEqualTo(TargetId.of("three"));
+        }
+    }
+
     @Nested
     class Memory {
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -297,7 +297,7 @@
             // The engine may take the next one at once; adapters come in rows of eight.
             tick();
         } else if (outcome == EngineOrders.Outcome.NOT_TAKEN && book.busy() && order.load()) {
-            book.successorNotTaken(order.model());
+            book.successorNotTaken(order.model(), ControlThread.nowMillis());
         } else {
             book.unsettled();
         }
