Count an only copy as five requests for each that is asked for a second

Hypothesis: hot models displace the only copies of rarely asked ones, whose next request displaces another.

--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
@@ -38,7 +38,7 @@
     private static final double FAR_COPY_WORTH = 0.7;
 
     /** What the only copy of a model is worth for each request a second to be expected. */
-    private static final double ONLY_COPY_WORTH = 2;
+    private static final double ONLY_COPY_WORTH = 5;
 
     /** What any copy is worth besides. */
     private static final double ANY_COPY_WORTH = 0.03;
