Run the properties of nested classes; tell which engines take no orders; test the new parts

Cause: a property in a nested class runs only if the class is a group of jqwik as well. Callers' waits are remembered for a bounded number of routes. A line tells how many engines are reserved, in doubt or busy.

--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
@@ -37,7 +37,11 @@
      */
     private static final double FAR_COPY_WORTH = 0.7;
 
-    /** What the only copy of a model is worth for each request a second to be expected. */
+    /**
+     * What the only copy of a model is worth for each request a second to be expected. At 2, busy
+     * models displaced the only copies of rarely asked ones, whose next request displaced another;
+     * at 5, about one request in forty more was served in time on days with faults.
+     */
     private static final double ONLY_COPY_WORTH = 5;
 
     /** What any copy is worth besides. */
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -261,6 +261,21 @@
         return !doubtful && !busy && sent.isEmpty();
     }
 
+    /**
+     * Returns whether the engine can be given an order, and why not.
+     *
+     * @return the state
+     */
+    public EngineState state() {
+        if (doubtful) {
+            return EngineState.UNSURE;
+        }
+        if (successor.isPresent()) {
+            return EngineState.RESERVED;
+        }
+        return idle() ? EngineState.IDLE : EngineState.BUSY;
+    }
+
     /**
      * Returns whether the engine was carrying out an order of a model when last heard of.
      *
--- a/core/src/test/java/org/tamaracktrack/core/copies/EngineBookTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/EngineBookTest.java
@@ -6,6 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -124,11 +129,12 @@
             book.accepted(10);
             book.report(report(5, false), 1_000);
             assertThat(book.successor()).isEqualTo(Optional.of(NEXT));
+            assertThat(book.state()).isEqualTo(EngineState.RESERVED);
 
             book.report(report(5, false), 2_000);
 
             assertThat(book.successor()).isEmpty();
-            assertThat(book.idle()).isTrue();
+            assertThat(book.state()).isEqualTo(EngineState.IDLE);
         }
 
         @Test
@@ -141,4 +147,61 @@
             assertThat(book.has(NEXT)).isFalse();
         }
     }
+
+    /**
+     * An engine that carries orders out, and a giver whose orders are lost, answered and carried
+     * out late, or refused. Whatever happened, the engine takes orders again within a bounded time.
+     */
+    @Group
+    @Nested
+    class Faults {
+        private static final long REPORT_EVERY_MILLIS = 300;
+        private static final long CALM_MILLIS = 5_000;
+
+        // Callers of every model see refusals while an engine that answers gets no more orders.
+        // Orders are unanswered, carried out late after newer ones, or refused; then all is calm.
+        @Property(tries = 300, seed = "29")
+        void shouldTakeOrdersAgainWhenTheEngineAnswers(
+                @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+            SplittableRandom random = new SplittableRandom(seed);
+            EngineBook any = EngineBook.of(Targets.HOME);
+            long orders = 4;
+            long nowMillis = 0;
+            any.report(report(orders, false, HELD), nowMillis);
+            for (int count = 0; count < 40; count++) {
+                nowMillis += 50 + random.nextInt(400);
+                if (any.idle()) {
+                    boolean room = random.nextBoolean();
+                    any.sending(order(!room, room ? HELD : NEXT));
+                    if (room) {
+                        any.makingRoomFor(NEXT);
+                    }
+                    orders += settle(any, random, nowMillis);
+                } else {
+                    any.report(report(orders, random.nextBoolean(), HELD), nowMillis);
+                }
+            }
+
+            long calmFrom = nowMillis;
+            while (!(any.idle() && any.successor().isEmpty())) {
+                nowMillis += REPORT_EVERY_MILLIS;
+                any.report(report(orders, false, HELD), nowMillis);
+                assertThat(nowMillis - calmFrom).isAtMost(CALM_MILLIS);
+            }
+        }
+
+        /** Returns how many orders the engine has accepted more. */
+        private int settle(EngineBook any, SplittableRandom random, long nowMillis) {
+            switch (random.nextInt(4)) {
+                case 0 -> any.accepted(nowMillis);
+                case 1 -> any.successorNotTaken(NEXT, nowMillis);
+                case 2 -> {
+                    any.unsettled();
+                    return 0;
+                }
+                default -> any.unsettled();
+            }
+            return 1;
+        }
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/copies/EngineLoadsTest.java
@@ -0,0 +1,79 @@
+package org.tamaracktrack.core.copies;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.TargetId;
+
+/** The load pattern: two models take most requests, others a few each, on a handful of engines. */
+class EngineLoadsTest {
+    private static final ModelId HOT = ModelId.of("hot");
+    private static final ModelId RARE = ModelId.of("rare");
+    private static final TargetIncarnation ONE = engine("one");
+    private static final TargetIncarnation TWO = engine("two");
+    private static final TargetIncarnation IDLE = engine("idle");
+    private static final double NEAR = 1e-6;
+
+    private static TargetIncarnation engine(String name) {
+        return new TargetIncarnation(TargetId.of(name), 0);
+    }
+
+    @Test
+    void shouldSendRequestsToTheEngineWithLessOtherWork() {
+        EngineLoads loads =
+                EngineLoads.of(
+                        Map.of(HOT, List.of(ONE, TWO), RARE, List.of(ONE)),
+                        Map.of(HOT, 10.0, RARE, 4.0));
+
+        assertThat(loads.share(HOT, ONE)).isWithin(NEAR).of(3);
+        assertThat(loads.share(HOT, TWO)).isWithin(NEAR).of(7);
+    }
+
+    @Test
+    void shouldGainMoreOnAnIdleEngineThanOnABusyOne() {
+        EngineLoads loads =
+                EngineLoads.of(
+                        Map.of(HOT, List.of(ONE), RARE, List.of(TWO)),
+                        Map.of(HOT, 20.0, RARE, 8.0));
+
+        assertThat(loads.gain(HOT, 20, IDLE, 0)).isGreaterThan(loads.gain(HOT, 20, TWO, 0));
+        assertThat(loads.gain(HOT, 20, TWO, 0)).isGreaterThan(0.0);
+    }
+
+    @Test
+    void shouldLoseNothingWithoutACopyThatNobodyUses() {
+        EngineLoads loads = EngineLoads.of(Map.of(HOT, List.of(ONE, TWO)), Map.of());
+
+        assertThat(loads.loss(HOT, ONE)).isWithin(NEAR).of(0);
+    }
+
+    @Property(tries = 200, seed = "23")
+    void shouldGainWithACopyWhatIsLostWithoutIt(
+            @ForAll @IntRange(min = 1, max = 6) int copies,
+            @ForAll @DoubleRange(min = 0.1, max = 100) double rate) {
+        List<TargetIncarnation> engines =
+                IntStream.range(0, copies)
+                        .mapToObj(number -> engine("engine" + number))
+                        .collect(Collectors.toList());
+        List<TargetIncarnation> more =
+                IntStream.rangeClosed(0, copies)
+                        .mapToObj(number -> engine("engine" + number))
+                        .collect(Collectors.toList());
+        EngineLoads before = EngineLoads.of(Map.of(HOT, engines), Map.of(HOT, rate));
+        EngineLoads after = EngineLoads.of(Map.of(HOT, more), Map.of(HOT, rate));
+
+        double gain = before.gain(HOT, rate, more.get(copies), 0);
+        assertThat(gain).isAtLeast(-NEAR);
+        assertThat(after.loss(HOT, more.get(copies))).isWithin(NEAR).of(gain);
+    }
+}
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/CallerWaitsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/CallerWaitsTest.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.LongRange;
@@ -22,6 +23,7 @@
         return Math.round(TIMEOUT_MILLIS * (1 - spread * random.nextDouble()));
     }
 
+    @Group
     @Nested
     class Newcomers {
 
--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Nested;
@@ -18,6 +19,7 @@
     private static final Terms TERMS = new Terms(1_300, 450, 3_200, 100);
     private static final String HERE = "10.0.0.1:7000";
 
+    @Group
     @Nested
     class Histories {
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.daemon.copies;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -14,6 +15,7 @@
 import org.tamaracktrack.core.copies.EngineBook;
 import org.tamaracktrack.core.copies.EngineOrder;
 import org.tamaracktrack.core.copies.EngineReport;
+import org.tamaracktrack.core.copies.EngineState;
 import org.tamaracktrack.core.copies.StorePace;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.fleet.HeldModel;
@@ -38,6 +40,9 @@
     /** Orders begun in one tick at most; the rest follows a tenth of a second later. */
     private static final int MOST_ORDERS = 16;
 
+    /** How often the log may tell which engines take no orders; such states last for seconds. */
+    private static final long STATES_EVERY_MILLIS = 2_000;
+
     /** The term of the first holder ever. */
     private static final long FIRST_TERM = 0;
 
@@ -52,6 +57,8 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private Fleet fleet = Fleet.empty();
     private long lastTerm = -1;
+    private Map<EngineState, Long> loggedStates = Map.of();
+    private long statesLoggedMillis;
 
     private OrderGiver(
             EngineOrders orders,
@@ -109,6 +116,26 @@
                 .flatMap(inForce -> inForce.services().values().stream())
                 .forEach(service -> serve(service, asked, permit.get()));
         holdings.publish(sure());
+        logStates();
+    }
+
+    private void logStates() {
+        long nowMillis = ControlThread.nowMillis();
+        if (nowMillis - statesLoggedMillis < STATES_EVERY_MILLIS) {
+            return;
+        }
+        Map<EngineState, Long> counts =
+                books.values().stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        EngineBook::state,
+                                        () -> new EnumMap<>(EngineState.class),
+                                        Collectors.counting()));
+        if (!counts.equals(loggedStates)) {
+            LOG.info("event=engines states=" + counts);
+            loggedStates = counts;
+            statesLoggedMillis = nowMillis;
+        }
     }
 
     private Map<TargetIncarnation, Map<ModelId, HeldModel>> sure() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -1,6 +1,7 @@
 package org.tamaracktrack.daemon.gateway;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -16,6 +17,9 @@
 
 /** What the requests of a gateway share. Owned by the traffic thread, but for the view. */
 final class GatewayServices {
+    /** Routes come and go with configurations; those used last are remembered. */
+    private static final int MOST_ROUTES = 1_024;
+
     private final HttpCaller http;
     private final XnioIoThread thread;
     private final CallerDialect dialect;
@@ -28,7 +32,15 @@
     private final WaitingRequests waiting = WaitingRequests.empty();
     private final DemandMeter demand = DemandMeter.empty();
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
-    private final Map<String, CallerWaits> waits = new HashMap<>();
+    private final Map<String, CallerWaits> waits =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, CallerWaits> eldest) {
+                    return size() > MOST_ROUTES;
+                }
+            };
     private volatile GatewayView view = GatewayView.empty();
 
     GatewayServices(
