--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -66,7 +66,7 @@
     private long lastTerm = -1;
     private Map<EngineState, Long> loggedStates = Map.of();
     private long statesLoggedMillis;
-    private long planAgainMillis;
+    private final Map<ServiceId, Long> planAgainMillis = new HashMap<>();
 
     private OrderGiver(
             EngineOrders orders,
@@ -203,13 +203,14 @@
                         .filter(name -> books.get(name).known())
                         .collect(Collectors.toMap(Function.identity(), books::get));
         for (int count = 0; count < MOST_ORDERS; count++) {
-            if (!giveNext(entries, engine, engines, asked, permit)) {
+            if (!giveNext(service, entries, engine, engines, asked, permit)) {
                 return;
             }
         }
     }
 
     private boolean giveNext(
+            ServiceId service,
             Map<TargetIncarnation, TargetEntry> entries,
             EngineSpecification engine,
             Map<TargetIncarnation, EngineBook> engines,
@@ -221,7 +222,7 @@
             give(entries, adapter.get().order(), asked, permit);
             return true;
         }
-        Optional<CopyPlanner.Move> copy = nextCopy(copyView(engine, engines, asked));
+        Optional<CopyPlanner.Move> copy = nextCopy(service, copyView(engine, engines, asked));
         if (copy.isPresent()) {
             give(entries, copy.get().order(), asked, permit);
             copy.filter(chosen -> chosen.victim().isPresent())
@@ -232,13 +233,13 @@
         return adapter.isPresent();
     }
 
-    private Optional<CopyPlanner.Move> nextCopy(CopyPlanner.View view) {
-        if (view.nowMillis() < planAgainMillis) {
+    private Optional<CopyPlanner.Move> nextCopy(ServiceId service, CopyPlanner.View view) {
+        if (view.nowMillis() < planAgainMillis.getOrDefault(service, Long.MIN_VALUE)) {
             return CopyPlanner.begun(view);
         }
         Optional<CopyPlanner.Move> move = CopyPlanner.next(view);
         if (move.isEmpty()) {
-            planAgainMillis = view.nowMillis() + PLAN_AGAIN_MILLIS;
+            planAgainMillis.put(service, view.nowMillis() + PLAN_AGAIN_MILLIS);
         }
         return move;
     }
