--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -231,7 +231,7 @@
         void shouldBringAnOnlyCopyElsewhereBeforeItsPlaceIsTaken() {
             engine("busy", List.of(), "hot", "warm", "other");
             engine("idle", List.of("hot"), "rare", "silent", "new");
-            engine("spacious", List.of("rare", "silent"), "warm", "other");
+            engine("spacious", List.of("rare", "silent", "new"), "hot", "other");
             rate("hot", 30);
             rate("rare", 1);
             rate("silent", 1);
@@ -249,7 +249,7 @@
         void shouldNotBringAnOnlyCopyElsewhereWhenTheWeightStoreIsToBeSpared() {
             engine("busy", List.of(), "hot", "warm", "other");
             engine("idle", List.of("hot"), "rare", "silent", "new");
-            engine("spacious", List.of(), "warm", "other");
+            engine("spacious", List.of(), "hot", "other");
             rate("hot", 30);
             rate("rare", 1);
             rate("silent", 1);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -234,7 +234,8 @@
     }
 
     private Optional<CopyPlanner.Move> nextCopy(ServiceId service, CopyPlanner.View view) {
-        if (view.nowMillis() < planAgainMillis.getOrDefault(service, Long.MIN_VALUE)) {
+        long restsUntilMillis = planAgainMillis.getOrDefault(service, Long.MIN_VALUE);
+        if (view.waiting().isEmpty() && view.nowMillis() < restsUntilMillis) {
             return CopyPlanner.begun(view);
         }
         Optional<CopyPlanner.Move> move = CopyPlanner.next(view);
