--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -43,10 +43,10 @@
      * taken: an order and a load more. Counted as the loss of an only copy, rarely asked models
      * kept the busiest ones off three of eight engines for fifteen seconds.
      */
-    private static final double REFUGE_LOSS = 0.3;
+    private static final double RELOCATION_LOSS = 0.3;
 
-    /** Engines looked at for a refuge; the one with the most room is nearly always enough. */
-    private static final int MOST_REFUGES = 3;
+    /** Engines looked at for a relocation; the one with the most room is nearly always enough. */
+    private static final int MOST_RELOCATION_TARGETS = 3;
 
     /**
      * For about this long demand stays where it is. A copy that takes part of it to load is worth
@@ -54,6 +54,7 @@
      */
     private static final double HORIZON_MILLIS = 20_000;
 
+    /** What is left at least, for models that take longer than that. */
     private static final double LEAST_SPEED = 0.1;
 
     /** A first copy in a data centre saves bytes between data centres. */
@@ -154,7 +155,7 @@
             return Optional.empty();
         }
         CopyWorth worth = CopyWorth.of(view, Counts.of(view).copies());
-        return room(candidate(view, worth, Refuges.of(view), engine), model)
+        return room(candidate(view, worth, Relocations.none(view), engine), model)
                 .flatMap(Room::first)
                 .map(victim -> new Move(engine.getKey(), model.model(), Optional.of(victim), 0));
     }
@@ -166,11 +167,11 @@
     private static Optional<Move> best(View view) {
         Counts counts = Counts.of(view);
         CopyWorth worth = CopyWorth.of(view, counts.copies());
-        Refuges refuges = Refuges.of(view);
+        Relocations relocations = Relocations.of(view);
         List<Candidate> candidates =
                 view.engines().entrySet().stream()
                         .filter(engine -> mayTake(engine.getValue()))
-                        .map(engine -> candidate(view, worth, refuges, engine))
+                        .map(engine -> candidate(view, worth, relocations, engine))
                         .collect(Collectors.toList());
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -234,14 +235,14 @@
      * @param megabytes the room that it leaves
      * @param loss what is lost with it
      * @param share requests a second that it takes off others
-     * @param refuge where the model's only copy can go first
+     * @param relocation where the model's only copy can go first
      */
     private record Victim(
             ModelId model,
             double megabytes,
             double loss,
             double share,
-            Optional<TargetIncarnation> refuge) {}
+            Optional<TargetIncarnation> relocation) {}
 
     /** The copies that make room for another, and what is lost with them in all. */
     private record Room(List<Victim> victims, double loss, double freed) {
@@ -251,21 +252,21 @@
         }
 
         /** A model that goes to another engine before anything else. */
-        Optional<Victim> toRefuge() {
-            return victims.stream().filter(victim -> victim.refuge().isPresent()).findFirst();
+        Optional<Victim> toRelocate() {
+            return victims.stream().filter(victim -> victim.relocation().isPresent()).findFirst();
         }
     }
 
     private static Candidate candidate(
             View view,
             CopyWorth worth,
-            Refuges refuges,
+            Relocations relocations,
             Map.Entry<TargetIncarnation, EngineBook> engine) {
         EngineBook book = engine.getValue();
         List<Victim> victims =
                 book.held().entrySet().stream()
                         .filter(held -> mayGo(view, book, held.getKey()))
-                        .map(held -> victim(view, worth, refuges, engine.getKey(), held))
+                        .map(held -> victim(view, worth, relocations, engine.getKey(), held))
                         .sorted(Comparator.comparingDouble(Victim::loss))
                         .collect(Collectors.toList());
         return new Candidate(
@@ -279,24 +280,28 @@
     private static Victim victim(
             View view,
             CopyWorth worth,
-            Refuges refuges,
+            Relocations relocations,
             TargetIncarnation engine,
             Map.Entry<ModelId, Set<AdapterId>> held) {
         double megabytes = megabytes(view.specification(), held);
-        Optional<TargetIncarnation> refuge =
+        Optional<TargetIncarnation> relocation =
                 worth.onlyCopy(held.getKey())
-                        ? refuges.of(held.getKey(), engine, megabytes)
+                        ? relocations.of(held.getKey(), engine, megabytes)
                         : Optional.empty();
-        double loss = refuge.isPresent() ? REFUGE_LOSS : worth.loss(held.getKey(), engine);
+        double loss = relocation.isPresent() ? RELOCATION_LOSS : worth.loss(held.getKey(), engine);
         return new Victim(
-                held.getKey(), megabytes, loss, worth.share(held.getKey(), engine), refuge);
+                held.getKey(), megabytes, loss, worth.share(held.getKey(), engine), relocation);
     }
 
     /** The engines with the most free room, of those that can take an order. */
-    private record Refuges(View view, List<Map.Entry<TargetIncarnation, Double>> mostFirst) {
+    private record Relocations(View view, List<Map.Entry<TargetIncarnation, Double>> mostFirst) {
 
-        static Refuges of(View view) {
-            return new Refuges(
+        static Relocations none(View view) {
+            return new Relocations(view, List.of());
+        }
+
+        static Relocations of(View view) {
+            return new Relocations(
                     view,
                     view.engines().entrySet().stream()
                             .filter(engine -> mayTake(engine.getValue()))
@@ -312,7 +317,7 @@
 
         Optional<TargetIncarnation> of(ModelId model, TargetIncarnation engine, double megabytes) {
             return mostFirst.stream()
-                    .limit(MOST_REFUGES)
+                    .limit(MOST_RELOCATION_TARGETS)
                     .filter(other -> !other.getKey().equals(engine))
                     .filter(other -> other.getValue() >= megabytes)
                     .map(Map.Entry::getKey)
@@ -386,11 +391,11 @@
                         * candidate.idleShare()
                         * (newPlace ? NEW_DATA_CENTRE : 1);
         double worth = gain - HYSTERESIS * room.loss();
-        return room.toRefuge()
+        return room.toRelocate()
                 .map(
                         victim ->
                                 new Move(
-                                        victim.refuge().orElseThrow(),
+                                        victim.relocation().orElseThrow(),
                                         victim.model(),
                                         Optional.empty(),
                                         worth))
