--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -33,15 +32,7 @@
     private final FailureScore failures = new FailureScore();
     private final ReadingSpeed reading = ReadingSpeed.unknown();
     private final StreamPace pace = StreamPace.unknown();
-    private final Map<String, Integer> parts =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
-                    return size() > MOST_PARTS;
-                }
-            };
+    private final Map<String, Integer> parts = RecentlyUsed.of(MOST_PARTS);
     private ReportedLoad reported = new ReportedLoad(0, 0);
     private final Deque<Long> unstarted = new ArrayDeque<>();
     private double firstPieceMillis;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -1,12 +1,12 @@
 package org.tamaracktrack.daemon.gateway;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.dispatch.CallerWaits;
+import org.tamaracktrack.core.dispatch.RecentlyUsed;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
@@ -32,15 +32,7 @@
     private final WaitingRequests waiting = WaitingRequests.empty();
     private final DemandMeter demand = DemandMeter.empty();
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
-    private final Map<String, CallerWaits> waits =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, CallerWaits> eldest) {
-                    return size() > MOST_ROUTES;
-                }
-            };
+    private final Map<String, CallerWaits> waits = RecentlyUsed.of(MOST_ROUTES);
     private volatile GatewayView view = GatewayView.empty();
 
     GatewayServices(
