--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
@@ -79,6 +79,42 @@
             assertThat(choose(work(shared), List.of())).hasValue("far");
         }
 
+        // Another daemon sends long prompts to the near engine. This daemon does not know them, but
+        // its streams there stall; a prompt more would make all of them late.
+        @Test
+        void shouldAvoidAnEngineWhoseStreamsStall() {
+            for (long millis = 1; millis <= 50; millis++) {
+                load("near").event(30, NOW - 2_000 + 30 * millis);
+            }
+            load("near").event(400, NOW);
+            load("near").event(400, NOW);
+
+            assertThat(choose(work(), List.of())).hasValue("far");
+        }
+
+        // An engine runs three quarters of what it can at once, and begins each answer at once.
+        // Counted as a wait, its crowd made half of all requests be refused, while 99 of 100 of
+        // those
+        // that were sent had their first event within 1.1 s.
+        @Test
+        void shouldNotTakeACrowdedEngineForOneThatBeginsLate() {
+            int slots = Targets.engine("near", Targets.HOME, "model").slots();
+            load("near").report(new ReportedLoad(slots, 0));
+
+            TargetChooser.Choice choice =
+                    chooser.choose(
+                                    work(),
+                                    fleet,
+                                    name -> loads.computeIfAbsent(name, any -> new TargetLoad()),
+                                    List.of(TargetId.of("far")),
+                                    NOW,
+                                    () -> 0)
+                            .orElseThrow();
+
+            assertThat(choice.firstPieceMillis()).isLessThan(600.0);
+            assertThat(choice.cost()).isGreaterThan(choice.firstPieceMillis());
+        }
+
         // An engine fails part of its requests though its health is good, and so looks idle.
         @Test
         void shouldAvoidATargetWhenItsAnswersFail() {
