--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
@@ -103,7 +103,7 @@
         return bases;
     }
 
-    /** The level up to which an amount fills vessels that are filled to their bases already. */
+    /** The load up to which requests fill engines that have their bases of other work already. */
     private static double levelOf(double amount, double[] leastFirst) {
         double below = 0;
         for (int count = 1; count < leastFirst.length; count++) {
