--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -27,6 +27,16 @@
     private boolean away;
     private long backAtMillis = Long.MIN_VALUE / 2;
 
+    /** What became of a target that the registry removed. */
+    public enum Removal {
+        /** It was not known. */
+        UNKNOWN,
+        /** It gets no more requests. */
+        DROPPED,
+        /** It may have lapsed in an outage, and is kept for a while. */
+        MISSING
+    }
+
     private FleetRegister() {}
 
     /**
@@ -91,24 +101,25 @@
      *
      * @param target the target
      * @param nowMillis the monotonic time
-     * @return true when it was known
+     * @return what became of it
      */
-    public boolean removed(TargetId target, long nowMillis) {
+    public Removal removed(TargetId target, long nowMillis) {
+        if (!entries.containsKey(target)) {
+            return Removal.UNKNOWN;
+        }
         boolean lapsed = away || nowMillis - backAtMillis < RETURN_MILLIS;
-        if (lapsed && entries.containsKey(target)) {
+        if (lapsed) {
             missingSinceMillis.putIfAbsent(target, nowMillis);
-            return true;
+            return Removal.MISSING;
         }
-        return remove(target);
+        remove(target);
+        return Removal.DROPPED;
     }
 
-    private boolean remove(TargetId target) {
+    private void remove(TargetId target) {
         missingSinceMillis.remove(target);
-        if (entries.remove(target) == null) {
-            return false;
-        }
+        entries.remove(target);
         fleet = Fleet.of(entries);
-        return true;
     }
 
     /**
@@ -127,16 +138,35 @@
      * Drops what has been missing from the listing for too long.
      *
      * @param nowMillis the monotonic time
-     * @return true when a target was dropped
+     * @return the targets that were dropped
      */
-    public boolean expire(long nowMillis) {
+    public Set<TargetId> expire(long nowMillis) {
         Set<TargetId> gone =
                 missingSinceMillis.entrySet().stream()
                         .filter(missing -> nowMillis - missing.getValue() >= RETURN_MILLIS)
                         .map(Map.Entry::getKey)
                         .collect(Collectors.toSet());
         gone.forEach(this::remove);
-        return !gone.isEmpty();
+        return gone;
+    }
+
+    /**
+     * Returns how many targets are kept though the registry lacks them.
+     *
+     * @return their number
+     */
+    public int missing() {
+        return missingSinceMillis.size();
+    }
+
+    /**
+     * Returns how long the registry has been read without an outage.
+     *
+     * @param nowMillis the monotonic time
+     * @return milliseconds since the last outage; since long ago when there was none
+     */
+    public long backForMillis(long nowMillis) {
+        return nowMillis - backAtMillis;
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -61,11 +61,27 @@
         void shouldForgetAtOnceWhenTheRegistryIsCalm() {
             register.accept(Targets.engine("one", Targets.HOME));
 
-            register.removed(ONE, 10_000);
+            FleetRegister.Removal removal = register.removed(ONE, 10_000);
 
+            assertThat(removal).isEqualTo(FleetRegister.Removal.DROPPED);
             assertThat(known()).isFalse();
         }
 
+        @Test
+        void shouldTellWhetherARemovedTargetIsStillUsed() {
+            assertThat(register.removed(ONE, 10_000)).isEqualTo(FleetRegister.Removal.UNKNOWN);
+
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+            assertThat(register.removed(ONE, 10_010)).isEqualTo(FleetRegister.Removal.MISSING);
+            assertThat(register.missing()).isEqualTo(1);
+            assertThat(register.backForMillis(10_010)).isEqualTo(10);
+
+            assertThat(register.expire(10_010 + RETURNED_AFTER)).containsExactly(ONE);
+            assertThat(register.missing()).isEqualTo(0);
+        }
+
         // The registry is away and entries lapse. Its return brings their removals first and the
         // entries of targets that live a second later. Callers would be refused meanwhile.
         @Test
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -24,6 +24,7 @@
     private final Function<KeyedRecord, Optional<TargetEntry>> decoder;
     private final Consumer<Fleet> changed;
     private final FleetRegister register = FleetRegister.empty();
+    private volatile int missing;
 
     private FleetFollower(
             Function<KeyedRecord, Optional<TargetEntry>> decoder, Consumer<Fleet> changed) {
@@ -49,6 +50,15 @@
         return follower;
     }
 
+    /**
+     * Returns how many targets are kept though the registry lacks them. May be asked by any thread.
+     *
+     * @return their number, a quarter of a second old at most
+     */
+    public int missing() {
+        return missing;
+    }
+
     @Override
     public void onListing(List<KeyedRecord> records) {
         Set<TargetId> listed =
@@ -84,15 +94,22 @@
     }
 
     private void remove(KeyedRecord record) {
-        targetId(record.key())
-                .filter(target -> register.removed(target, ControlThread.nowMillis()))
-                .ifPresent(
-                        target ->
-                                LOG.info(
-                                        "event=target-removed target="
-                                                + target
-                                                + " offset="
-                                                + record.offset()));
+        targetId(record.key()).ifPresent(target -> remove(target, record.offset()));
+    }
+
+    private void remove(TargetId target, long offset) {
+        long nowMillis = ControlThread.nowMillis();
+        FleetRegister.Removal removal = register.removed(target, nowMillis);
+        String about = " target=" + target + " offset=" + offset;
+        if (removal == FleetRegister.Removal.DROPPED) {
+            LOG.info("event=target-removed" + about);
+        } else if (removal == FleetRegister.Removal.MISSING) {
+            LOG.info(
+                    "event=target-missing"
+                            + about
+                            + " store_back_for_ms="
+                            + register.backForMillis(nowMillis));
+        }
     }
 
     private static Optional<TargetId> targetId(String key) {
@@ -121,9 +138,9 @@
 
     private void expire() {
         Fleet before = register.fleet();
-        if (register.expire(ControlThread.nowMillis())) {
-            LOG.info("event=targets-expired");
-        }
+        register.expire(ControlThread.nowMillis())
+                .forEach(target -> LOG.info("event=target-expired target=" + target));
+        missing = register.missing();
         if (register.fleet() != before) {
             changed.accept(register.fleet());
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -41,6 +41,7 @@
     private final List<KeyedRecord> listing = new ArrayList<>();
     private long next = NOT_LISTED;
     private long listedAt;
+    private long askedAtMillis;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean away;
     private boolean busy;
@@ -150,6 +151,7 @@
     }
 
     private void readPage(String afterKey, boolean first) {
+        askedAtMillis = ControlThread.nowMillis();
         topics.newest(part, afterKey).thenAccept(answer -> control.post(() -> page(answer, first)));
     }
 
@@ -186,6 +188,7 @@
             return;
         }
         busy = true;
+        askedAtMillis = ControlThread.nowMillis();
         topics.read(part, next, relay.holding() ? HOLDER_WAIT_MILLIS : pace.waitMillis())
                 .thenAccept(answer -> control.post(() -> records(answer)));
     }
@@ -279,7 +282,13 @@
     private void retry(TopicAnswer<?> answer, Runnable step) {
         if (!away) {
             away = true;
-            LOG.warn("event=store-away part=" + part + " answer=" + answer);
+            LOG.warn(
+                    "event=store-away part="
+                            + part
+                            + " answer="
+                            + answer
+                            + " asked_before_ms="
+                            + (ControlThread.nowMillis() - askedAtMillis));
             listener.onAway();
         }
         control.after(retryMillis, step);
