Add failing tests: a target that left just after an outage is used too long

Symptom: after the store's return callers' requests reach a target more than two seconds after its entry went.

--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -112,6 +112,22 @@
             assertThat(known()).isFalse();
         }
 
+        // A target's entry goes shortly before all that lapsed in an outage has to be back.
+        // Callers'
+        // requests reached it for two seconds more: its time ran from the removal instead of the
+        // store's return.
+        @Test
+        void shouldForgetAMissingTargetOnceAllThatLapsedIsBack() {
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+
+            register.removed(ONE, 10_000 + RETURNED_AFTER - 1);
+            register.expire(10_000 + RETURNED_AFTER);
+
+            assertThat(known()).isFalse();
+        }
+
         // Records were forgotten while this process did not read, among them a removal. The
         // listing lacks the target.
         @Test
