Count the time of a missing target from the store's return, not from its removal

What callers saw: a request reached a target 2,182 ms after its entry had gone, bound 2,000 ms; the answer was whole.

Cause: an entry that goes while the store is just back may have lapsed in the outage, so the target is kept until targets that live have written theirs again, about two seconds after the return. The register counted those two seconds anew from each removal. A target that left for good 1.8 s after the return was kept for 2.25 s more.

Ruled out: a late reading of the removal (logged 6 ms after it); the traffic thread going on with an older fleet (target-missing and target-expired in the process-level test; the daemon that took the store for back earlier dropped the target at once).

Change: one end for all that is missing, counted from the return. It holds since the store's page says that an entry still missing two seconds after the return is gone, whenever it went. While another outage lasts nothing is dropped.

--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -1,28 +1,29 @@
 package org.tamaracktrack.core.fleet;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.tamaracktrack.core.id.TargetId;
 
 /**
  * Takes registry records in and tells which targets there are. Owned by the control thread.
  *
- * <p>While the registry can't be read what it said last holds: a target is dropped only when the
- * registry removed it, or when a whole listing taken after an outage has lacked it for a while.
+ * <p>While the registry can't be read what it said last holds. Entries lapse in an outage, and
+ * targets that live write theirs again when it ends; until then a removal only makes a target
+ * missing.
  */
 public final class FleetRegister {
     /**
      * Entries that lapsed while the registry was away are written again within about two seconds of
-     * its return; this leaves a target that long, and a quarter second for the way.
+     * its return; this adds a quarter second for the way.
      */
     private static final long RETURN_MILLIS = 2_250;
 
     private final Map<TargetId, TargetEntry> entries = new HashMap<>();
-    private final Map<TargetId, Long> missingSinceMillis = new HashMap<>();
+    private final Set<TargetId> missing = new HashSet<>();
     private Fleet fleet = Fleet.empty();
     private boolean away;
     private long backAtMillis = Long.MIN_VALUE / 2;
@@ -57,7 +58,7 @@
     public boolean accept(TargetEntry entry) {
         Objects.requireNonNull(entry, "entry is null");
         TargetId target = entry.incarnation().target();
-        missingSinceMillis.remove(target);
+        missing.remove(target);
         TargetEntry known = entries.get(target);
         if (known != null && older(entry, known)) {
             return false;
@@ -107,18 +108,24 @@
         if (!entries.containsKey(target)) {
             return Removal.UNKNOWN;
         }
-        boolean lapsed = away || nowMillis - backAtMillis < RETURN_MILLIS;
-        if (lapsed) {
-            missingSinceMillis.putIfAbsent(target, nowMillis);
+        if (lapses(nowMillis)) {
+            missing.add(target);
             return Removal.MISSING;
         }
-        remove(target);
+        drop(Set.of(target));
         return Removal.DROPPED;
     }
 
-    private void remove(TargetId target) {
-        missingSinceMillis.remove(target);
-        entries.remove(target);
+    // One end for all that is missing, counted from the return. Counted from each removal, a target
+    // that left for good shortly after an outage got requests for the whole time once more, longer
+    // than a target that leaves has to take them.
+    private boolean lapses(long nowMillis) {
+        return away || nowMillis - backAtMillis < RETURN_MILLIS;
+    }
+
+    private void drop(Set<TargetId> targets) {
+        missing.removeAll(targets);
+        entries.keySet().removeAll(targets);
         fleet = Fleet.of(entries);
     }
 
@@ -129,24 +136,21 @@
      * @param nowMillis the monotonic time
      */
     public void listed(Set<TargetId> listed, long nowMillis) {
-        entries.keySet().stream()
-                .filter(target -> !listed.contains(target))
-                .forEach(target -> missingSinceMillis.putIfAbsent(target, nowMillis));
+        entries.keySet().stream().filter(target -> !listed.contains(target)).forEach(missing::add);
     }
 
     /**
-     * Drops what has been missing from the listing for too long.
+     * Drops what is still missing once all that lapsed has to be back.
      *
      * @param nowMillis the monotonic time
      * @return the targets that were dropped
      */
     public Set<TargetId> expire(long nowMillis) {
-        Set<TargetId> gone =
-                missingSinceMillis.entrySet().stream()
-                        .filter(missing -> nowMillis - missing.getValue() >= RETURN_MILLIS)
-                        .map(Map.Entry::getKey)
-                        .collect(Collectors.toSet());
-        gone.forEach(this::remove);
+        if (missing.isEmpty() || lapses(nowMillis)) {
+            return Set.of();
+        }
+        Set<TargetId> gone = Set.copyOf(missing);
+        drop(gone);
         return gone;
     }
 
@@ -156,7 +160,7 @@
      * @return their number
      */
     public int missing() {
-        return missingSinceMillis.size();
+        return missing.size();
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -91,7 +91,7 @@
             register.back(10_000);
 
             register.removed(ONE, 10_010);
-            register.expire(10_010 + RETURNED_AFTER - 1);
+            register.expire(10_000 + RETURNED_AFTER - 1);
             assertThat(known()).isTrue();
             register.accept(Targets.entry("one", 0, 2, false, Targets.HOME));
             register.expire(20_000);
@@ -99,6 +99,25 @@
             assertThat(known()).isTrue();
         }
 
+        // The store goes away once more before all that lapsed could be written again. A target
+        // that
+        // lives would be dropped, and its callers refused.
+        @Test
+        void shouldKeepAMissingTargetWhileAnotherOutageLasts() {
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+            register.removed(ONE, 10_010);
+            register.away();
+
+            register.expire(20_000);
+            assertThat(known()).isTrue();
+
+            register.back(21_000);
+            register.expire(21_000 + RETURNED_AFTER);
+            assertThat(known()).isFalse();
+        }
+
         // As before, but the target died during the outage: it must not get work for ever.
         @Test
         void shouldForgetALapsedTargetWhenItDoesNotComeBack() {
