Ask without waiting after a failed read, so that the store's return is noticed at once

Cause: the first read after an outage waited for records, up to 1.3 s, and the return was noticed when it ended. What lapsed is kept for a time that runs from the return, so each target that left meanwhile was used for as much longer.

Ruled out: one liveness for all partitions, told by any answer of the store. It would notice the return earlier still, but the store may be away for some partitions only; then answers about another one would hide the registry's outage and drop every target that lapsed.

Change: while a partition counts as away its reads don't wait; one more call an outage.

Tests: shouldNoticeTheReturnBeforeAnythingIsWritten failed before (nothing in 20 s). KeyedFollowerTest now checks in every test what the listener was told of outages; the error that it threw on the control thread before failed nothing.

--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -118,7 +118,7 @@
             assertThat(known()).isFalse();
         }
 
-        // As before, but the target died during the outage: it must not get work for ever.
+        // A target died in an outage, and its entry lapsed. It must not get work for ever.
         @Test
         void shouldForgetALapsedTargetWhenItDoesNotComeBack() {
             register.accept(Targets.engine("one", Targets.HOME));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -189,10 +189,20 @@
         }
         busy = true;
         askedAtMillis = ControlThread.nowMillis();
-        topics.read(part, next, relay.holding() ? HOLDER_WAIT_MILLIS : pace.waitMillis())
+        topics.read(part, next, waitMillis())
                 .thenAccept(answer -> control.post(() -> records(answer)));
     }
 
+    // The first read after a failed one does not wait for records. The time that lapsed entries
+    // have runs from the store's return; waiting, a read tells of it more than a second late, and
+    // a target that left meanwhile gets requests for as much longer.
+    private long waitMillis() {
+        if (away) {
+            return 0;
+        }
+        return relay.holding() ? HOLDER_WAIT_MILLIS : pace.waitMillis();
+    }
+
     private void checkAfter(long millis) {
         if (checking) {
             return;
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -19,6 +19,8 @@
 
     private final MemoryLog log = new MemoryLog();
     private final List<String> heard = new ArrayList<>();
+    private final List<String> contact = new ArrayList<>();
+    private List<String> expectedContact = List.of();
     private RelayPair pair;
 
     @BeforeEach
@@ -44,12 +46,12 @@
 
                                     @Override
                                     public void onAway() {
-                                        throw new AssertionError("the log is never away here");
+                                        contact.add("away");
                                     }
 
                                     @Override
                                     public void onBack() {
-                                        throw new AssertionError("the log is never away here");
+                                        contact.add("back");
                                     }
                                 },
                                 pair.follower()));
@@ -58,7 +60,10 @@
 
     @AfterEach
     void close() {
+        List<String> noted = new ArrayList<>();
+        pair.onControl(() -> noted.addAll(contact));
         pair.close();
+        assertThat(noted).isEqualTo(expectedContact);
     }
 
     private void publish(long from) {
@@ -140,4 +145,17 @@
         pair.onControl(log::endWaits);
         pair.onControl(() -> assertThat(heard).containsExactly("a"));
     }
+
+    // The log is away and comes back, and nobody writes to it for a while. What lapsed meanwhile is
+    // kept for a time that runs from its return, so a return that is noticed only when a read has
+    // waited for records is noticed more than a second late.
+    @Test
+    void shouldNoticeTheReturnBeforeAnythingIsWritten() {
+        expectedContact = List.of("away", "back");
+
+        pair.onControl(log::failWaits);
+
+        pair.await(() -> contact.equals(expectedContact));
+        pair.await(log::hasWaitingRead);
+    }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
@@ -67,6 +67,13 @@
         over.forEach(read -> read.answer().complete(done(read.from())));
     }
 
+    /** The reads that wait find the log away. */
+    public void failWaits() {
+        List<Waiting> lost = List.copyOf(waiting);
+        waiting.clear();
+        lost.forEach(read -> read.answer().complete(new TopicAnswer.Unknown<>("timed out")));
+    }
+
     private TopicAnswer<RecordBatch> done(long from) {
         return new TopicAnswer.Done<>(batch(from));
     }
