Take no late time-out of an old read for a new outage

Cause: the failure of a read was dated by its end, not by when it was asked.

Ruled out: dropping the hanging read when a batch is relayed; its answer would still come, and one read at a time would no longer hold.

Change: a read that was asked before the holder last read the store says nothing of the store now; it is logged as read-outdated and counts for nothing.

Tests: shouldNotTakeTheLateEndOfAnOldReadForAnOutage failed before (contact was [away]). RelayPair#onControl now throws what its task throws; before, a failed assertion in it left the test waiting for ever.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -48,6 +48,7 @@
     private boolean checking;
     private long relayedNext;
     private long relayedAtMillis = Long.MIN_VALUE / 2;
+    private long heardAtMillis = Long.MIN_VALUE / 2;
 
     /** Hears of records, on the control thread. */
     public interface Listener {
@@ -85,6 +86,7 @@
         @Override
         public void onBatch(RecordBatch batch) {
             relayedAtMillis = ControlThread.nowMillis();
+            heardAtMillis = relayedAtMillis;
             relayedNext = Math.max(relayedNext, batch.next());
             if (next == NOT_LISTED) {
                 return;
@@ -230,7 +232,7 @@
             return;
         }
         if (!(answer instanceof TopicAnswer.Done<RecordBatch> done)) {
-            retry(answer, this::follow);
+            failed(answer);
             return;
         }
         back();
@@ -244,6 +246,25 @@
         pause(Math.max(1, pace.gapMillis()));
     }
 
+    // A read that hangs in an outage ends by its time limit up to two seconds later. When the
+    // holder
+    // has read the store since it was asked, it tells of an outage that is over; taken for a new
+    // one, what lapsed would be kept for as much longer.
+    private void failed(TopicAnswer<RecordBatch> answer) {
+        if (askedAtMillis >= heardAtMillis) {
+            retry(answer, this::follow);
+            return;
+        }
+        LOG.info(
+                "event=read-outdated part="
+                        + part
+                        + " answer="
+                        + answer
+                        + " asked_before_ms="
+                        + (ControlThread.nowMillis() - askedAtMillis));
+        follow();
+    }
+
     // Records may be relayed while they are being read.
     private void deliver(RecordBatch batch) {
         List<KeyedRecord> unread =
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -158,4 +158,24 @@
         pair.await(() -> contact.equals(expectedContact));
         pair.await(log::hasWaitingRead);
     }
+
+    // A read hangs in an outage. The holder hears of the log's return first and passes on what it
+    // reads; a moment later the old read ends by its time limit. In a recorded day that counted as
+    // a second outage, and what had lapsed got its time once more from there.
+    @Test
+    void shouldNotTakeTheLateEndOfAnOldReadForAnOutage() {
+        pair.hold();
+        pair.await(
+                () -> {
+                    pair.holder().publish(PART, log.batch(0));
+                    return pair.follower().tell(PART, new byte[0]);
+                });
+
+        pair.onControl(log::failWaits);
+
+        pair.onControl(() -> assertThat(contact).isEmpty());
+        log.add("a");
+        publish(0);
+        pair.await(() -> heard.equals(List.of("a")));
+    }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
@@ -62,15 +62,11 @@
         onControl(() -> follower.holder(false, holder.contact()));
     }
 
-    /** Runs something on the control thread and waits for its end. */
+    /**
+     * Runs something on the control thread and waits for its end; what it throws is thrown here.
+     */
     public void onControl(Runnable task) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        control.post(
-                () -> {
-                    task.run();
-                    done.complete(null);
-                });
-        done.join();
+        CompletableFuture.runAsync(task, control::post).join();
     }
 
     /** Waits until something holds, looked at on the control thread. */
