Drop at once what a listing lacks while the registry is calm

Symptom, found while the cause of the late request was looked for elsewhere: history is forgotten, a daemon lists the registry anew, and a target whose removal it did not read gets requests for 2.25 s more; bound 2,000 ms.

What a listing lacks got the time of a lapsed entry from when it was listed, also when there was no outage in which it could have lapsed.

Ruled out: an entry that moves between two pages; records are followed from the end at the first page, so what was written meanwhile is read again.

Change: a listing and a removal take the same way through the register, and so does the log.

Tests: shouldForgetATargetAtOnceWhenAListingLacksItAndTheRegistryIsCalm (before, the target was still known) and shouldKeepATargetForAWhileWhenAListingAfterAnOutageLacksIt take the place of shouldForgetATargetWhenAListingLacksIt, which asked 2,250 ms after the listing.

--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.tamaracktrack.core.id.TargetId;
 
 /**
@@ -130,13 +132,19 @@
     }
 
     /**
-     * A whole listing was read; entries of it were taken in before by {@link #accept}.
+     * A whole listing was read; entries of it were taken in before by {@link #accept}. What it
+     * lacks was removed.
      *
      * @param listed the names in the listing
      * @param nowMillis the monotonic time
+     * @return what became of the targets that it lacks
      */
-    public void listed(Set<TargetId> listed, long nowMillis) {
-        entries.keySet().stream().filter(target -> !listed.contains(target)).forEach(missing::add);
+    public Map<TargetId, Removal> listed(Set<TargetId> listed, long nowMillis) {
+        return Set.copyOf(entries.keySet()).stream()
+                .filter(target -> !listed.contains(target))
+                .collect(
+                        Collectors.toMap(
+                                Function.identity(), target -> removed(target, nowMillis)));
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -148,12 +148,30 @@
         }
 
         // Records were forgotten while this process did not read, among them a removal. The
-        // listing lacks the target.
+        // listing lacks the target. Nothing lapsed, so it left, and callers' requests must not go
+        // on
+        // reaching it.
         @Test
-        void shouldForgetATargetWhenAListingLacksIt() {
+        void shouldForgetATargetAtOnceWhenAListingLacksItAndTheRegistryIsCalm() {
             register.accept(Targets.engine("one", Targets.HOME));
 
-            register.listed(Set.of(), 10_000);
+            assertThat(register.listed(Set.of(), 10_000))
+                    .containsExactly(ONE, FleetRegister.Removal.DROPPED);
+
+            assertThat(known()).isFalse();
+        }
+
+        // The registry is listed anew after an outage. A target whose entry lapsed writes it again.
+        @Test
+        void shouldKeepATargetForAWhileWhenAListingAfterAnOutageLacksIt() {
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+
+            assertThat(register.listed(Set.of(), 10_010))
+                    .containsExactly(ONE, FleetRegister.Removal.MISSING);
+            register.expire(10_000 + RETURNED_AFTER - 1);
+            assertThat(known()).isTrue();
             register.expire(10_000 + RETURNED_AFTER);
 
             assertThat(known()).isFalse();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -65,7 +65,9 @@
                 records.stream()
                         .flatMap(record -> apply(record).stream())
                         .collect(Collectors.toSet());
-        register.listed(listed, ControlThread.nowMillis());
+        long nowMillis = ControlThread.nowMillis();
+        register.listed(listed, nowMillis)
+                .forEach((target, removal) -> tell(target, removal, "listing", nowMillis));
         changed.accept(register.fleet());
     }
 
@@ -99,7 +101,11 @@
 
     private void remove(TargetId target, long offset) {
         long nowMillis = ControlThread.nowMillis();
-        FleetRegister.Removal removal = register.removed(target, nowMillis);
+        tell(target, register.removed(target, nowMillis), Long.toString(offset), nowMillis);
+    }
+
+    private void tell(
+            TargetId target, FleetRegister.Removal removal, String offset, long nowMillis) {
         String about = " target=" + target + " offset=" + offset;
         if (removal == FleetRegister.Removal.DROPPED) {
             LOG.info("event=target-removed" + about);
