Drop a missing target once its answers close their connections

Symptom, found while the cause of the late request was looked for elsewhere: a host that is cut off alone takes its own cut for an outage of the store.

The time runs from what the host noticed, and a host can't tell its own cut from an outage by its reads.

Ruled out: one end counted from the last failed call (live targets would be dropped while they write their entries); asking twice as often while away (1,600 calls/s at the size to design for, of 2,000); asking each missing target for its health (a probe for each target and daemon).

Change: targets that leave close their connections with their answers, others now and then. A target that the registry lacks and that closes one has left. Costs no call; a live target that does so by chance is back with its next entry.

--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -162,6 +162,22 @@
         return gone;
     }
 
+    /**
+     * Answers of targets closed their connections. One that is missing besides has left: targets
+     * that leave close theirs, and nothing says that its entry lapsed. Without this a host that was
+     * cut off alone, so that no entry lapsed, would use it until its time is over.
+     *
+     * @param targets the targets
+     * @return those that were dropped
+     */
+    public Set<TargetId> closing(Set<TargetId> targets) {
+        Set<TargetId> gone = targets.stream().filter(missing::contains).collect(Collectors.toSet());
+        if (!gone.isEmpty()) {
+            drop(gone);
+        }
+        return gone;
+    }
+
     /**
      * Returns how many targets are kept though the registry lacks them.
      *
--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -99,6 +99,31 @@
             assertThat(known()).isTrue();
         }
 
+        // A host was cut off alone. Nothing lapsed, and a target that left meanwhile is taken as
+        // missing all the same; it closes its connections, as those that leave do. Callers'
+        // requests would go on reaching it until its time is over.
+        @Test
+        void shouldForgetAMissingTargetThatClosesItsConnections() {
+            register.accept(Targets.engine("one", Targets.HOME));
+            register.away();
+            register.back(10_000);
+            register.removed(ONE, 10_010);
+
+            assertThat(register.closing(Set.of(ONE))).containsExactly(ONE);
+
+            assertThat(known()).isFalse();
+        }
+
+        // A target that the registry lists closes a connection now and then.
+        @Test
+        void shouldKeepAListedTargetThatClosesAConnection() {
+            register.accept(Targets.engine("one", Targets.HOME));
+
+            assertThat(register.closing(Set.of(ONE))).isEmpty();
+
+            assertThat(known()).isTrue();
+        }
+
         // The store goes away once more before all that lapsed could be written again. A target
         // that
         // lives would be dropped, and its callers refused.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerFacts.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerFacts.java
@@ -11,9 +11,14 @@
  * @param proven whether it bears the target's proof that the answer is its own
  * @param notRun whether the target says that it did not run the request
  * @param load the target's load
+ * @param closing whether the target closes the connection after this answer
  */
 public record AnswerFacts(
-        Optional<String> attempt, boolean proven, boolean notRun, Optional<ReportedLoad> load) {
+        Optional<String> attempt,
+        boolean proven,
+        boolean notRun,
+        Optional<ReportedLoad> load,
+        boolean closing) {
 
     /** Checks the arguments. */
     public AnswerFacts {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.error.TamaracktrackException;
@@ -23,13 +24,17 @@
 
     private final Function<KeyedRecord, Optional<TargetEntry>> decoder;
     private final Consumer<Fleet> changed;
+    private final Supplier<Set<TargetId>> closing;
     private final FleetRegister register = FleetRegister.empty();
     private volatile int missing;
 
     private FleetFollower(
-            Function<KeyedRecord, Optional<TargetEntry>> decoder, Consumer<Fleet> changed) {
+            Function<KeyedRecord, Optional<TargetEntry>> decoder,
+            Consumer<Fleet> changed,
+            Supplier<Set<TargetId>> closing) {
         this.decoder = decoder;
         this.changed = changed;
+        this.closing = closing;
     }
 
     /**
@@ -37,15 +42,17 @@
      *
      * @param decoder decodes an entry; empty when it can't be
      * @param changed takes each changed fleet
+     * @param closing takes the targets that closed a connection since it was last asked
      * @param control the thread that the follower belongs to
      * @return the follower
      */
     public static FleetFollower of(
             Function<KeyedRecord, Optional<TargetEntry>> decoder,
             Consumer<Fleet> changed,
+            Supplier<Set<TargetId>> closing,
             ControlThread control) {
         Objects.requireNonNull(decoder, "decoder is null");
-        FleetFollower follower = new FleetFollower(decoder, changed);
+        FleetFollower follower = new FleetFollower(decoder, changed, closing);
         control.every(EXPIRE_EVERY_MILLIS, follower::expire);
         return follower;
     }
@@ -144,6 +151,8 @@
 
     private void expire() {
         Fleet before = register.fleet();
+        register.closing(closing.get())
+                .forEach(target -> LOG.info("event=target-closing target=" + target));
         register.expire(ControlThread.nowMillis())
                 .forEach(target -> LOG.info("event=target-expired target=" + target));
         missing = register.missing();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -20,6 +21,7 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -256,6 +258,16 @@
         return reading;
     }
 
+    /**
+     * Takes the targets whose answers closed a connection since this was last asked. Targets that
+     * leave close theirs, others now and then.
+     *
+     * @return the targets
+     */
+    public Set<TargetId> takeClosing() {
+        return services.takeClosing();
+    }
+
     /** Begins a planned stop: not ready any more, and connections end with their next answer. */
     public void leave() {
         leaving.sinceMillis = ControlThread.nowMillis();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -10,6 +12,7 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.XnioExecutor;
@@ -33,6 +36,7 @@
     private final DemandMeter demand = DemandMeter.empty();
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
     private final Map<String, CallerWaits> waits = RecentlyUsed.of(MOST_ROUTES);
+    private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
     private volatile GatewayView view = GatewayView.empty();
 
     GatewayServices(
@@ -120,6 +124,18 @@
         }
     }
 
+    /** An answer of a target closed its connection. */
+    void closing(TargetId target) {
+        closing.add(target);
+    }
+
+    /** Takes the targets that closed a connection since this was last asked; for any thread. */
+    Set<TargetId> takeClosing() {
+        Set<TargetId> taken = Set.copyOf(closing);
+        closing.removeAll(taken);
+        return taken;
+    }
+
     XnioExecutor.Key after(long delayMillis, Runnable task) {
         return thread.executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -232,6 +232,9 @@
             return;
         }
         facts.load().ifPresent(load::report);
+        if (facts.closing()) {
+            services.closing(entry.incarnation().target());
+        }
         status = answerStatus;
         headers = answerHeaders;
         if (facts.notRun() || answerStatus == MISDIRECTED_STATUS) {
