--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -163,9 +163,10 @@
     }
 
     /**
-     * Answers of targets closed their connections. One that is missing besides has left: targets
-     * that leave close theirs, and nothing says that its entry lapsed. Without this a host that was
-     * cut off alone, so that no entry lapsed, would use it until its time is over.
+     * Answers of targets closed their connections. One that is missing besides is dropped, since
+     * targets that leave close theirs. A host that was cut off alone takes its cut for an outage,
+     * though no entry lapsed; without this it would use a target that left meanwhile until the time
+     * of missing targets is over.
      *
      * @param targets the targets
      * @return those that were dropped
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -48,6 +48,8 @@
     private boolean checking;
     private long relayedNext;
     private long relayedAtMillis = Long.MIN_VALUE / 2;
+
+    /** When the holder last passed something on; kept when the connection to it is lost. */
     private long heardAtMillis = Long.MIN_VALUE / 2;
 
     /** Hears of records, on the control thread. */
@@ -246,25 +248,23 @@
         pause(Math.max(1, pace.gapMillis()));
     }
 
-    // A read that hangs in an outage ends by its time limit up to two seconds later. When the
-    // holder
-    // has read the store since it was asked, it tells of an outage that is over; taken for a new
-    // one, what lapsed would be kept for as much longer.
+    // A read that hangs in an outage ends by its time limit, up to two seconds later. Once the
+    // holder has read the store since it was asked, it tells of an outage that is over. Taken for
+    // a new one, what lapsed would be kept for as much longer.
     private void failed(TopicAnswer<RecordBatch> answer) {
         if (askedAtMillis >= heardAtMillis) {
             retry(answer, this::follow);
             return;
         }
-        LOG.info(
-                "event=read-outdated part="
-                        + part
-                        + " answer="
-                        + answer
-                        + " asked_before_ms="
-                        + (ControlThread.nowMillis() - askedAtMillis));
+        LOG.info("event=read-outdated " + describe(answer));
         follow();
     }
 
+    private String describe(TopicAnswer<?> answer) {
+        long askedBeforeMillis = ControlThread.nowMillis() - askedAtMillis;
+        return "part=" + part + " answer=" + answer + " asked_before_ms=" + askedBeforeMillis;
+    }
+
     // Records may be relayed while they are being read.
     private void deliver(RecordBatch batch) {
         List<KeyedRecord> unread =
@@ -313,13 +313,7 @@
     private void retry(TopicAnswer<?> answer, Runnable step) {
         if (!away) {
             away = true;
-            LOG.warn(
-                    "event=store-away part="
-                            + part
-                            + " answer="
-                            + answer
-                            + " asked_before_ms="
-                            + (ControlThread.nowMillis() - askedAtMillis));
+            LOG.warn("event=store-away " + describe(answer));
             listener.onAway();
         }
         control.after(retryMillis, step);
