--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -70,14 +70,19 @@
         pair.onControl(() -> pair.holder().publish(PART, log.batch(from)));
     }
 
-    /** The holder is heard of, and the read that waited from before is over. */
-    private void follow() {
+    /** The holder is heard of; a read waits from before. */
+    private void hearOfTheHolder() {
         pair.hold();
         pair.await(
                 () -> {
                     pair.holder().publish(PART, log.batch(0));
                     return pair.follower().tell(PART, new byte[0]);
                 });
+    }
+
+    /** The holder is heard of, and the read that waited from before is over. */
+    private void follow() {
+        hearOfTheHolder();
         pair.onControl(log::endWaits);
     }
 
@@ -132,12 +137,7 @@
 
     @Test
     void shouldHearEachRecordOnceWhenItIsReadAndPassedOn() {
-        pair.hold();
-        pair.await(
-                () -> {
-                    pair.holder().publish(PART, log.batch(0));
-                    return pair.follower().tell(PART, new byte[0]);
-                });
+        hearOfTheHolder();
         log.add("a");
         publish(0);
         pair.await(() -> !heard.isEmpty());
@@ -164,12 +164,7 @@
     // a second outage, and what had lapsed got its time once more from there.
     @Test
     void shouldNotTakeTheLateEndOfAnOldReadForAnOutage() {
-        pair.hold();
-        pair.await(
-                () -> {
-                    pair.holder().publish(PART, log.batch(0));
-                    return pair.follower().tell(PART, new byte[0]);
-                });
+        hearOfTheHolder();
 
         pair.onControl(log::failWaits);
 
