Give a read more time when one that does not wait has timed out

Ruled out: the store turning the host away (its reads of the registry and of the lease went on); the relay (the host held the lease, so it reads for itself).

Change: when a read that does not wait times out, the next one waits, with its 2.0 s.

Tests: shouldGiveAReadMoreTimeWhenOneThatDoesNotWaitFails did not come about in 20 s before.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -44,6 +44,7 @@
     private long askedAtMillis;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean away;
+    private boolean needsTime;
     private boolean busy;
     private boolean checking;
     private long relayedNext;
@@ -199,10 +200,12 @@
 
     // The first read after a failed one does not wait for records. The time that lapsed entries
     // have runs from the store's return; waiting, a read tells of it more than a second late, and
-    // a target that left meanwhile gets requests for as much longer.
+    // a target that left meanwhile gets requests for as much longer. If that one times out the
+    // next waits: the less a read waits the sooner it is given up, and one that has much to fetch
+    // over a slow link would never end.
     private long waitMillis() {
         if (away) {
-            return 0;
+            return needsTime ? pace.waitMillis() : 0;
         }
         return relay.holding() ? HOLDER_WAIT_MILLIS : pace.waitMillis();
     }
@@ -305,6 +308,7 @@
         retryMillis = FIRST_RETRY_MILLIS;
         if (away) {
             away = false;
+            needsTime = false;
             LOG.info("event=store-back part=" + part);
             listener.onBack();
         }
@@ -315,6 +319,8 @@
             away = true;
             LOG.warn("event=store-away " + describe(answer));
             listener.onAway();
+        } else {
+            needsTime = !needsTime && answer instanceof TopicAnswer.Unknown<?>;
         }
         control.after(retryMillis, step);
         retryMillis = Math.min(MOST_RETRY_MILLIS, 2 * retryMillis);
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -173,4 +173,19 @@
         publish(0);
         pair.await(() -> heard.equals(List.of("a")));
     }
+
+    // Many large records came while this process could not read. A read that does not wait is given
+    // up before they are all here, each time; callers got the answers of an old configuration for
+    // good.
+    @Test
+    void shouldGiveAReadMoreTimeWhenOneThatDoesNotWaitFails() {
+        expectedContact = List.of("away", "back");
+        pair.onControl(log::failAtOnce);
+
+        pair.onControl(log::failWaits);
+        pair.await(log::hasWaitingRead);
+        pair.onControl(log::endWaits);
+
+        pair.await(() -> contact.equals(expectedContact));
+    }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
@@ -20,6 +20,7 @@
     private CompletableFuture<Void> appends = CompletableFuture.completedFuture(null);
     private CompletableFuture<Void> readsGo = CompletableFuture.completedFuture(null);
     private boolean losesNextAnswer;
+    private boolean failsAtOnce;
     private int reads;
 
     private record Waiting(long from, CompletableFuture<TopicAnswer<RecordBatch>> answer) {}
@@ -56,6 +57,11 @@
         losesNextAnswer = true;
     }
 
+    /** Reads that don't wait are given up before they are answered. */
+    public void failAtOnce() {
+        failsAtOnce = true;
+    }
+
     public RecordBatch batch(long from) {
         return new RecordBatch(from, records.subList((int) from, records.size()), records.size());
     }
@@ -88,6 +94,9 @@
     public CompletableFuture<TopicAnswer<RecordBatch>> read(
             TopicPart part, long from, long waitMillis) {
         reads++;
+        if (waitMillis == 0 && failsAtOnce) {
+            return CompletableFuture.completedFuture(new TopicAnswer.Unknown<>("timed out"));
+        }
         if (waitMillis == 0 || from < records.size()) {
             return readsGo.thenApply(go -> done(from));
         }
