Tell the other daemons of a data centre which requests are at which engine

Cause: each daemon knows its own requests and what an engine said with its last answer. With 33 daemons it hears of an engine every few seconds, so it chooses by old word and piles prompts up on engines whose other prompts it does not know.

Change: daemons of a data centre (all, up to nine) tell each other over UDP within 15 to 50 ms what they have at targets; the holder's relay passes on who there is. Choices among targets of nearly equal cost are spread; a request beyond three fifths of an engine's slots counts 20 ms in place of 60.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
@@ -29,7 +29,7 @@
     private static final double EFFICIENT_SHARE = 0.6;
 
     /** What each request beyond that adds. */
-    private static final double CROWD_MILLIS = 60;
+    private static final double CROWD_MILLIS = 20;
 
     /** What one request at a plain service adds: work of about 40 ms over 6 slots. */
     private static final double SERVICE_REQUEST_MILLIS = 7;
@@ -43,8 +43,17 @@
     /** A target that fails every request is as bad as one that takes this much longer. */
     private static final double FAILING_MILLIS = 4_000;
 
-    /** Spreads equal choices of several daemons. */
-    private static final double JITTER_MILLIS = 3;
+    /**
+     * Targets whose cost differs by less are chosen about equally often. Daemons that know the same
+     * of targets would all choose the same one otherwise.
+     */
+    private static final double ENGINE_SPREAD_MILLIS = 5;
+
+    /** The same for plain services. */
+    private static final double SERVICE_SPREAD_MILLIS = 1;
+
+    /** Keeps the logarithm of a draw finite. */
+    private static final double LEAST_DRAW = 1e-9;
 
     private final DataCentreId home;
 
@@ -120,12 +129,23 @@
         double busy =
                 work.need().isPresent()
                         ? engineMillis(work, load, entry.slots(), nowMillis)
-                        : load.outstanding() * SERVICE_REQUEST_MILLIS;
+                        : load.outstanding(nowMillis) * SERVICE_REQUEST_MILLIS;
         double distance = entry.dataCentre().equals(home) ? 0 : distanceMillis(work);
         double failing = load.failureShare(nowMillis) * FAILING_MILLIS;
         double crowd = work.need().isPresent() ? crowdMillis(load, entry, nowMillis) : 0;
         double cost = busy + crowd + distance + failing;
-        return new Choice(entry, busy, cost + draw * JITTER_MILLIS);
+        return new Choice(entry, busy, cost + spreadMillis(work) * noise(draw));
+    }
+
+    private static double spreadMillis(Work work) {
+        return work.need().isPresent() ? ENGINE_SPREAD_MILLIS : SERVICE_SPREAD_MILLIS;
+    }
+
+    // With noise of this distribution the least cost is chosen with a probability that falls
+    // exponentially with the cost, so a clearly worse target is hardly ever chosen.
+    private static double noise(double draw) {
+        double inside = Math.max(LEAST_DRAW, Math.min(1 - LEAST_DRAW, draw));
+        return Math.log(-Math.log(inside));
     }
 
     private static double distanceMillis(Work work) {
@@ -136,19 +156,21 @@
     // read behind them makes all streams there late: of 1,083 streams 240 had pauses beyond their
     // objective while other engines with the model read nothing.
     private static double crowdMillis(TargetLoad load, TargetEntry entry, long nowMillis) {
-        double crowd = Math.max(0, load.outstanding() - EFFICIENT_SHARE * entry.slots());
+        double crowd = Math.max(0, load.outstanding(nowMillis) - EFFICIENT_SHARE * entry.slots());
         return crowd * CROWD_MILLIS + load.stallMillis(nowMillis);
     }
 
     private static double engineMillis(Work work, TargetLoad load, int slots, long nowMillis) {
         int toRead = work.promptTokens() - load.keptTokens(scope(work), work.parts());
         double reading =
-                (load.unreadTokens() + Math.max(0, toRead)) / load.tokensPerMilli(nowMillis);
+                (load.unreadTokens(nowMillis) + Math.max(0, toRead))
+                        / load.tokensPerMilli(nowMillis);
         double queue = load.waiting() * load.answerMillis() / Math.max(1, slots);
         // Tokens and counts do not show an engine whose memory is full or that is slow; that it
         // makes others wait does.
         double seen = load.waiting() == 0 ? 0 : load.firstPieceMillis(nowMillis);
-        return Math.max(reading + queue, seen) + load.outstanding() * ENGINE_REQUEST_MILLIS;
+        return Math.max(reading + queue, seen)
+                + load.outstanding(nowMillis) * ENGINE_REQUEST_MILLIS;
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -26,6 +26,9 @@
     /** Weight of the newest whole answer's duration; the last ten or so decide. */
     private static final double NEWEST_ANSWER = 0.1;
 
+    /** What was heard of other daemons' requests counts for this long. */
+    private static final long OTHERS_MILLIS = 1_000;
+
     /** A connection that could not be opened keeps new work away for this long. */
     private static final long UNREACHABLE_MILLIS = 1_000;
 
@@ -38,8 +41,10 @@
     private double firstPieceMillis;
     private long firstPieceAtMillis;
     private double answerMillis = FIRST_ANSWER_MILLIS;
+    private LoadShare others = LoadShare.empty();
+    private long othersAtMillis = Long.MIN_VALUE / 2;
     private int own;
-    private int ownAtReport;
+    private int knownAtReport;
     private int unread;
     private long unreachableUntilMillis = Long.MIN_VALUE;
     private long heardAtMillis = Long.MIN_VALUE / 2;
@@ -151,17 +156,17 @@
     /** A request ended, however. */
     public void ended() {
         own--;
-        ownAtReport = Math.min(ownAtReport, own);
     }
 
     /**
      * The target reported its load.
      *
      * @param load what it said
+     * @param nowMillis the monotonic time
      */
-    public void report(ReportedLoad load) {
+    public void report(ReportedLoad load, long nowMillis) {
         reported = load;
-        ownAtReport = own;
+        knownAtReport = known(nowMillis).outstanding();
     }
 
     /**
@@ -213,14 +218,41 @@
         return nowMillis >= unreachableUntilMillis;
     }
 
+    /**
+     * Other daemons said what they have at the target.
+     *
+     * @param share the sum over them
+     * @param nowMillis the monotonic time
+     */
+    public void others(LoadShare share, long nowMillis) {
+        others = share;
+        othersAtMillis = nowMillis;
+    }
+
+    /**
+     * Returns what this daemon has at the target.
+     *
+     * @return its requests and their prompt tokens that are not read yet
+     */
+    public LoadShare own() {
+        return new LoadShare(own, unread);
+    }
+
+    private LoadShare known(long nowMillis) {
+        LoadShare mine = own();
+        return nowMillis - othersAtMillis <= OTHERS_MILLIS ? mine.plus(others) : mine;
+    }
+
     /**
      * Returns an estimate of the requests at the target, of all daemons.
      *
+     * @param nowMillis the monotonic time
      * @return running and waiting requests
      */
-    public int outstanding() {
-        int sinceReport = own - ownAtReport;
-        return Math.max(own, reported.running() + reported.waiting() + sinceReport);
+    public int outstanding(long nowMillis) {
+        int known = known(nowMillis).outstanding();
+        int sinceReport = known - knownAtReport;
+        return Math.max(known, reported.running() + reported.waiting() + sinceReport);
     }
 
     /**
@@ -233,12 +265,13 @@
     }
 
     /**
-     * Returns the prompt tokens of this daemon's requests that the target has not read yet.
+     * Returns the prompt tokens that the target has not read yet, as far as they are known.
      *
+     * @param nowMillis the monotonic time
      * @return the tokens
      */
-    public int unreadTokens() {
-        return unread;
+    public int unreadTokens(long nowMillis) {
+        return known(nowMillis).unreadTokens();
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/PeerSelectionTest.java
@@ -0,0 +1,78 @@
+package org.tamaracktrack.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.id.DataCentreId;
+
+class PeerSelectionTest {
+    private static final int MOST = 16;
+
+    private static List<Peer> daemons(int count, int dataCentres) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> daemon(index, dataCentres))
+                .collect(Collectors.toList());
+    }
+
+    private static Peer daemon(int index, int dataCentres) {
+        return new Peer(
+                "daemon-" + index,
+                DataCentreId.of("place-" + index % dataCentres),
+                "10.0.0." + index + ":1");
+    }
+
+    @Test
+    void shouldTakeAllOfASmallSystem() {
+        List<Peer> all = daemons(4, 3);
+
+        assertThat(PeerSelection.of(all.get(0), all)).containsExactlyElementsIn(all.subList(1, 4));
+    }
+
+    @Test
+    void shouldTakeThoseOfTheOwnDataCentreInALargerOne() {
+        List<Peer> all = daemons(33, 5);
+
+        assertThat(
+                        PeerSelection.of(all.get(0), all).stream()
+                                .map(Peer::process)
+                                .collect(Collectors.toList()))
+                .containsExactly(
+                        "daemon-5",
+                        "daemon-10",
+                        "daemon-15",
+                        "daemon-20",
+                        "daemon-25",
+                        "daemon-30");
+    }
+
+    // Guards against a daemon that counts its own requests twice after a restart.
+    @Test
+    void shouldNotTakeItsOwnPredecessorForAPeer() {
+        Peer self = daemon(0, 1);
+        Peer predecessor = new Peer("daemon-before", self.dataCentre(), self.address());
+
+        assertThat(PeerSelection.of(self, List.of(self, predecessor))).isEmpty();
+    }
+
+    // Guards against messages that grow with the square of the system's size, and against a daemon
+    // that tells others of its load and hears nothing of theirs.
+    @Property(tries = 60, seed = "71")
+    void shouldBeMutualAndBounded(
+            @ForAll @IntRange(min = 1, max = 320) int count,
+            @ForAll @IntRange(min = 1, max = 6) int dataCentres) {
+        List<Peer> all = daemons(count, dataCentres);
+
+        for (Peer self : all) {
+            List<Peer> peers = PeerSelection.of(self, all);
+            assertThat(peers.size()).isAtMost(MOST);
+            assertThat(peers).containsNoDuplicates();
+            peers.forEach(peer -> assertThat(PeerSelection.of(peer, all)).contains(self));
+        }
+    }
+}
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
@@ -99,7 +99,7 @@
         @Test
         void shouldNotTakeACrowdedEngineForOneThatBeginsLate() {
             int slots = Targets.engine("near", Targets.HOME, "model").slots();
-            load("near").report(new ReportedLoad(slots, 0));
+            load("near").report(new ReportedLoad(slots, 0), NOW);
 
             TargetChooser.Choice choice =
                     chooser.choose(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -128,7 +128,7 @@
         if (!returned) {
             facts.need().ifPresent(need -> services.demand().note(need, route));
         }
-        endTimer = Optional.of(services.after(endsMillis - services.nowMillis(), this::timeIsUp));
+        endTimer = Optional.of(services.timer(endsMillis - services.nowMillis(), this::timeIsUp));
         services.after(SILENT_MILLIS, this::lookForSilence);
         dispatch();
     }
@@ -223,7 +223,7 @@
         }
         if (waitTimer.isEmpty()) {
             services.waiting().add(this);
-            waitTimer = Optional.of(services.after(patience, this::patienceIsUp));
+            waitTimer = Optional.of(services.timer(patience, this::patienceIsUp));
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -9,7 +9,9 @@
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +25,8 @@
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.daemon.load.Datagrams;
+import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.Options;
@@ -47,6 +51,7 @@
     private final Undertow server;
     private final XnioIoThread thread;
     private final Leaving leaving;
+    private volatile Optional<LoadExchange> loadExchange = Optional.empty();
 
     private Gateway(
             GatewayServices services,
@@ -258,6 +263,34 @@
         return reading;
     }
 
+    /**
+     * Begins to tell other daemons what this one has at targets, and to hear the same of them.
+     *
+     * @param process names this run of the process
+     * @param datagrams carries the messages, on the traffic thread
+     */
+    public void exchangeLoads(String process, Datagrams datagrams) {
+        LoadExchange exchange =
+                LoadExchange.of(
+                        process,
+                        datagrams,
+                        services,
+                        services.loads()::own,
+                        (target, share) ->
+                                services.loads().of(target).others(share, services.nowMillis()));
+        loadExchange = Optional.of(exchange);
+        thread.execute(() -> services.onLoadsChanged(exchange::changed));
+    }
+
+    /**
+     * Takes the daemons to exchange loads with.
+     *
+     * @param addresses where they are reached
+     */
+    public void peers(List<InetSocketAddress> addresses) {
+        loadExchange.ifPresent(exchange -> thread.execute(() -> exchange.peers(addresses)));
+    }
+
     /**
      * Takes the targets whose answers closed a connection since this was last asked. Targets that
      * leave close theirs, others now and then.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -13,13 +13,14 @@
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** What the requests of a gateway share. Owned by the traffic thread, but for the view. */
-final class GatewayServices {
+final class GatewayServices implements LoadExchange.Timer {
     /** Routes come and go with configurations; those used last are remembered. */
     private static final int MOST_ROUTES = 1_024;
 
@@ -37,6 +38,7 @@
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
     private final Map<String, CallerWaits> waits = RecentlyUsed.of(MOST_ROUTES);
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
+    private Runnable loadsChanged = () -> {};
     private volatile GatewayView view = GatewayView.empty();
 
     GatewayServices(
@@ -78,6 +80,16 @@
         return loads;
     }
 
+    /** What this daemon has at some target has changed. */
+    void loadsChanged() {
+        loadsChanged.run();
+    }
+
+    /** Names who hears that what this daemon has at some target has changed. */
+    void onLoadsChanged(Runnable listener) {
+        loadsChanged = listener;
+    }
+
     WaitingRequests waiting() {
         return waiting;
     }
@@ -98,7 +110,8 @@
         return random.nextDouble();
     }
 
-    long nowMillis() {
+    @Override
+    public long nowMillis() {
         return ControlThread.nowMillis();
     }
 
@@ -136,7 +149,13 @@
         return taken;
     }
 
-    XnioExecutor.Key after(long delayMillis, Runnable task) {
+    @Override
+    public void after(long delayMillis, Runnable task) {
+        timer(delayMillis, task);
+    }
+
+    /** Runs a task after a delay, unless it is cancelled before. */
+    XnioExecutor.Key timer(long delayMillis, Runnable task) {
         return thread.executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/LoadBoard.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/LoadBoard.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.tamaracktrack.core.dispatch.LoadShare;
 import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.fleet.TargetEntry;
@@ -23,6 +24,13 @@
         return loads.computeIfAbsent(incarnation, name -> new TargetLoad());
     }
 
+    /** Returns what this daemon has at targets, without those at which it has nothing. */
+    Map<TargetIncarnation, LoadShare> own() {
+        return loads.entrySet().stream()
+                .filter(load -> !load.getValue().own().isEmpty())
+                .collect(Collectors.toMap(Map.Entry::getKey, load -> load.getValue().own()));
+    }
+
     /** Forgets targets that are gone. */
     void keep(Fleet fleet) {
         Set<TargetIncarnation> known =
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -135,8 +135,9 @@
     private void send(Sending sending) {
         startedMillis = services.nowMillis();
         heardMillis = startedMillis;
-        aheadTokens = load.unreadTokens();
+        aheadTokens = load.unreadTokens(startedMillis);
         load.started(work.promptTokens(), startedMillis);
+        services.loadsChanged();
         InetSocketAddress address =
                 new InetSocketAddress(entry.address().ip(), entry.address().port());
         CallLimits limits =
@@ -184,6 +185,7 @@
             load.dropped(work.promptTokens(), startedMillis);
         }
         load.ended();
+        services.loadsChanged();
         return true;
     }
 
@@ -191,6 +193,7 @@
         if (!read) {
             read = true;
             load.read(work.promptTokens(), startedMillis, aheadTokens, services.nowMillis());
+            services.loadsChanged();
         }
     }
 
@@ -231,7 +234,7 @@
             failAndClose(AttemptEnd.LOST);
             return;
         }
-        facts.load().ifPresent(load::report);
+        facts.load().ifPresent(said -> load.report(said, heardMillis));
         if (facts.closing()) {
             services.closing(entry.incarnation().target());
         }
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
@@ -0,0 +1,138 @@
+package org.tamaracktrack.daemon.load;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+import org.tamaracktrack.core.dispatch.Peer;
+import org.tamaracktrack.core.dispatch.PeerSelection;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.daemon.relay.RecordRelay;
+import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.TopicPart;
+
+/**
+ * Finds the peers of this daemon: each daemon tells the holder of the lease where it is reached,
+ * which passes the list on. Without a holder the last list stays in use. On the control thread.
+ */
+public final class PeerDirectory {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.load");
+
+    private static final long TICK_MILLIS = 500;
+
+    /** A daemon that has said nothing for this long is taken off the list. */
+    private static final long SILENT_MILLIS = 2_500;
+
+    private final Peer self;
+    private final TopicPart part;
+    private final RecordRelay relay;
+    private final Consumer<List<Peer>> changed;
+    private final Map<Peer, Long> heardAtMillis = new HashMap<>();
+    private Set<Peer> published = Set.of();
+    private Set<Peer> selected = Set.of();
+    private boolean newcomer;
+
+    private PeerDirectory(
+            Peer self, TopicPart part, RecordRelay relay, Consumer<List<Peer>> changed) {
+        this.self = self;
+        this.part = part;
+        this.relay = relay;
+        this.changed = changed;
+    }
+
+    /**
+     * Starts a directory.
+     *
+     * @param self this daemon
+     * @param part names what is passed on; nothing is ever appended to it
+     * @param relay passes it on
+     * @param control the thread that it belongs to
+     * @param changed takes the peers whenever they change
+     */
+    public static void start(
+            Peer self,
+            TopicPart part,
+            RecordRelay relay,
+            ControlThread control,
+            Consumer<List<Peer>> changed) {
+        Objects.requireNonNull(self, "self is null");
+        Objects.requireNonNull(changed, "changed is null");
+        PeerDirectory directory = new PeerDirectory(self, part, relay, changed);
+        control.post(directory::listen);
+        control.every(TICK_MILLIS, directory::tick);
+    }
+
+    private void listen() {
+        relay.onTold(part, this::told);
+        relay.onRecords(part, new FromHolder());
+        relay.onFollower(() -> newcomer = true);
+    }
+
+    private final class FromHolder implements RecordRelay.Reader {
+        @Override
+        public void onBatch(RecordBatch batch) {
+            batch.records().stream().flatMap(bytes -> decode(bytes).stream()).forEach(this::heard);
+        }
+
+        private void heard(Set<Peer> known) {
+            select(known);
+        }
+
+        // Peers are found again through the next holder; until then the last ones stay.
+        @Override
+        public void onLost() {}
+    }
+
+    private void tick() {
+        if (!relay.holding()) {
+            heardAtMillis.clear();
+            published = Set.of();
+            relay.tell(part, PeerRecord.encode(Set.of(self)));
+            return;
+        }
+        long nowMillis = ControlThread.nowMillis();
+        heardAtMillis.put(self, nowMillis);
+        heardAtMillis.values().removeIf(heard -> nowMillis - heard > SILENT_MILLIS);
+        Set<Peer> known = Set.copyOf(heardAtMillis.keySet());
+        if (newcomer || !known.equals(published)) {
+            newcomer = false;
+            published = known;
+            relay.publish(part, new RecordBatch(0, List.of(PeerRecord.encode(known)), 1));
+            select(known);
+        }
+    }
+
+    private void told(byte[] bytes) {
+        long nowMillis = ControlThread.nowMillis();
+        decode(bytes).ifPresent(said -> said.forEach(peer -> heardAtMillis.put(peer, nowMillis)));
+    }
+
+    private void select(Set<Peer> known) {
+        List<Peer> peers = PeerSelection.of(self, known);
+        if (!Set.copyOf(peers).equals(selected)) {
+            selected = Set.copyOf(peers);
+            LOG.info(
+                    "event=peers known="
+                            + known.size()
+                            + " peers="
+                            + peers.stream().map(Peer::address).collect(Collectors.toList()));
+            changed.accept(peers);
+        }
+    }
+
+    private static Optional<Set<Peer>> decode(byte[] bytes) {
+        try {
+            return Optional.of(PeerRecord.decode(bytes));
+        } catch (TamaracktrackException unreadable) {
+            // Only our own daemons say this; one of another version has no peers among ours.
+            LOG.info("event=peers-unreadable problem=\"" + unreadable.getMessage() + '"');
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadRecordTest.java
@@ -0,0 +1,65 @@
+package org.tamaracktrack.daemon.load;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.dispatch.LoadShare;
+import org.tamaracktrack.core.dispatch.Peer;
+import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.TargetId;
+
+class LoadRecordTest {
+
+    @Property(tries = 100, seed = "31")
+    void shouldReadWhatWasWritten(
+            @ForAll @IntRange(min = 0, max = 1_000) int outstanding,
+            @ForAll @IntRange(min = 0) int tokens) {
+        LoadRecord record =
+                new LoadRecord(
+                        "process",
+                        Map.of(
+                                new TargetIncarnation(TargetId.of("engine"), 7),
+                                new LoadShare(outstanding, tokens)));
+
+        assertThat(LoadRecord.decode(record.encode())).isEqualTo(record);
+    }
+
+    // Guards against bytes of the network that end the thread with another failure.
+    @Property(tries = 500, seed = "32")
+    void shouldRefuseOtherBytesByName(@ForAll @Size(max = 60) byte[] bytes) {
+        try {
+            LoadRecord.decode(bytes);
+        } catch (TamaracktrackException refused) {
+            assertThat(refused.code()).isNotNull();
+        }
+        try {
+            PeerRecord.decode(bytes);
+        } catch (TamaracktrackException refused) {
+            assertThat(refused.code()).isNotNull();
+        }
+    }
+
+    @Test
+    void shouldReadPeersThatWereWritten() {
+        Set<Peer> peers =
+                Set.of(
+                        new Peer("one", DataCentreId.of("home"), "10.0.0.1:1"),
+                        new Peer("two", DataCentreId.of("away"), "10.0.0.2:1"));
+
+        assertThat(PeerRecord.decode(PeerRecord.encode(peers))).isEqualTo(peers);
+    }
+
+    @Test
+    void shouldRefuseALoadThatIsLessThanNothing() {
+        assertThrows(IllegalArgumentException.class, () -> new LoadShare(-1, 0));
+    }
+}
