Load for urgent requests first, and learn what an engine can serve

In the first seven seconds every load (8.6 s from the weight store, one at a time at an engine) was of a model with 0.1 requests a second that can wait; up to 28 of 42 engines were busy with them. And the planner took an engine to serve 12 requests a second in time, a figure of engines with 48 and 64 slots; here 16 slots and a stay of 2 to 3 s allow 5 to 6.

Change: loads from the weight store for models that only patient requests ask for take 15 in 100 of the engines at once; what an engine serves is bounded by its slots and how long requests stay (Little's law), learned from reports.

--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -27,6 +27,13 @@
     /** Engines that load from the weight store at once: they take no adapters for that long. */
     private static final double MOST_LOADING_SHARE = 0.5;
 
+    /**
+     * The part of the engines that load models from the weight store at once for requests that can
+     * wait. Such models are many and each is asked for rarely; without a bound they take all
+     * engines for as long as a load lasts, and demand that moves to other models waits behind them.
+     */
+    private static final double MOST_PATIENT_LOADING_SHARE = 0.15;
+
     /** A copy is not unloaded before the requests that wanted it had time to use it. */
     private static final long SETTLING_MILLIS = 1_500;
 
@@ -76,6 +83,7 @@
      * @param askedBy what kind of requests have asked for a model
      * @param settled whether demand has been seen for long enough to tell what is not asked for
      * @param storeAllows whether a load from the weight store may begin
+     * @param busyRate requests a second at which an engine answers seven of ten in time
      * @param nowMillis the monotonic time
      */
     public record View(
@@ -87,6 +95,7 @@
             Function<ModelId, AskedBy> askedBy,
             boolean settled,
             boolean storeAllows,
+            double busyRate,
             long nowMillis) {}
 
     /**
@@ -179,11 +188,35 @@
         long loading = view.engines().values().stream().filter(EngineBook::loading).count();
         boolean storeAllows =
                 view.storeAllows() && loading < MOST_LOADING_SHARE * view.engines().size();
+        boolean patientToo = patientLoading(view) < mostPatientLoading(view);
         return view.specification().models().values().stream()
-                .flatMap(model -> moves(view, counts, worth, candidates, storeAllows, model))
+                .flatMap(
+                        model ->
+                                moves(
+                                        view,
+                                        counts,
+                                        worth,
+                                        candidates,
+                                        storeAllows && (patientToo || urgent(view, model.model())),
+                                        model))
                 .max(Comparator.comparingDouble(Move::worth));
     }
 
+    private static double mostPatientLoading(View view) {
+        return MOST_PATIENT_LOADING_SHARE * view.engines().size();
+    }
+
+    private static boolean urgent(View view, ModelId model) {
+        return view.askedBy().apply(model) == AskedBy.URGENT;
+    }
+
+    private static long patientLoading(View view) {
+        return view.engines().values().stream()
+                .flatMap(book -> book.coming().stream())
+                .filter(model -> !urgent(view, model))
+                .count();
+    }
+
     /** What all engines together hold or will hold, and have at hand. */
     private record Counts(
             Map<ModelId, List<TargetIncarnation>> copies,
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
@@ -70,7 +70,7 @@
         rates.putAll(view.quick());
         view.expected()
                 .forEach((model, rate) -> rates.merge(model, RETURNING_SHARE * rate, Math::max));
-        this.loads = EngineLoads.of(copies, rates);
+        this.loads = EngineLoads.of(copies, rates, view.busyRate());
     }
 
     static CopyWorth of(CopyPlanner.View view, Map<ModelId, List<TargetIncarnation>> copies) {
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -296,6 +296,15 @@
                 .orElse(0.0);
     }
 
+    /**
+     * Returns how many requests the engine ran when last heard of.
+     *
+     * @return the number
+     */
+    public int running() {
+        return report.map(EngineReport::running).orElse(0);
+    }
+
     /**
      * Returns whether a model is being loaded.
      *
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
@@ -19,37 +19,36 @@
  * with the two busiest, and stayed idle while others refused.
  */
 final class EngineLoads {
-    /**
-     * Requests a second at which an engine answers seven of ten in time. With prompts of about
-     * 1,000 tokens engines that read 19,000 and 38,000 tokens a second alike had pauses beyond the
-     * objective in a third to a half of their answers at 11 to 12 a second.
-     */
-    private static final double BUSY_RATE = 12;
-
     /** Rounds of spreading one model after the other; two come within a few percent of level. */
     private static final int ROUNDS = 2;
 
     private final Map<ModelId, Map<TargetIncarnation, Double>> shares = new HashMap<>();
     private final Map<TargetIncarnation, Double> loads = new HashMap<>();
     private final Map<ModelId, Filling> fillings = new HashMap<>();
+    private final double busyRate;
 
     /** What does not depend on where a further copy of a model would be. */
     private record Filling(double[] bases, double inTime) {}
 
-    private EngineLoads() {}
+    private EngineLoads(double busyRate) {
+        this.busyRate = busyRate;
+    }
 
     /**
      * Spreads requests over copies.
      *
      * @param copies the engines that hold each model
      * @param rates requests a second by model
+     * @param busyRate requests a second at which an engine answers seven of ten in time
      * @return the loads
      */
     static EngineLoads of(
-            Map<ModelId, List<TargetIncarnation>> copies, Map<ModelId, Double> rates) {
+            Map<ModelId, List<TargetIncarnation>> copies,
+            Map<ModelId, Double> rates,
+            double busyRate) {
         Objects.requireNonNull(copies, "copies is null");
         Objects.requireNonNull(rates, "rates is null");
-        EngineLoads spread = new EngineLoads();
+        EngineLoads spread = new EngineLoads(busyRate);
         copies.forEach(
                 (model, engines) ->
                         spread.beginEvenly(model, engines, rates.getOrDefault(model, 0.0)));
@@ -191,13 +190,13 @@
         return before - left - filled(levelOf(sum(share), bases), bases);
     }
 
-    private static double filled(double level, double[] bases) {
+    private double filled(double level, double[] bases) {
         return Arrays.stream(bases).map(base -> inTime(Math.max(level, base))).sum();
     }
 
     /** Requests a second that an engine answers in time, of those that it gets. */
-    private static double inTime(double load) {
-        double busy = load / BUSY_RATE;
+    private double inTime(double load) {
+        double busy = load / busyRate;
         return load / Math.sqrt(1 + busy * busy);
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/CopyPlannerTest.java
@@ -37,6 +37,7 @@
     private final Map<ModelId, AskedBy> askedBy = new HashMap<>();
     private boolean settled = true;
     private boolean storeAllows = true;
+    private double busyRate = 12;
     private int kindsRead;
 
     private EngineBook engine(String name, List<String> atHand, String... models) {
@@ -86,6 +87,7 @@
                         },
                         settled,
                         storeAllows,
+                        busyRate,
                         NOW));
     }
 
@@ -112,6 +114,26 @@
             assertThat(move.order().load()).isFalse();
         }
 
+        // Guards against demand that stays on few engines which run few requests at once, since
+        // engines are taken to be as quick as others.
+        @Test
+        void shouldAddACopySoonerWhenEnginesCanServeLess() {
+            engine("one", List.of(), "hot", "other", "silent");
+            engine("two", List.of("hot"), "warm", "rare", "silent");
+            engine("three", List.of(), "new", "warm", "rare");
+            rate("hot", 2.5);
+            rate("warm", 1);
+            rate("rare", 0.5);
+            rate("other", 0.1);
+
+            assertThat(next().map(CopyPlanner.Move::model))
+                    .isNotEqualTo(Optional.of(ModelId.of("hot")));
+
+            busyRate = 3;
+            assertThat(next().map(CopyPlanner.Move::model))
+                    .isEqualTo(Optional.of(ModelId.of("hot")));
+        }
+
         // Two models are asked for alike, one has a copy and one has none. The loads that can be
         // under way at once must not all go to the first.
         @Test
@@ -318,4 +340,67 @@
             assertThat(kindsRead).isAtMost(eachModelOnce + 3 * count);
         }
     }
+
+    /** Demand moves to other models while many others are asked for rarely, by who can wait. */
+    @Nested
+    class PatientRequests {
+
+        private void loading(String name, String model) {
+            EngineBook book = engine(name, List.of());
+            book.sending(
+                    new EngineOrder(
+                            new TargetIncarnation(TargetId.of(name), 0),
+                            true,
+                            ModelId.of(model),
+                            Optional.empty()));
+            book.accepted(NOW - 1_000);
+        }
+
+        private void waitsPatiently(String model) {
+            waiting.put(ModelId.of(model), 3);
+            askedBy.put(ModelId.of(model), AskedBy.PATIENT);
+            rate(model, 0.3);
+        }
+
+        // Guards against engines that are all loading rarely asked models for seconds, while a
+        // model
+        // that many urgent requests ask for stays on a few.
+        @Test
+        void shouldLeaveEnginesToUrgentRequestsWhenEnoughLoadForPatientOnes() {
+            loading("loading", "other");
+            askedBy.put(ModelId.of("other"), AskedBy.PATIENT);
+            engine("idle", List.of());
+            engine("third", List.of(), "hot");
+            waitsPatiently("rare");
+
+            assertThat(next().map(CopyPlanner.Move::model))
+                    .isNotEqualTo(Optional.of(ModelId.of("rare")));
+
+            rate("hot", 40);
+            assertThat(next().map(CopyPlanner.Move::model))
+                    .isEqualTo(Optional.of(ModelId.of("hot")));
+        }
+
+        @Test
+        void shouldLoadForPatientRequestsWhenNoOtherEngineDoes() {
+            engine("idle", List.of());
+            engine("third", List.of(), "hot");
+            waitsPatiently("rare");
+
+            assertThat(next().map(CopyPlanner.Move::model))
+                    .isEqualTo(Optional.of(ModelId.of("rare")));
+        }
+
+        // A load from disk is over within two seconds.
+        @Test
+        void shouldLoadForPatientRequestsWhenACopyIsAtHand() {
+            loading("loading", "other");
+            askedBy.put(ModelId.of("other"), AskedBy.PATIENT);
+            engine("idle", List.of("rare"));
+            waitsPatiently("rare");
+
+            assertThat(next().map(CopyPlanner.Move::model))
+                    .isEqualTo(Optional.of(ModelId.of("rare")));
+        }
+    }
 }
--- a/core/src/test/java/org/tamaracktrack/core/copies/EngineLoadsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/EngineLoadsTest.java
@@ -23,6 +23,7 @@
     private static final TargetIncarnation TWO = engine("two");
     private static final TargetIncarnation IDLE = engine("idle");
     private static final double NEAR = 1e-6;
+    private static final double BUSY_RATE = 12;
 
     private static TargetIncarnation engine(String name) {
         return new TargetIncarnation(TargetId.of(name), 0);
@@ -33,7 +34,8 @@
         EngineLoads loads =
                 EngineLoads.of(
                         Map.of(HOT, List.of(ONE, TWO), RARE, List.of(ONE)),
-                        Map.of(HOT, 10.0, RARE, 4.0));
+                        Map.of(HOT, 10.0, RARE, 4.0),
+                        BUSY_RATE);
 
         assertThat(loads.share(HOT, ONE)).isWithin(NEAR).of(3);
         assertThat(loads.share(HOT, TWO)).isWithin(NEAR).of(7);
@@ -44,7 +46,8 @@
         EngineLoads loads =
                 EngineLoads.of(
                         Map.of(HOT, List.of(ONE), RARE, List.of(TWO)),
-                        Map.of(HOT, 20.0, RARE, 8.0));
+                        Map.of(HOT, 20.0, RARE, 8.0),
+                        BUSY_RATE);
 
         assertThat(loads.gain(HOT, 20, IDLE, 0)).isGreaterThan(loads.gain(HOT, 20, TWO, 0));
         assertThat(loads.gain(HOT, 20, TWO, 0)).isGreaterThan(0.0);
@@ -52,7 +55,7 @@
 
     @Test
     void shouldLoseNothingWithoutACopyThatNobodyUses() {
-        EngineLoads loads = EngineLoads.of(Map.of(HOT, List.of(ONE, TWO)), Map.of());
+        EngineLoads loads = EngineLoads.of(Map.of(HOT, List.of(ONE, TWO)), Map.of(), BUSY_RATE);
 
         assertThat(loads.loss(HOT, ONE)).isWithin(NEAR).of(0);
     }
@@ -69,8 +72,8 @@
                 IntStream.rangeClosed(0, copies)
                         .mapToObj(number -> engine("engine" + number))
                         .collect(Collectors.toList());
-        EngineLoads before = EngineLoads.of(Map.of(HOT, engines), Map.of(HOT, rate));
-        EngineLoads after = EngineLoads.of(Map.of(HOT, more), Map.of(HOT, rate));
+        EngineLoads before = EngineLoads.of(Map.of(HOT, engines), Map.of(HOT, rate), BUSY_RATE);
+        EngineLoads after = EngineLoads.of(Map.of(HOT, more), Map.of(HOT, rate), BUSY_RATE);
 
         double gain = before.gain(HOT, rate, more.get(copies), 0);
         assertThat(gain).isAtLeast(-NEAR);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -13,6 +13,7 @@
 import org.tamaracktrack.core.copies.CopyPlanner;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.copies.EngineBook;
+import org.tamaracktrack.core.copies.EngineCapacity;
 import org.tamaracktrack.core.copies.EngineOrder;
 import org.tamaracktrack.core.copies.EngineReport;
 import org.tamaracktrack.core.copies.EngineState;
@@ -61,6 +62,7 @@
     private final DemandBook demand;
     private final HoldingsExchange holdings;
     private final StorePace pace = StorePace.empty();
+    private final Map<ServiceId, EngineCapacity> capacities = new HashMap<>();
     private final Map<TargetIncarnation, EngineBook> books = new HashMap<>();
     private final Map<TargetIncarnation, Long> askedAtMillis = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -188,6 +190,10 @@
                                             entry -> entry.getKey().model(),
                                             Collectors.summingInt(Map.Entry::getValue))));
         }
+
+        double perSecond() {
+            return quick.values().stream().mapToDouble(Double::doubleValue).sum();
+        }
     }
 
     private void serve(ServiceSpecification service, Asked asked, LeaseDriver.Permit permit) {
@@ -204,6 +210,11 @@
                 entries.keySet().stream()
                         .filter(name -> books.get(name).known())
                         .collect(Collectors.toMap(Function.identity(), books::get));
+        capacity(service)
+                .note(
+                        engines.values().stream().mapToInt(EngineBook::running).sum(),
+                        asked.perSecond(),
+                        ControlThread.nowMillis());
         for (int count = 0; count < MOST_ORDERS; count++) {
             if (!giveNext(service, entries, engine, engines, asked, permit)) {
                 return;
@@ -224,7 +235,8 @@
             give(entries, adapter.get().order(), asked, permit);
             return true;
         }
-        Optional<CopyPlanner.Move> copy = nextCopy(service, copyView(engine, engines, asked));
+        Optional<CopyPlanner.Move> copy =
+                nextCopy(service, copyView(service, engine, engines, asked));
         if (copy.isPresent()) {
             give(entries, copy.get().order(), asked, permit);
             copy.filter(chosen -> chosen.victim().isPresent())
@@ -235,6 +247,10 @@
         return adapter.isPresent();
     }
 
+    private EngineCapacity capacity(ServiceId service) {
+        return capacities.computeIfAbsent(service, name -> EngineCapacity.unknown());
+    }
+
     private Optional<CopyPlanner.Move> nextCopy(ServiceId service, CopyPlanner.View view) {
         long restsUntilMillis = planAgainMillis.getOrDefault(service, Long.MIN_VALUE);
         if (view.waiting().isEmpty() && view.nowMillis() < restsUntilMillis) {
@@ -250,7 +266,10 @@
     }
 
     private CopyPlanner.View copyView(
-            EngineSpecification engine, Map<TargetIncarnation, EngineBook> engines, Asked asked) {
+            ServiceId service,
+            EngineSpecification engine,
+            Map<TargetIncarnation, EngineBook> engines,
+            Asked asked) {
         return new CopyPlanner.View(
                 engine,
                 engines,
@@ -260,6 +279,7 @@
                 demand::askedBy,
                 demand.settled(ControlThread.nowMillis()),
                 pace.allows(engine.loadsPerSecond(), ControlThread.nowMillis()),
+                capacity(service).busyRate(engine.slots()),
                 ControlThread.nowMillis());
     }
 
