--- a/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
@@ -54,6 +54,7 @@
      * @param asked models that are asked for
      * @param rate requests a second for an adapter
      * @param waiting requests that wait for a copy
+     * @param awaitedOnly whether only adapters are placed that requests wait for
      * @param nowMillis the monotonic time
      */
     public record View(
@@ -62,6 +63,7 @@
             Set<ModelId> asked,
             ToDoubleFunction<ModelNeed> rate,
             Map<ModelNeed, Integer> waiting,
+            boolean awaitedOnly,
             long nowMillis) {}
 
     /**
@@ -149,6 +151,11 @@
     }
 
     private static Stream<ModelNeed> needs(View view) {
+        return allNeeds(view)
+                .filter(need -> !view.awaitedOnly() || view.waiting().containsKey(need));
+    }
+
+    private static Stream<ModelNeed> allNeeds(View view) {
         return view.specification().models().values().stream()
                 .filter(model -> view.asked().contains(model.model()))
                 .flatMap(
--- a/core/src/test/java/org/tamaracktrack/core/copies/AdapterPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/AdapterPlannerTest.java
@@ -34,6 +34,7 @@
     private final Map<TargetIncarnation, EngineBook> engines = new LinkedHashMap<>();
     private final Map<ModelNeed, Double> rates = new HashMap<>();
     private final Map<ModelNeed, Integer> waiting = new HashMap<>();
+    private boolean awaitedOnly;
     private List<AdapterId> adapters = adapters("busy", "calm", "idle");
     private int ratesRead;
     private long nowMillis = 10_000;
@@ -79,6 +80,7 @@
                             return rates.getOrDefault(need, 0.0);
                         },
                         waiting,
+                        awaitedOnly,
                         nowMillis));
     }
 
@@ -106,6 +108,19 @@
         assertThat(move.pressing()).isFalse();
     }
 
+    // Guards against engines that take no model for seconds, since orders of adapters that nobody
+    // waits for go unanswered there one after the other.
+    @Test
+    void shouldBringOnlyWhatRequestsWaitForWhenOrdersGoUnanswered() {
+        engine("one", "busy");
+        rates.put(need("calm"), 2.0);
+        awaitedOnly = true;
+        assertThat(next()).isEmpty();
+
+        waiting.put(need("calm"), 1);
+        assertThat(next().orElseThrow().order().adapter()).isEqualTo(need("calm").adapter());
+    }
+
     @Test
     void shouldUnloadTheAdapterThatIsMissedLeastWhenAWaitingRequestNeedsItsPlace() {
         engine("one", "busy", "idle");
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -18,6 +18,7 @@
 import org.tamaracktrack.core.copies.EngineReport;
 import org.tamaracktrack.core.copies.EngineState;
 import org.tamaracktrack.core.copies.StorePace;
+import org.tamaracktrack.core.copies.UnansweredOrders;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.fleet.HeldModel;
 import org.tamaracktrack.core.fleet.ModelNeed;
@@ -62,6 +63,7 @@
     private final DemandBook demand;
     private final HoldingsExchange holdings;
     private final StorePace pace = StorePace.empty();
+    private final UnansweredOrders unanswered = UnansweredOrders.none();
     private final Map<ServiceId, EngineCapacity> capacities = new HashMap<>();
     private final Map<TargetIncarnation, EngineBook> books = new HashMap<>();
     private final Map<TargetIncarnation, Long> askedAtMillis = new HashMap<>();
@@ -291,6 +293,7 @@
                 asked.slow().keySet(),
                 demand::slow,
                 asked.waiting(),
+                unanswered.recent(ControlThread.nowMillis()),
                 ControlThread.nowMillis());
     }
 
@@ -360,6 +363,9 @@
         if (outcome != EngineOrders.Outcome.ACCEPTED) {
             LOG.info("event=order-not-taken engine=" + order.engine() + " outcome=" + outcome);
         }
+        if (outcome == EngineOrders.Outcome.UNKNOWN) {
+            unanswered.note(ControlThread.nowMillis());
+        }
         EngineBook book = books.get(order.engine());
         if (book == null) {
             return;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
@@ -35,7 +35,7 @@
     private final Consumer<List<Peer>> changed;
     private final Map<Peer, Long> heardAtMillis = new HashMap<>();
     private Set<Peer> published = Set.of();
-    private Set<Peer> selected = Set.of();
+    private volatile Set<Peer> selected = Set.of();
     private boolean newcomer;
 
     private PeerDirectory(
@@ -54,8 +54,9 @@
      * @param relay passes it on
      * @param control the thread that it belongs to
      * @param changed takes the peers whenever they change
+     * @return the directory
      */
-    public static void start(
+    public static PeerDirectory start(
             Peer self,
             TopicPart part,
             RecordRelay relay,
@@ -66,6 +67,16 @@
         PeerDirectory directory = new PeerDirectory(self, part, relay, changed);
         control.post(directory::listen);
         control.every(TICK_MILLIS, directory::tick);
+        return directory;
+    }
+
+    /**
+     * Returns with how many daemons this one exchanges loads. May be asked by any thread.
+     *
+     * @return the number of its peers
+     */
+    public int peers() {
+        return selected.size();
     }
 
     private void listen() {
@@ -77,11 +88,9 @@
     private final class FromHolder implements RecordRelay.Reader {
         @Override
         public void onBatch(RecordBatch batch) {
-            batch.records().stream().flatMap(bytes -> decode(bytes).stream()).forEach(this::heard);
-        }
-
-        private void heard(Set<Peer> known) {
-            select(known);
+            batch.records().stream()
+                    .flatMap(bytes -> decode(bytes).stream())
+                    .forEach(PeerDirectory.this::select);
         }
 
         // Peers are found again through the next holder; until then the last ones stay.
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/PeerDirectoryTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/PeerDirectoryTest.java
@@ -4,12 +4,14 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.daemon.relay.RelayPair;
+import org.tamaracktrack.link.topic.RecordBatch;
 import org.tamaracktrack.link.topic.TopicPart;
 
 class PeerDirectoryTest {
@@ -44,10 +46,7 @@
 
     // A daemon relies on the holder only while it hears of its reads.
     private void publishAsReadsDo() {
-        pair.holder()
-                .publish(
-                        new TopicPart("registry", 0),
-                        new org.tamaracktrack.link.topic.RecordBatch(0, List.of(), 0));
+        pair.holder().publish(new TopicPart("registry", 0), new RecordBatch(0, List.of(), 0));
     }
 
     @Test
@@ -63,7 +62,7 @@
     void shouldKeepItsPeersWhenTheHolderIsLost() {
         meet();
 
-        pair.onControl(() -> pair.holder().holder(false, java.util.Optional.empty()));
+        pair.onControl(() -> pair.holder().holder(false, Optional.empty()));
 
         pair.await(() -> !pair.follower().connected());
         assertThat(ofOther).containsExactly(HOLDER);
