Move the counting of copies out of the planner, and shorten stories in comments

Comments of the planners, the chooser and the giver of orders kept figures and incidents; they keep the reason.

--- a/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
@@ -40,7 +40,7 @@
     /**
      * An adapter is not unloaded before the requests that wanted it had time to use it: daemons
      * learn of it up to a second after its load. Without the rest, with requests for more adapters
-     * than an engine has places, an engine got 430 orders in 20 s and served none of them.
+     * than an engine has places, adapters would displace each other and serve nobody.
      */
     private static final long SETTLING_MILLIS = 1_500;
 
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,7 +46,7 @@
     /**
      * What it costs to move a model's only copy to an engine with free room before its place is
      * taken: an order and a load more. Counted as the loss of an only copy, rarely asked models
-     * kept the busiest ones off three of eight engines for fifteen seconds.
+     * would keep the busiest ones off their engines.
      */
     private static final double RELOCATION_LOSS = 0.3;
 
@@ -163,18 +161,17 @@
         if (!book.idle()) {
             return Optional.empty();
         }
-        CopyWorth worth = CopyWorth.of(view, Counts.of(view).copies());
+        CopyWorth worth = CopyWorth.of(view, CopyCounts.of(view.engines()).copies());
         return room(candidate(view, worth, Relocations.none(view), engine), model)
                 .flatMap(Room::first)
                 .map(victim -> new Move(engine.getKey(), model.model(), Optional.of(victim), 0));
     }
 
-    // All that does not depend on the pair of engine and model is worked out once: counted anew for
-    // each pair, one pass over 36 engines and 111 models took 14 ms of processor time, ten times a
-    // second, on hosts that have a quarter of a core. Pairs that can't gain enough are left out
-    // before their requests are spread.
+    // All that does not depend on the pair of engine and model is worked out once, and pairs that
+    // can't gain enough are left out before their requests are spread: a pass has to be cheap on
+    // hosts with a part of a core.
     private static Optional<Move> best(View view) {
-        Counts counts = Counts.of(view);
+        CopyCounts counts = CopyCounts.of(view.engines());
         CopyWorth worth = CopyWorth.of(view, counts.copies());
         Relocations relocations = Relocations.of(view);
         List<Candidate> candidates =
@@ -217,34 +214,6 @@
                 .count();
     }
 
-    /** What all engines together hold or will hold, and have at hand. */
-    private record Counts(
-            Map<ModelId, List<TargetIncarnation>> copies,
-            Map<ModelId, Set<DataCentreId>> places,
-            Set<ModelId> atHand) {
-
-        static Counts of(View view) {
-            Counts counts = new Counts(new HashMap<>(), new HashMap<>(), new HashSet<>());
-            view.engines().forEach(counts::count);
-            return counts;
-        }
-
-        private void count(TargetIncarnation engine, EngineBook book) {
-            book.held().keySet().stream()
-                    .filter(model -> book.going().filter(model::equals).isEmpty())
-                    .forEach(model -> count(engine, book, model));
-            book.coming()
-                    .filter(model -> !book.held().containsKey(model))
-                    .ifPresent(model -> count(engine, book, model));
-            atHand.addAll(book.atHand());
-        }
-
-        private void count(TargetIncarnation engine, EngineBook book, ModelId model) {
-            copies.computeIfAbsent(model, name -> new ArrayList<>()).add(engine);
-            places.computeIfAbsent(model, name -> new HashSet<>()).add(book.dataCentre());
-        }
-    }
-
     /** An engine that can take an order, and its copies that may go, least missed first. */
     private record Candidate(
             TargetIncarnation engine,
@@ -378,7 +347,7 @@
 
     private static Stream<Move> moves(
             View view,
-            Counts counts,
+            CopyCounts counts,
             CopyWorth copyWorth,
             List<Candidate> candidates,
             boolean storeAllows,
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyWorth.java
@@ -15,8 +15,7 @@
     /**
      * What demand that may come back counts against demand that is here: a copy that is kept for it
      * saves the seconds until one would be loaded, of the many for which demand then stays. Counted
-     * in full, a model that nobody asked for kept four of eight engines while another with 50
-     * requests a second had two.
+     * in full, a model that nobody asks for would keep engines from one that many ask for.
      */
     private static final double RETURNING_SHARE = 0.2;
 
@@ -27,8 +26,7 @@
 
     /**
      * The part of it that counts if only requests ask that can wait for seconds. Counted in full,
-     * rarely asked models took every free engine, and a model with twenty requests a second stayed
-     * on two of eight engines for ten seconds.
+     * rarely asked models would take every free engine.
      */
     private static final double PATIENT_SHARE = 0.4;
 
@@ -38,9 +36,8 @@
     private static final double FAR_COPY_WORTH = 0.7;
 
     /**
-     * What the only copy of a model is worth for each request a second to be expected. At 2, busy
-     * models displaced the only copies of rarely asked ones, whose next request displaced another;
-     * at 5, about one request in forty more was served in time on days with faults.
+     * What the only copy of a model is worth for each request a second to be expected. Worth less,
+     * it is displaced by busy models, and its next request displaces another only copy.
      */
     private static final double ONLY_COPY_WORTH = 5;
 
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineBook.java
@@ -34,8 +34,8 @@
     /**
      * Room made for a model that is still not being loaded at this many idle reports is for others.
      * The load is tried right after the first; it can turn out impossible, because an order without
-     * an answer was carried out late or the weight store is to be spared. Reserved for good, three
-     * of eight engines got no order for 15 s, and 40 in 100 requests were refused.
+     * an answer was carried out late or the weight store is to be spared. Reserved for good, the
+     * engine would get no order any more.
      */
     private static final int MOST_IDLE_REPORTS = 2;
 
@@ -386,7 +386,7 @@
     /**
      * Returns the model that is being loaded, is about to be, or that room is made for. Orders that
      * are still on their way count: several are given in one pass, and without it one model that a
-     * single request waited for was loaded on four engines at once.
+     * single request waits for would be loaded on several engines at once.
      *
      * @return the model
      */
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineCapacity.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineCapacity.java
@@ -6,10 +6,7 @@
  * more than its slots are freed for. Owned by the control thread.
  */
 public final class EngineCapacity {
-    /**
-     * Requests a second at which prompts stall the streams of an engine, whatever its slots: with
-     * prompts of about a thousand tokens engines of unlike speed alike.
-     */
+    /** Requests a second at which prompts stall the streams of an engine, whatever its slots. */
     private static final double MOST_RATE = 12;
 
     /** The part of an engine's slots that can be in use before requests often wait for one. */
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetChooser.java
@@ -152,9 +152,8 @@
         return work.need().isPresent() ? ENGINE_DISTANCE_MILLIS : SERVICE_DISTANCE_MILLIS;
     }
 
-    // Other daemons' prompts are not known here; that they stall this daemon's streams is. A prompt
-    // read behind them makes all streams there late: of 1,083 streams 240 had pauses beyond their
-    // objective while other engines with the model read nothing.
+    // Prompts of daemons that are no peers are not known here; that they stall this daemon's
+    // streams is. A prompt more would make all streams there late.
     private static double crowdMillis(TargetLoad load, TargetEntry entry, long nowMillis) {
         double crowd = Math.max(0, load.outstanding(nowMillis) - EFFICIENT_SHARE * entry.slots());
         return crowd * CROWD_MILLIS + load.stallMillis(nowMillis);
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
@@ -92,10 +92,7 @@
             assertThat(choose(work(), List.of())).hasValue("far");
         }
 
-        // An engine runs three quarters of what it can at once, and begins each answer at once.
-        // Counted as a wait, its crowd made half of all requests be refused, while 99 of 100 of
-        // those
-        // that were sent had their first event within 1.1 s.
+        // Guards against requests that are refused although an engine would begin them at once.
         @Test
         void shouldNotTakeACrowdedEngineForOneThatBeginsLate() {
             int slots = Targets.engine("near", Targets.HOME, "model").slots();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -38,8 +38,7 @@
 
     /**
      * How often the holder writes down which models were ever asked for; the store keeps records
-     * for 20 s. A successor that did not know took every copy for one that may be asked for next,
-     * and kept copies that nobody wanted: a fifth fewer requests in time until the day's end.
+     * for 20 s. A successor that did not know would keep copies that nobody wants.
      */
     private static final long REMEMBER_EVERY_MILLIS = 4_000;
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -47,10 +47,8 @@
 
     /**
      * After a pass that found nothing to move, and while no request waits for a copy, the next
-     * whole one comes this many times its duration later, so that the passes take a twentieth of
-     * the thread: one over 36 engines and 111 models takes 11 ms of processor time, on hosts that
-     * have as little as a quarter of a core; one over 8 engines takes 1 ms and follows with the
-     * next tick.
+     * whole one comes this many times its duration later, so that the passes take a small part of
+     * the thread on any host.
      */
     private static final long REST_FACTOR = 20;
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -256,8 +256,7 @@
     }
 
     // A target that died or was cut off sends no reset; its callers would wait for their whole
-    // time.
-    // That it is silent on every connection for as long shows it. What may be repeated goes
+    // time. That it is silent on every connection for as long shows it. What may be repeated goes
     // elsewhere. What may not is given up only when the registry has dropped the target as well.
     private void lookForSilence() {
         if (done) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/UdpDatagrams.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/UdpDatagrams.java
@@ -78,7 +78,7 @@
             channel.sendTo(target, ByteBuffer.wrap(message));
         } catch (IOException failure) {
             // The next message tells the same; a peer that can't be reached is gone.
-            LOG.debug("event=load-not-sent problem=\"" + failure.getMessage() + '"');
+            LOG.info("event=load-not-sent problem=\"" + failure.getMessage() + '"');
         }
     }
 
@@ -95,7 +95,8 @@
                 receiver.accept(addresses.getSourceAddress(InetSocketAddress.class), message);
             }
         } catch (IOException failure) {
-            LOG.debug("event=load-not-received problem=\"" + failure.getMessage() + '"');
+            // What was lost is told again with the next message.
+            LOG.info("event=load-not-received problem=\"" + failure.getMessage() + '"');
         }
     }
 }
