Say the exchange of loads once: fewer steps, no dead parts

Read again as a newcomer; behaviour and assertions stay. The load board looks at each load once for a message. VirtualFleet loses an unused field, an unused name and a copy of what nothing changes meanwhile; ManyDaemonsTest plays each fleet once, not once an assertion. Tests share one way to start a worker, and the register's tests one outage.

--- a/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/AdapterPlanner.java
@@ -151,11 +151,6 @@
     }
 
     private static Stream<ModelNeed> needs(View view) {
-        return allNeeds(view)
-                .filter(need -> !view.awaitedOnly() || view.waiting().containsKey(need));
-    }
-
-    private static Stream<ModelNeed> allNeeds(View view) {
         return view.specification().models().values().stream()
                 .filter(model -> view.asked().contains(model.model()))
                 .flatMap(
@@ -165,7 +160,8 @@
                                                 adapter ->
                                                         new ModelNeed(
                                                                 model.model(),
-                                                                Optional.of(adapter))));
+                                                                Optional.of(adapter))))
+                .filter(need -> !view.awaitedOnly() || view.waiting().containsKey(need));
     }
 
     private static boolean lacks(EngineBook book, ModelNeed need) {
--- a/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/CopyPlanner.java
@@ -185,7 +185,8 @@
         long loading = view.engines().values().stream().filter(EngineBook::loading).count();
         boolean storeAllows =
                 view.storeAllows() && loading < MOST_LOADING_SHARE * view.engines().size();
-        boolean patientToo = patientLoading(view) < mostPatientLoading(view);
+        boolean patientToo =
+                patientLoading(view) < MOST_PATIENT_LOADING_SHARE * view.engines().size();
         return view.specification().models().values().stream()
                 .flatMap(
                         model ->
@@ -199,10 +200,6 @@
                 .max(Comparator.comparingDouble(Move::worth));
     }
 
-    private static double mostPatientLoading(View view) {
-        return MOST_PATIENT_LOADING_SHARE * view.engines().size();
-    }
-
     private static boolean urgent(View view, ModelId model) {
         return view.askedBy().apply(model) == AskedBy.URGENT;
     }
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/PeerShares.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/PeerShares.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 
 /** What each peer last said that it has at targets, and the sums. Owned by the traffic thread. */
@@ -33,9 +35,9 @@
      * @param process names the peer's process
      * @param shares what it has, by target
      * @param nowMillis the monotonic time
-     * @return the targets at which the peer has or had something
+     * @return what all peers have together, at each target at which this one has or had something
      */
-    public Set<TargetIncarnation> told(
+    public Map<TargetIncarnation, LoadShare> told(
             String process, Map<TargetIncarnation, LoadShare> shares, long nowMillis) {
         Objects.requireNonNull(process, "process is null");
         Set<TargetIncarnation> touched = new HashSet<>(shares.keySet());
@@ -44,19 +46,11 @@
         if (before != null) {
             touched.addAll(before.shares().keySet());
         }
-        return touched;
+        return touched.stream().collect(Collectors.toMap(Function.identity(), this::sum));
     }
 
-    /**
-     * Returns what all peers have together at a target.
-     *
-     * @param target the target
-     * @param nowMillis the monotonic time
-     * @return the sum
-     */
-    public LoadShare sum(TargetIncarnation target, long nowMillis) {
+    private LoadShare sum(TargetIncarnation target) {
         return told.values().stream()
-                .filter(said -> nowMillis - said.atMillis() <= SILENT_MILLIS)
                 .map(said -> said.shares().getOrDefault(target, LoadShare.empty()))
                 .reduce(LoadShare.empty(), LoadShare::plus);
     }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/ManyDaemonsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/ManyDaemonsTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -18,38 +20,40 @@
     private static final VirtualFleet.Size LARGE =
             new VirtualFleet.Size(33, 42, 5, 16, 8, 3, HEAVY, 0);
 
-    private static double notInTime(VirtualFleet.Size size) {
+    private static List<VirtualFleet.Outcome> plays(VirtualFleet.Size size) {
         return IntStream.range(0, SEEDS)
-                .mapToDouble(seed -> 1 - VirtualFleet.play(size, LENGTH_MILLIS, seed).shareInTime())
+                .mapToObj(seed -> VirtualFleet.play(size, LENGTH_MILLIS, seed))
+                .collect(Collectors.toList());
+    }
+
+    private static double notInTime(List<VirtualFleet.Outcome> plays) {
+        return plays.stream()
+                .mapToDouble(outcome -> 1 - outcome.shareInTime())
                 .average()
                 .orElseThrow();
     }
 
-    private static int mostOutstanding(VirtualFleet.Size size) {
-        return IntStream.range(0, SEEDS)
-                .map(seed -> VirtualFleet.play(size, LENGTH_MILLIS, seed).mostOutstanding())
-                .max()
-                .orElseThrow();
+    private static int mostOutstanding(List<VirtualFleet.Outcome> plays) {
+        return plays.stream().mapToInt(VirtualFleet.Outcome::mostOutstanding).max().orElseThrow();
     }
 
     @Nested
     class HeavyLoad {
+        private static final List<VirtualFleet.Outcome> ALONE = plays(LARGE);
+        private static final List<VirtualFleet.Outcome> TOGETHER =
+                plays(LARGE.exchanging(EXCHANGE_MILLIS));
 
         // Guards against daemons that pile prompts up on engines whose other prompts they do not
         // know of: answers are late though all engines together could keep up.
         @Test
         void shouldMakeAtMostHalfAsManyLateWhenPeersTellTheirLoads() {
-            double alone = notInTime(LARGE);
-            double together = notInTime(LARGE.exchanging(EXCHANGE_MILLIS));
-
-            assertThat(together).isLessThan(alone / 2);
+            assertThat(notInTime(TOGETHER)).isLessThan(notInTime(ALONE) / 2);
         }
 
         // Guards against the herd: all daemons that hear the same choose the same engine.
         @Test
         void shouldNotCrowdEnginesMoreWhenPeersTellTheirLoads() {
-            assertThat(mostOutstanding(LARGE.exchanging(EXCHANGE_MILLIS)))
-                    .isAtMost(mostOutstanding(LARGE));
+            assertThat(mostOutstanding(TOGETHER)).isAtMost(mostOutstanding(ALONE));
         }
     }
 
@@ -60,7 +64,8 @@
 
         @Test
         void shouldNotMakeMoreLateWhenPeersTellTheirLoads() {
-            assertThat(notInTime(small.exchanging(EXCHANGE_MILLIS))).isLessThan(notInTime(small));
+            assertThat(notInTime(plays(small.exchanging(EXCHANGE_MILLIS))))
+                    .isLessThan(notInTime(plays(small)));
         }
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/VirtualFleet.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/VirtualFleet.java
@@ -125,12 +125,9 @@
             loads.forEach((name, load) -> told.put(name, load.own()));
         }
 
-        void hear(
-                Daemon peer,
-                Map<Daemon, Map<TargetIncarnation, LoadShare>> arriving,
-                long nowMillis) {
-            shares.told(peer.self.process(), arriving.get(peer), nowMillis)
-                    .forEach(name -> load(name).others(shares.sum(name, nowMillis), nowMillis));
+        void hear(Daemon peer, long nowMillis) {
+            shares.told(peer.self.process(), peer.told, nowMillis)
+                    .forEach((name, sum) -> load(name).others(sum, nowMillis));
         }
 
         TargetLoad load(TargetIncarnation engine) {
@@ -162,13 +159,12 @@
             load.started(promptTokens, nowMillis);
             engines.get(choice.entry().incarnation())
                     .add(
-                            new Request(this, load, promptTokens, answerTokens, ahead, nowMillis),
+                            new Request(load, promptTokens, answerTokens, ahead, nowMillis),
                             nowMillis);
         }
     }
 
     private static final class Request {
-        private final Daemon daemon;
         private final TargetLoad load;
         private final int promptTokens;
         private final int aheadTokens;
@@ -180,13 +176,11 @@
         private boolean late;
 
         Request(
-                Daemon daemon,
                 TargetLoad load,
                 int promptTokens,
                 int answerTokens,
                 int aheadTokens,
                 long sentMillis) {
-            this.daemon = daemon;
             this.load = load;
             this.promptTokens = promptTokens;
             this.aheadTokens = aheadTokens;
@@ -197,16 +191,11 @@
     }
 
     private final class Engine {
-        private final TargetIncarnation name;
         private final List<Request> running = new ArrayList<>();
         private final Deque<Request> waiting = new ArrayDeque<>();
         private double stepEnds;
         private boolean stepping;
 
-        Engine(TargetIncarnation name) {
-            this.name = name;
-        }
-
         void add(Request request, long nowMillis) {
             waiting.addLast(request);
             mostOutstanding = Math.max(mostOutstanding, running.size() + waiting.size());
@@ -292,9 +281,7 @@
                                         Collectors.toMap(
                                                 entry -> entry.incarnation().target(),
                                                 entry -> entry)));
-        fleet.all()
-                .forEach(
-                        entry -> engines.put(entry.incarnation(), new Engine(entry.incarnation())));
+        fleet.all().forEach(entry -> engines.put(entry.incarnation(), new Engine()));
     }
 
     private Peer peer(int index) {
@@ -373,10 +360,7 @@
 
     // What daemons tell their peers arrives one round later.
     private void exchange(long nowMillis) {
-        Map<Daemon, Map<TargetIncarnation, LoadShare>> arriving = new HashMap<>();
-        daemons.forEach(daemon -> arriving.put(daemon, daemon.told));
-        daemons.forEach(
-                daemon -> daemon.peers.forEach(peer -> daemon.hear(peer, arriving, nowMillis)));
+        daemons.forEach(daemon -> daemon.peers.forEach(peer -> daemon.hear(peer, nowMillis)));
         daemons.forEach(Daemon::tell);
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetRegisterTest.java
@@ -13,6 +13,13 @@
 
     private final FleetRegister register = FleetRegister.empty();
 
+    /** A target is known, the registry goes away, and is back at 10,000 ms. */
+    private void knowOneBeforeAnOutage() {
+        register.accept(Targets.engine("one", Targets.HOME));
+        register.away();
+        register.back(10_000);
+    }
+
     private boolean known() {
         return register.fleet().entry(ONE).isPresent();
     }
@@ -71,9 +78,7 @@
         void shouldTellWhetherARemovedTargetIsStillUsed() {
             assertThat(register.removed(ONE, 10_000)).isEqualTo(FleetRegister.Removal.UNKNOWN);
 
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
             assertThat(register.removed(ONE, 10_010)).isEqualTo(FleetRegister.Removal.MISSING);
             assertThat(register.missing()).isEqualTo(1);
             assertThat(register.backForMillis(10_010)).isEqualTo(10);
@@ -86,9 +91,7 @@
         // entries of targets that live a second later. Callers would be refused meanwhile.
         @Test
         void shouldKeepALapsedTargetWhenItWritesItselfAgainInTime() {
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
 
             register.removed(ONE, 10_010);
             register.expire(10_000 + RETURNED_AFTER - 1);
@@ -104,9 +107,7 @@
         // requests would go on reaching it until its time is over.
         @Test
         void shouldForgetAMissingTargetThatClosesItsConnections() {
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
             register.removed(ONE, 10_010);
 
             assertThat(register.closing(Set.of(ONE))).containsExactly(ONE);
@@ -128,9 +129,7 @@
         // that lives would be dropped, and its callers refused.
         @Test
         void shouldKeepAMissingTargetWhileAnotherOutageLasts() {
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
             register.removed(ONE, 10_010);
             register.away();
 
@@ -145,9 +144,7 @@
         // A target died in an outage, and its entry lapsed. It must not get work for ever.
         @Test
         void shouldForgetALapsedTargetWhenItDoesNotComeBack() {
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
 
             register.removed(ONE, 10_010);
             register.expire(10_010 + RETURNED_AFTER);
@@ -162,9 +159,7 @@
         // so 2.7 s before dropped it at once.
         @Test
         void shouldForgetAMissingTargetOnceAllThatLapsedIsBack() {
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
 
             register.removed(ONE, 10_000 + RETURNED_AFTER - 1);
             register.expire(10_000 + RETURNED_AFTER);
@@ -189,9 +184,7 @@
         // The registry is listed anew after an outage. A target whose entry lapsed writes it again.
         @Test
         void shouldKeepATargetForAWhileWhenAListingAfterAnOutageLacksIt() {
-            register.accept(Targets.engine("one", Targets.HOME));
-            register.away();
-            register.back(10_000);
+            knowOneBeforeAnOutage();
 
             assertThat(register.listed(Set.of(), 10_010))
                     .containsExactly(ONE, FleetRegister.Removal.MISSING);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -11,11 +11,11 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.dispatch.TargetChooser;
@@ -51,7 +51,6 @@
     private final Undertow server;
     private final XnioIoThread thread;
     private final Leaving leaving;
-    private volatile Optional<LoadExchange> loadExchange = Optional.empty();
 
     private Gateway(
             GatewayServices services,
@@ -268,8 +267,9 @@
      *
      * @param process names this run of the process
      * @param datagrams carries the messages, on the traffic thread
+     * @return takes where the other daemons are reached, whenever that changes
      */
-    public void exchangeLoads(String process, Datagrams datagrams) {
+    public Consumer<List<InetSocketAddress>> exchangeLoads(String process, Datagrams datagrams) {
         LoadExchange exchange =
                 LoadExchange.of(
                         process,
@@ -278,17 +278,8 @@
                         services.loads()::own,
                         (target, share) ->
                                 services.loads().of(target).others(share, services.nowMillis()));
-        loadExchange = Optional.of(exchange);
         thread.execute(() -> services.onLoadsChanged(exchange::changed));
-    }
-
-    /**
-     * Takes the daemons to exchange loads with.
-     *
-     * @param addresses where they are reached
-     */
-    public void peers(List<InetSocketAddress> addresses) {
-        loadExchange.ifPresent(exchange -> thread.execute(() -> exchange.peers(addresses)));
+        return addresses -> thread.execute(() -> exchange.peers(addresses));
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/LoadBoard.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/LoadBoard.java
@@ -27,8 +27,9 @@
     /** Returns what this daemon has at targets, without those at which it has nothing. */
     Map<TargetIncarnation, LoadShare> own() {
         return loads.entrySet().stream()
-                .filter(load -> !load.getValue().own().isEmpty())
-                .collect(Collectors.toMap(Map.Entry::getKey, load -> load.getValue().own()));
+                .map(load -> Map.entry(load.getKey(), load.getValue().own()))
+                .filter(share -> !share.getValue().isEmpty())
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
     /** Forgets targets that are gone. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadExchange.java
@@ -143,9 +143,7 @@
         }
         try {
             LoadRecord said = LoadRecord.decode(message);
-            long nowMillis = timer.nowMillis();
-            shares.told(said.process(), said.shares(), nowMillis)
-                    .forEach(target -> others.accept(target, shares.sum(target, nowMillis)));
+            shares.told(said.process(), said.shares(), timer.nowMillis()).forEach(others);
         } catch (TamaracktrackException unreadable) {
             // A peer of another version; its requests show in the targets' own word.
             LOG.info("event=load-unreadable from=" + from);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadRecord.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadRecord.java
@@ -16,7 +16,7 @@
 import org.tamaracktrack.core.id.TargetId;
 
 /**
- * Requests at targets, as one daemon has them or as all have them together.
+ * The requests that one daemon has at targets.
  *
  * @param process the process that says so
  * @param shares the requests by target; targets that are not named have none
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
@@ -124,8 +124,9 @@
 
     private void select(Set<Peer> known) {
         List<Peer> peers = PeerSelection.of(self, known);
-        if (!Set.copyOf(peers).equals(selected)) {
-            selected = Set.copyOf(peers);
+        Set<Peer> newer = Set.copyOf(peers);
+        if (!newer.equals(selected)) {
+            selected = newer;
             LOG.info(
                     "event=peers known="
                             + known.size()
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/UdpDatagramsTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/UdpDatagramsTest.java
@@ -12,9 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
+import org.tamaracktrack.daemon.relay.TestWorker;
 import org.xnio.XnioWorker;
 
 class UdpDatagramsTest {
@@ -24,13 +22,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        worker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.builder()
-                                        .set(Options.WORKER_IO_THREADS, 1)
-                                        .set(Options.THREAD_DAEMON, true)
-                                        .getMap());
+        worker = TestWorker.start();
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
@@ -7,9 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.daemon.runtime.ControlThread;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** The relays of a holder and of one other daemon, connected over loopback. */
@@ -23,13 +20,7 @@
     private final RecordRelay follower;
 
     private RelayPair() throws IOException {
-        worker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.builder()
-                                        .set(Options.WORKER_IO_THREADS, 1)
-                                        .set(Options.THREAD_DAEMON, true)
-                                        .getMap());
+        worker = TestWorker.start();
         holder =
                 RecordRelay.of(worker, control, Optional.of(new InetSocketAddress("127.0.0.1", 0)));
         follower = RecordRelay.of(worker, control, Optional.empty());
--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/TestWorker.java
@@ -0,0 +1,21 @@
+package org.tamaracktrack.daemon.relay;
+
+import java.io.IOException;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A worker with one thread for input and output, as the daemon has. */
+public final class TestWorker {
+    private TestWorker() {}
+
+    public static XnioWorker start() throws IOException {
+        return Xnio.getInstance()
+                .createWorker(
+                        OptionMap.builder()
+                                .set(Options.WORKER_IO_THREADS, 1)
+                                .set(Options.THREAD_DAEMON, true)
+                                .getMap());
+    }
+}
