Say how old the knowledge of the registry is where it decides

A request reached a target 2.1 s after it had said that it leaves. Logs could not tell whether the daemon relied on an old word of the lease's holder or on a read of its own that hung, nor how old its knowledge was when it chose. No logic changes: the age is counted as the code believes it, from the arrival of a relayed batch.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -27,6 +27,7 @@
     private final Supplier<Set<TargetId>> closing;
     private final FleetRegister register = FleetRegister.empty();
     private volatile int missing;
+    private volatile long wholeAtMillis = Long.MIN_VALUE / 2;
 
     private FleetFollower(
             Function<KeyedRecord, Optional<TargetEntry>> decoder,
@@ -66,6 +67,15 @@
         return missing;
     }
 
+    /**
+     * Returns how old the knowledge of the registry is. May be asked by any thread.
+     *
+     * @return milliseconds since the time up to which every entry is known; huge before the first
+     */
+    public long ageMillis() {
+        return ControlThread.nowMillis() - wholeAtMillis;
+    }
+
     @Override
     public void onListing(List<KeyedRecord> records) {
         Set<TargetId> listed =
@@ -170,4 +180,9 @@
     public void onBack() {
         register.back(ControlThread.nowMillis());
     }
+
+    @Override
+    public void onWhole(long atMillis) {
+        wholeAtMillis = atMillis;
+    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -64,6 +64,7 @@
     private int notSent;
     private int refusals;
     private int mayHaveRun;
+    private long registryAgeMillis = -1;
     private boolean done;
 
     private ForwardedRequest(
@@ -177,6 +178,7 @@
 
     private void send(TargetEntry entry) {
         tried.add(entry.incarnation().target());
+        registryAgeMillis = services.registryAgeMillis();
         long leftMillis = leftMillis();
         Map<String, String> outgoing =
                 services.dialect()
@@ -456,7 +458,8 @@
                         pieces.longestGapMillis(),
                         services.nowMillis() - arrivedMillis,
                         events.events(),
-                        configurationVersion));
+                        configurationVersion,
+                        registryAgeMillis));
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.copies.DemandBook;
 import org.tamaracktrack.core.dispatch.TargetChooser;
@@ -292,6 +293,15 @@
         return services.takeClosing();
     }
 
+    /**
+     * Says who knows how old the knowledge of the registry is, for the lines about requests.
+     *
+     * @param ageMillis asked on the traffic thread
+     */
+    public void registryAge(LongSupplier ageMillis) {
+        services.registryAge(ageMillis);
+    }
+
     /** Begins a planned stop: not ready any more, and connections end with their next answer. */
     public void leave() {
         leaving.sinceMillis = ControlThread.nowMillis();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.dispatch.CallerWaits;
 import org.tamaracktrack.core.dispatch.RecentlyUsed;
@@ -40,6 +41,7 @@
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
     private Runnable loadsChanged = () -> {};
     private volatile GatewayView view = GatewayView.empty();
+    private volatile LongSupplier registryAge = () -> -1;
 
     GatewayServices(
             HttpCaller http,
@@ -159,6 +161,15 @@
         return thread.executeAfter(task, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
     }
 
+    /** Says who knows how old the knowledge of the registry is; for any thread. */
+    void registryAge(LongSupplier ageMillis) {
+        registryAge = ageMillis;
+    }
+
+    long registryAgeMillis() {
+        return registryAge.getAsLong();
+    }
+
     /** Takes a newer view; for any thread. */
     void update(GatewayView newer) {
         view = newer;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -30,6 +30,9 @@
      */
     private static final long HOLDER_WAIT_MILLIS = 900;
 
+    /** Records that are heard of this long after the partition was last known whole are logged. */
+    private static final long LATE_MILLIS = 1_000;
+
     private static final long NOT_LISTED = -1;
 
     private final TopicClient topics;
@@ -42,6 +45,7 @@
     private long next = NOT_LISTED;
     private long listedAt;
     private long askedAtMillis;
+    private long firstPageAskedAtMillis;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private boolean away;
     private boolean needsTime;
@@ -53,6 +57,11 @@
     /** When the holder last passed something on; kept when the connection to it is lost. */
     private long heardAtMillis = Long.MIN_VALUE / 2;
 
+    /** Every record that was written before this time is known. */
+    private long wholeAtMillis = Long.MIN_VALUE / 2;
+
+    private boolean reliesOnHolder;
+
     /** Hears of records, on the control thread. */
     public interface Listener {
         /**
@@ -74,6 +83,13 @@
 
         /** The store answers again. */
         void onBack();
+
+        /**
+         * Every record that was written before a time has been delivered.
+         *
+         * @param wholeAtMillis the time, by the steady clock
+         */
+        default void onWhole(long wholeAtMillis) {}
     }
 
     /**
@@ -97,7 +113,8 @@
             back();
             // With a gap before the batch, the records are read of the store.
             if (batch.from() <= next) {
-                deliver(batch);
+                deliver(batch, "relay");
+                whole(batch, relayedAtMillis);
             }
             follow();
         }
@@ -157,6 +174,9 @@
 
     private void readPage(String afterKey, boolean first) {
         askedAtMillis = ControlThread.nowMillis();
+        if (first) {
+            firstPageAskedAtMillis = askedAtMillis;
+        }
         topics.newest(part, afterKey).thenAccept(answer -> control.post(() -> page(answer, first)));
     }
 
@@ -180,6 +200,7 @@
         listener.onListing(List.copyOf(listing));
         listing.clear();
         next = listedAt;
+        wholeAt(firstPageAskedAtMillis);
         follow();
     }
 
@@ -189,9 +210,14 @@
         }
         long passed = ControlThread.nowMillis() - relayedAtMillis;
         if (passed < RecordRelay.STALE_MILLIS && relayedNext <= next) {
+            reliesOnHolder = true;
             checkAfter(RecordRelay.STALE_MILLIS - passed);
             return;
         }
+        if (reliesOnHolder) {
+            reliesOnHolder = false;
+            LOG.info("event=relay-quiet part=" + part + " whole_before_ms=" + wholeBeforeMillis());
+        }
         busy = true;
         askedAtMillis = ControlThread.nowMillis();
         topics.read(part, next, waitMillis())
@@ -244,10 +270,12 @@
         RecordBatch batch = done.value();
         relay.publish(part, batch);
         if (batch.next() <= next) {
+            whole(batch, askedAtMillis);
             follow();
             return;
         }
-        deliver(batch);
+        deliver(batch, "read");
+        whole(batch, askedAtMillis);
         pause(Math.max(1, pace.gapMillis()));
     }
 
@@ -268,16 +296,47 @@
         return "part=" + part + " answer=" + answer + " asked_before_ms=" + askedBeforeMillis;
     }
 
+    private void whole(RecordBatch batch, long atMillis) {
+        if (batch.next() >= batch.end()) {
+            wholeAt(atMillis);
+        }
+    }
+
+    private void wholeAt(long atMillis) {
+        if (atMillis > wholeAtMillis) {
+            wholeAtMillis = atMillis;
+            listener.onWhole(atMillis);
+        }
+    }
+
+    private long wholeBeforeMillis() {
+        return ControlThread.nowMillis() - wholeAtMillis;
+    }
+
     // Records may be relayed while they are being read.
-    private void deliver(RecordBatch batch) {
+    private void deliver(RecordBatch batch, String source) {
         List<KeyedRecord> unread =
                 decode(batch).stream()
                         .filter(record -> record.offset() >= next)
                         .collect(Collectors.toList());
         next = Math.max(next, batch.next());
-        if (!unread.isEmpty()) {
-            listener.onRecords(unread);
+        if (unread.isEmpty()) {
+            return;
+        }
+        if (wholeBeforeMillis() > LATE_MILLIS) {
+            LOG.info(
+                    "event=records-late part="
+                            + part
+                            + " source="
+                            + source
+                            + " records="
+                            + unread.size()
+                            + " whole_before_ms="
+                            + wholeBeforeMillis()
+                            + " asked_before_ms="
+                            + (ControlThread.nowMillis() - askedAtMillis));
         }
+        listener.onRecords(unread);
     }
 
     private void pause(long millis) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -29,6 +29,8 @@
      * @param totalMillis until its end
      * @param events events passed on
      * @param configuration the version that its route is from
+     * @param registryAgeMillis how old the knowledge of the registry was when its last target was
+     *     chosen; -1 when none was
      */
     record Ended(
             String attempt,
@@ -42,7 +44,8 @@
             long longestGapMillis,
             long totalMillis,
             int events,
-            long configuration) {}
+            long configuration,
+            long registryAgeMillis) {}
 
     static void ended(Ended request) {
         LOG.info(
@@ -70,7 +73,9 @@
                         + " events="
                         + request.events()
                         + " configuration="
-                        + request.configuration());
+                        + request.configuration()
+                        + " registry_age_ms="
+                        + request.registryAgeMillis());
     }
 
     static void attemptEnded(
