Date the store's return by what the holder read, when this host alone was cut off

The holder of the lease went on reading all the while, and its batches say up to when they are whole: the second one since shows that the store had returned by then, as its read was asked after the answer to the first. Not the first: its read may have been asked before a return and answered after it, and lapsed targets would get less than their time. KeyedFollowerTest#shouldDateTheReturnByWhatTheHolderReadWhileThisHostWasCutOff failed before (one return only).

--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -91,11 +91,11 @@
     /**
      * The registry can be read again.
      *
-     * @param nowMillis the monotonic time
+     * @param returnedAtMillis a monotonic time at which it had returned
      */
-    public void back(long nowMillis) {
+    public void back(long returnedAtMillis) {
         away = false;
-        backAtMillis = nowMillis;
+        backAtMillis = returnedAtMillis;
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ConfigurationFollower.java
@@ -81,7 +81,7 @@
     }
 
     @Override
-    public void onBack() {
+    public void onBack(long returnedAtMillis) {
         // The records that follow bring it up to date.
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -177,8 +177,8 @@
     }
 
     @Override
-    public void onBack() {
-        register.back(ControlThread.nowMillis());
+    public void onBack(long returnedAtMillis) {
+        register.back(returnedAtMillis);
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -61,6 +61,8 @@
     private long heardAtMillis = Long.MIN_VALUE / 2;
 
     private long awayAtMillis;
+    private long returnedAtMillis;
+    private boolean holderWasAnswered;
 
     /** Every record that was written before this time is known. */
     private long wholeAtMillis = Long.MIN_VALUE / 2;
@@ -86,8 +88,12 @@
         /** The store did not answer. */
         void onAway();
 
-        /** The store answers again. */
-        void onBack();
+        /**
+         * The store answers again. Told once more when an earlier time comes to be known.
+         *
+         * @param returnedAtMillis a time, by the steady clock, at which it had returned
+         */
+        void onBack(long returnedAtMillis);
 
         /**
          * Every record that was written before a time has been delivered.
@@ -115,9 +121,7 @@
             if (next == NOT_LISTED) {
                 return;
             }
-            if (heardAtMillis > awayAtMillis) {
-                back();
-            }
+            holderHasRead(wholeAtMillis);
             // With a gap before the batch, the records are read of the store.
             if (batch.from() <= next) {
                 deliver(batch, "relay");
@@ -129,10 +133,31 @@
         @Override
         public void onLost() {
             relayedAtMillis = Long.MIN_VALUE / 2;
+            holderWasAnswered = false;
             follow();
         }
     }
 
+    // The holder may have asked before the store's return and been answered after it; what it read
+    // next it asked for after that answer. A host that was cut off alone learns so that the store
+    // was never away, and does not keep a target that left meanwhile as one that has lapsed.
+    private void holderHasRead(long wholeAtMillis) {
+        if (wholeAtMillis <= awayAtMillis) {
+            return;
+        }
+        back();
+        if (holderWasAnswered && wholeAtMillis < returnedAtMillis) {
+            returnedAtMillis = wholeAtMillis;
+            LOG.info(
+                    "event=store-back-earlier part="
+                            + part
+                            + " before_ms="
+                            + (ControlThread.nowMillis() - wholeAtMillis));
+            listener.onBack(wholeAtMillis);
+        }
+        holderWasAnswered = true;
+    }
+
     private KeyedFollower(
             TopicClient topics,
             TopicPart part,
@@ -395,7 +420,8 @@
             away = false;
             needsTime = false;
             LOG.info("event=store-back part=" + part);
-            listener.onBack();
+            returnedAtMillis = ControlThread.nowMillis();
+            listener.onBack(returnedAtMillis);
         }
     }
 
@@ -403,6 +429,7 @@
         if (!away) {
             away = true;
             awayAtMillis = askedAtMillis;
+            holderWasAnswered = false;
             LOG.warn("event=store-away " + describe(answer));
             listener.onAway();
         } else {
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,6 +24,7 @@
     private final MemoryLog log = new MemoryLog();
     private final List<String> heard = new ArrayList<>();
     private final List<String> contact = new ArrayList<>();
+    private final List<Long> returnedAtMillis = new ArrayList<>();
     private List<String> expectedContact = List.of();
     private RelayPair pair;
 
@@ -53,8 +55,9 @@
                                     }
 
                                     @Override
-                                    public void onBack() {
+                                    public void onBack(long atMillis) {
                                         contact.add("back");
+                                        returnedAtMillis.add(atMillis);
                                     }
                                 },
                                 pair.follower()));
@@ -194,6 +197,33 @@
         pair.await(() -> heard.equals(List.of("a")));
     }
 
+    // Guards against requests to a target that left while this host alone was cut off: the cut was
+    // taken for an outage, after which a missing target is kept.
+    @Test
+    void shouldDateTheReturnByWhatTheHolderReadWhileThisHostWasCutOff() {
+        expectedContact = List.of("away", "back", "back");
+        hearOfTheHolder();
+        pair.onControl(log::endWaits);
+        pair.await(log::hasWaitingRead);
+        pair.onControl(log::failWaits);
+        pair.await(() -> contact.contains("away"));
+
+        long startedAtMillis = ControlThread.nowMillis();
+        pair.await(() -> ControlThread.nowMillis() > startedAtMillis + 100);
+        pair.onControl(
+                () -> {
+                    RecordBatch nothing = new RecordBatch(0, List.of(), 0);
+                    pair.holder().publish(PART, nothing, startedAtMillis + 10);
+                    pair.holder().publish(PART, nothing, startedAtMillis + 20);
+                });
+
+        pair.await(() -> contact.equals(expectedContact));
+        pair.onControl(
+                () ->
+                        assertThat(returnedAtMillis.get(1))
+                                .isIn(Range.closed(startedAtMillis - 1_000, startedAtMillis + 20)));
+    }
+
     // Many large records came while this process could not read. A read that does not wait is given
     // up before they are all here, each time; callers got the answers of an old configuration for
     // good.
