Tell in the logs that a target has ended, and which request is the same one come again

A request that ends each target that runs it comes again under another attempt id, so its lines could not be found; and a target's end looked like a broken connection. Now the line of an attempt whose connection broke has the request's fingerprint (caller's address, method, host, path, body), and a line says when a target whose connections broke refuses new ones, with how many requests it had and how many it is known to have run. Nothing is decided by it yet.

--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/RequestFingerprint.java
@@ -0,0 +1,76 @@
+package org.tamaracktrack.core.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.Objects;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.TamaracktrackException;
+
+/**
+ * What a request has in common with itself when it comes again: who sends it, where it goes, and
+ * what it carries.
+ *
+ * @param value 32 hexadecimal digits
+ */
+public record RequestFingerprint(String value) {
+    private static final Pattern ALLOWED = Pattern.compile("[0-9a-f]{32}");
+    private static final int BYTES = 16;
+
+    /**
+     * Checks the text.
+     *
+     * @throws TamaracktrackException with {@code BAD_IDENTIFIER} when the text is no fingerprint
+     */
+    public RequestFingerprint {
+        Objects.requireNonNull(value, "value is null");
+        if (!ALLOWED.matcher(value).matches()) {
+            throw TamaracktrackException.of(ErrorCode.BAD_IDENTIFIER, "not a fingerprint");
+        }
+    }
+
+    /**
+     * Returns the fingerprint of a request.
+     *
+     * @param caller who sends it
+     * @param method its method
+     * @param host the host that it names
+     * @param path path and query
+     * @param body its body
+     * @return the fingerprint
+     */
+    public static RequestFingerprint of(
+            String caller, String method, String host, String path, byte[] body) {
+        MessageDigest digest = digest();
+        Stream.of(caller, method, host, path)
+                .map(text -> text.getBytes(StandardCharsets.UTF_8))
+                .forEach(part -> update(digest, part));
+        update(digest, body);
+        return new RequestFingerprint(
+                HexFormat.of().formatHex(Arrays.copyOf(digest.digest(), BYTES)));
+    }
+
+    // With its length before each part, no two requests run together into the same bytes.
+    private static void update(MessageDigest digest, byte[] part) {
+        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, part.length));
+        digest.update(part);
+    }
+
+    private static MessageDigest digest() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException missing) {
+            throw TamaracktrackException.of(ErrorCode.INTERNAL, "no SHA-256", missing);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -17,6 +17,7 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.RequestFingerprint;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
 import org.tamaracktrack.core.stream.EventSplitter;
@@ -65,6 +66,7 @@
     private int refusals;
     private int mayHaveRun;
     private long registryAgeMillis = -1;
+    private Optional<RequestFingerprint> fingerprint = Optional.empty();
     private boolean done;
 
     private ForwardedRequest(
@@ -358,6 +360,26 @@
         answer.whole(status, answerHeaders, answerBody);
     }
 
+    @Override
+    public void onTargetBroken(boolean ran) {
+        attempt.ifPresent(
+                broken -> services.endedTargets().broke(broken.entry(), fingerprint(), ran));
+    }
+
+    private RequestFingerprint fingerprint() {
+        if (fingerprint.isEmpty()) {
+            fingerprint =
+                    Optional.of(
+                            RequestFingerprint.of(
+                                    exchange.getSourceAddress().getAddress().getHostAddress(),
+                                    exchange.getRequestMethod().toString(),
+                                    exchange.getHostName(),
+                                    pathAndQuery(),
+                                    body));
+        }
+        return fingerprint.get();
+    }
+
     @Override
     public void onFailed(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
         ended(end, failure);
@@ -369,6 +391,7 @@
         }
         RequestLog.attemptEnded(
                 facts.attempt(),
+                fingerprint,
                 attempt.map(TargetAttempt::entry),
                 end,
                 services.nowMillis() - arrivedMillis,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -39,6 +39,7 @@
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
     private final Map<String, CallerWaits> waits = RecentlyUsed.of(MOST_ROUTES);
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
+    private final EndedTargets endedTargets = new EndedTargets(this);
     private Runnable loadsChanged = () -> {};
     private volatile GatewayView view = GatewayView.empty();
     private volatile LongSupplier registryAge = () -> -1;
@@ -151,6 +152,15 @@
         return taken;
     }
 
+    EndedTargets endedTargets() {
+        return endedTargets;
+    }
+
+    /** Runs a task on the traffic thread; for any thread. */
+    void execute(Runnable task) {
+        thread.execute(task);
+    }
+
     @Override
     public void after(long delayMillis, Runnable task) {
         timer(delayMillis, task);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -7,6 +7,7 @@
 import org.tamaracktrack.core.dispatch.Work;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.RequestFingerprint;
 
 /** The lines that tell what became of a request. */
 final class RequestLog {
@@ -80,6 +81,7 @@
 
     static void attemptEnded(
             String attempt,
+            Optional<RequestFingerprint> fingerprint,
             Optional<TargetEntry> target,
             AttemptEnd end,
             long afterMillis,
@@ -87,6 +89,7 @@
         LOG.info(
                 "event=attempt-ended request="
                         + attempt
+                        + fingerprint.map(known -> " fingerprint=" + known).orElse("")
                         + " target="
                         + target.map(entry -> entry.incarnation().toString()).orElse("-")
                         + " end="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -88,6 +88,13 @@
          * @param failure the target's own failure, if it sent one
          */
         void onFailed(AttemptEnd end, Optional<TargetFailure> failure);
+
+        /**
+         * The connection to the target broke; {@code onFailed} follows.
+         *
+         * @param ran whether the target is known to have run the request
+         */
+        void onTargetBroken(boolean ran);
     }
 
     /** A failure that a target answered. */
@@ -310,9 +317,18 @@
         } else {
             load.answered(true, services.nowMillis());
         }
+        if (failure == HttpFailure.NO_ANSWER || failure == HttpFailure.ANSWER_CUT) {
+            listener.onTargetBroken(hasRun());
+        }
         failed(kind, Optional.empty());
     }
 
+    // An engine answers from the first token on, and a request without an answer may have waited.
+    // A plain service answers at the end, and hardly lets requests wait.
+    private boolean hasRun() {
+        return work.need().isEmpty() || mode != Mode.NO_HEAD;
+    }
+
     private static AttemptEnd kind(HttpFailure failure) {
         return switch (failure) {
             case NOT_SENT -> AttemptEnd.NOT_SENT;
--- a/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
@@ -1,10 +1,12 @@
 package org.tamaracktrack.daemon.target;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -211,6 +213,12 @@
         return orders.stream().map(EngineInventory.OrderState::orderId).toList();
     }
 
+    @Override
+    public CompletableFuture<Boolean> refusesConnections(
+            InetSocketAddress address, long limitMillis) {
+        return CompletableFuture.completedFuture(false);
+    }
+
     @Override
     public void close() {
         reachable = false;
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.link.http;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
@@ -62,6 +63,16 @@
      */
     HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener);
 
+    /**
+     * Tries to open a connection. One that opens is kept for later calls.
+     *
+     * @param address the server
+     * @param limitMillis how long to wait for an answer
+     * @return true when the server's host answered that nobody listens there; false also when
+     *     nothing answered in time
+     */
+    CompletableFuture<Boolean> refusesConnections(InetSocketAddress address, long limitMillis);
+
     /** Closes every connection and stops the threads. */
     @Override
     void close();
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -1,11 +1,17 @@
 package org.tamaracktrack.link.http;
 
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
@@ -95,6 +101,27 @@
         return Exchange.start(call, maySend, listener, pool, worker.getIoThread(), buffers);
     }
 
+    @Override
+    public CompletableFuture<Boolean> refusesConnections(
+            InetSocketAddress address, long limitMillis) {
+        CompletableFuture<Boolean> refused = new CompletableFuture<>();
+        pool.open(
+                address,
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection opened) {
+                        pool.giveBack(address, opened);
+                        refused.complete(false);
+                    }
+
+                    @Override
+                    public void failed(IOException failure) {
+                        refused.complete(failure instanceof ConnectException);
+                    }
+                });
+        return refused.completeOnTimeout(false, limitMillis, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void close() {
         if (owner) {
--- a/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Nested;
@@ -119,6 +120,12 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public CompletableFuture<Boolean> refusesConnections(
+                InetSocketAddress address, long limitMillis) {
+            return CompletableFuture.completedFuture(false);
+        }
+
         @Override
         public void close() {}
     }
