Keep a request from targets once three have ended while they ran it

Cause: nothing counted the ends beyond one attempt at one daemon; each return is a new request to the repeat budget, and within max_attempts.

Change: a request is known again by its caller's address, method, host, path and a digest of its body. When a target's connection breaks and it refuses new ones, it has ended; each request that it had is a suspect, by the target's run, so that an end told twice counts once. Ends lie in a topic of the store that keeps the newest record of each key, which every daemon follows, also one that starts later. With three targets that ran it, or five that may only have let it wait, a request is refused at once: 503, not run, without a time to come back; 502 when a target may have run this attempt.

Why it suffices: an engine answers from the first token on, so the end that a request causes is seen as one that ran it; all daemons know within a second (probe 5 ms, written every 0.2 s, followed).

--- a/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
+++ b/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
@@ -22,6 +22,8 @@
     CANNOT_MEET_CLASS(503, Ran.NO, true),
     /** No target that can serve the model is reachable. */
     NO_TARGET(503, Ran.NO, true),
+    /** Targets ended under the request time and again, so it is sent to none. */
+    QUARANTINED(503, Ran.NO, false),
     /** The target has no copy of the model and can't load one in time. */
     MODEL_NOT_RESIDENT(503, Ran.NO, true),
     /** The target or the entry daemon takes no new work. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/EndedTargets.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/EndedTargets.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
@@ -29,17 +28,22 @@
 
     private final GatewayServices services;
     private final Map<TargetIncarnation, List<TargetEnd>> broken = new HashMap<>();
-    private Consumer<List<TargetEnd>> listener = ends -> {};
+    private EndsListener listener = EndsListener.NONE;
 
     EndedTargets(GatewayServices services) {
         this.services = services;
     }
 
     /** Names who hears of targets that have ended, with what they had. */
-    void onEnded(Consumer<List<TargetEnd>> newListener) {
+    void listener(EndsListener newListener) {
         listener = newListener;
     }
 
+    /** A request got a whole answer, though a target had ended under it. */
+    void answered(RequestFingerprint request) {
+        listener.onAnswered(request);
+    }
+
     /**
      * The connection of a request broke.
      *
@@ -80,7 +84,7 @@
                             + ends.stream().filter(TargetEnd::ran).count()
                             + " requests="
                             + ends.size());
-            listener.accept(List.copyOf(ends));
+            listener.onEnded(List.copyOf(ends));
         }
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -17,6 +17,7 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
@@ -127,6 +128,10 @@
     private void begin() {
         connection.onClosed(this::callerGone);
         CallerConnection.watch(exchange);
+        if (quarantined()) {
+            refuseQuarantined();
+            return;
+        }
         services.allowance(work.service()).request(arrivedMillis);
         if (!returned) {
             facts.need().ifPresent(need -> services.demand().note(need, route));
@@ -140,7 +145,13 @@
         return work.need();
     }
 
+    // Asked again before each attempt: the target that has just ended may have been the last one
+    // that this request is allowed.
     private void dispatch() {
+        if (quarantined()) {
+            refuseQuarantined();
+            return;
+        }
         choose().ifPresentOrElse(this::sendUnlessTooLate, this::noTarget);
     }
 
@@ -233,6 +244,10 @@
 
     /** Tries again, since the fleet changed. */
     void retryWaiting() {
+        if (!done && quarantined()) {
+            refuseQuarantined();
+            return;
+        }
         Optional<TargetChooser.Choice> choice = choose();
         if (choice.isPresent() && !done) {
             stopWaiting();
@@ -349,6 +364,7 @@
             return;
         }
         beginStream();
+        noteAnswered();
         finish("served", streamStatus);
         answer.end();
     }
@@ -356,6 +372,7 @@
     @Override
     public void onWhole(int status, Map<String, String> answerHeaders, byte[] answerBody) {
         pieces.note(services.nowMillis());
+        noteAnswered();
         finish(status < FIRST_NON_SUCCESS ? "served" : "target_status", status);
         answer.whole(status, answerHeaders, answerBody);
     }
@@ -450,6 +467,26 @@
         }
     }
 
+    private boolean quarantined() {
+        Quarantine quarantine = services.quarantine();
+        return !quarantine.held().isEmpty() && quarantine.held().contains(fingerprint());
+    }
+
+    private void refuseQuarantined() {
+        if (answer.begun()) {
+            breakOff();
+        } else {
+            fail(mayHaveRun > 0 ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.QUARANTINED, "quarantined");
+        }
+    }
+
+    private void noteAnswered() {
+        Quarantine quarantine = services.quarantine();
+        if (!quarantine.isEmpty() && quarantine.suspects().contains(fingerprint())) {
+            services.endedTargets().answered(fingerprint());
+        }
+    }
+
     private void refuse(String reason) {
         fail(ErrorCode.NO_TARGET, reason);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
@@ -302,6 +303,24 @@
         services.registryAge(ageMillis);
     }
 
+    /**
+     * Names who hears of targets that ended, and of what they had.
+     *
+     * @param listener hears of them, on the traffic thread
+     */
+    public void onTargetsEnded(EndsListener listener) {
+        thread.execute(() -> services.endedTargets().listener(listener));
+    }
+
+    /**
+     * Takes the requests that targets have ended under.
+     *
+     * @param quarantine the requests, and which of them are sent to no target
+     */
+    public void quarantine(Quarantine quarantine) {
+        services.quarantine(quarantine);
+    }
+
     /** Begins a planned stop: not ready any more, and connections end with their next answer. */
     public void leave() {
         leaving.sinceMillis = ControlThread.nowMillis();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -14,6 +14,7 @@
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -41,6 +42,7 @@
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
     private final EndedTargets endedTargets = new EndedTargets(this);
     private Runnable loadsChanged = () -> {};
+    private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
     private volatile LongSupplier registryAge = () -> -1;
 
@@ -152,6 +154,15 @@
         return taken;
     }
 
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
+    /** Takes the requests that targets have ended under; for any thread. */
+    void quarantine(Quarantine newer) {
+        quarantine = newer;
+    }
+
     EndedTargets endedTargets() {
         return endedTargets;
     }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
@@ -105,11 +105,22 @@
         return read.answer();
     }
 
-    /** A record's text is its key; it has no value. */
+    /** A record's text is its key, with its value after a line break if it has one. */
     @Override
     public Optional<KeyedRecord> keyed(byte[] bytes, long offset) {
-        String key = new String(bytes, StandardCharsets.UTF_8);
-        return Optional.of(new KeyedRecord(key, Optional.empty(), offset));
+        String[] parts = new String(bytes, StandardCharsets.UTF_8).split("\n", 2);
+        Optional<byte[]> value =
+                parts.length == 1
+                        ? Optional.empty()
+                        : Optional.of(parts[1].getBytes(StandardCharsets.UTF_8));
+        return Optional.of(new KeyedRecord(parts[0], value, offset));
+    }
+
+    @Override
+    public byte[] keyed(String key, Optional<byte[]> value) {
+        String text =
+                value.map(bytes -> "\n" + new String(bytes, StandardCharsets.UTF_8)).orElse("");
+        return (key + text).getBytes(StandardCharsets.UTF_8);
     }
 
     @Override
--- a/link/src/main/java/org/tamaracktrack/link/topic/TopicClient.java
+++ b/link/src/main/java/org/tamaracktrack/link/topic/TopicClient.java
@@ -39,6 +39,15 @@
      */
     Optional<KeyedRecord> keyed(byte[] bytes, long offset);
 
+    /**
+     * Encodes a record of a topic that keeps the newest record of each key.
+     *
+     * @param key the key, 255 bytes at most
+     * @param value the value; empty to drop the key
+     * @return the record
+     */
+    byte[] keyed(String key, Optional<byte[]> value);
+
     /**
      * Appends records, all or nothing.
      *
