Send nothing to a target that has ended until the registry drops it

A target whose connections broke and that refuses new ones has ended, so it is left out for ten seconds; its next run is another incarnation. TargetChooserTest#shouldAvoidATargetForLongerWhenItHasEnded could not be written before; without the time it chooses the ended target. What it brings was not measured by itself.

Tasks that the traffic thread refuses because it ends are now dropped with a line, as the control thread does.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -32,6 +32,9 @@
     /** A connection that could not be opened keeps new work away for this long. */
     private static final long UNREACHABLE_MILLIS = 1_000;
 
+    /** The registry drops a target that has ended well before this time is over. */
+    private static final long GONE_MILLIS = 10_000;
+
     private final FailureScore failures = new FailureScore();
     private final ReadingSpeed reading = ReadingSpeed.unknown();
     private final StreamPace pace = StreamPace.unknown();
@@ -185,10 +188,19 @@
      * @param nowMillis the monotonic time
      */
     public void unreachable(long nowMillis) {
-        unreachableUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+        unreachableUntilMillis = Math.max(unreachableUntilMillis, nowMillis + UNREACHABLE_MILLIS);
         failures.note(true, nowMillis);
     }
 
+    /**
+     * The target has ended: nobody listens at its address. Its next run is another incarnation.
+     *
+     * @param nowMillis the monotonic time
+     */
+    public void gone(long nowMillis) {
+        unreachableUntilMillis = nowMillis + GONE_MILLIS;
+    }
+
     /**
      * The target sent something, on whatever connection.
      *
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetChooserTest.java
@@ -129,6 +129,16 @@
             assertThat(choose(work(), List.of())).hasValue("near");
         }
 
+        // Guards against requests that try a target that has ended, second after second, until the
+        // registry drops it.
+        @Test
+        void shouldAvoidATargetForLongerWhenItHasEnded() {
+            load("near").gone(NOW - 5_000);
+            load("near").unreachable(NOW - 2_000);
+
+            assertThat(choose(work(), List.of())).hasValue("far");
+        }
+
         @Test
         void shouldAvoidATargetWhenItCouldNotBeReached() {
             load("near").unreachable(NOW - 10);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/EndedTargets.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/EndedTargets.java
@@ -77,6 +77,7 @@
         }
         List<TargetEnd> ends = broken.remove(entry.incarnation());
         if (refused) {
+            services.loads().of(entry.incarnation()).gone(services.nowMillis());
             LOG.info(
                     "event=target-ended target="
                             + entry.incarnation()
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -4,10 +4,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.CallerWaits;
 import org.tamaracktrack.core.dispatch.RecentlyUsed;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
@@ -23,6 +25,8 @@
 
 /** What the requests of a gateway share. Owned by the traffic thread, but for the view. */
 final class GatewayServices implements LoadExchange.Timer {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.traffic");
+
     /** Routes come and go with configurations; those used last are remembered. */
     private static final int MOST_ROUTES = 1_024;
 
@@ -167,14 +171,22 @@
         return endedTargets;
     }
 
-    /** Runs a task on the traffic thread; for any thread. */
+    /** Runs a task on the traffic thread, unless that ends; for any thread. */
     void execute(Runnable task) {
-        thread.execute(task);
+        unlessClosed(() -> thread.execute(task));
     }
 
     @Override
     public void after(long delayMillis, Runnable task) {
-        timer(delayMillis, task);
+        unlessClosed(() -> timer(delayMillis, task));
+    }
+
+    private static void unlessClosed(Runnable scheduling) {
+        try {
+            scheduling.run();
+        } catch (RejectedExecutionException closed) {
+            LOG.debugf("event=traffic-task-dropped reason=closed");
+        }
     }
 
     /** Runs a task after a delay, unless it is cancelled before. */
