Know a request again by where it goes and what it carries, not by its caller's address

No header names a caller there (a trial that logged all headers), so nothing stands in for the address: path and body decide. Ruled out: the data centre's part of the address (callers move); the user agent (one for all).

--- a/core/src/main/java/org/tamaracktrack/core/quarantine/RequestFingerprint.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/RequestFingerprint.java
@@ -13,8 +13,8 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 
 /**
- * What a request has in common with itself when it comes again: who sends it, where it goes, and
- * what it carries.
+ * What a request has in common with itself when it comes again: where it goes, and what it carries.
+ * Not where it comes from: a caller may have several addresses, and no header names it.
  *
  * @param value 32 hexadecimal digits
  */
@@ -37,17 +37,15 @@
     /**
      * Returns the fingerprint of a request.
      *
-     * @param caller who sends it
      * @param method its method
      * @param host the host that it names
      * @param path path and query
      * @param body its body
      * @return the fingerprint
      */
-    public static RequestFingerprint of(
-            String caller, String method, String host, String path, byte[] body) {
+    public static RequestFingerprint of(String method, String host, String path, byte[] body) {
         MessageDigest digest = digest();
-        Stream.of(caller, method, host, path)
+        Stream.of(method, host, path)
                 .map(text -> text.getBytes(StandardCharsets.UTF_8))
                 .forEach(part -> update(digest, part));
         update(digest, body);
--- a/core/src/test/java/org/tamaracktrack/core/quarantine/QuarantineRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/quarantine/QuarantineRegisterTest.java
@@ -23,7 +23,7 @@
     private final QuarantineRegister register = QuarantineRegister.empty();
 
     private static RequestFingerprint fingerprint(String body) {
-        return RequestFingerprint.of("caller", "POST", "host", "/", body.getBytes());
+        return RequestFingerprint.of("POST", "host", "/", body.getBytes());
     }
 
     private static TargetEnd end(RequestFingerprint request, int target, boolean ran) {
--- a/core/src/test/java/org/tamaracktrack/core/quarantine/RequestFingerprintTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/quarantine/RequestFingerprintTest.java
@@ -9,23 +9,22 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 
 class RequestFingerprintTest {
-    private static RequestFingerprint of(String caller, String path, String body) {
-        return RequestFingerprint.of(
-                caller, "POST", "example", path, body.getBytes(StandardCharsets.UTF_8));
+    private static RequestFingerprint of(String host, String path, String body) {
+        return RequestFingerprint.of("POST", host, path, body.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
     void shouldBeTheSameWhenTheRequestComesAgain() {
-        assertThat(of("caller", "/p", "body")).isEqualTo(of("caller", "/p", "body"));
+        assertThat(of("host", "/p", "body")).isEqualTo(of("host", "/p", "body"));
     }
 
     @Test
-    void shouldDifferWhenCallerPathOrBodyDiffer() {
-        RequestFingerprint fingerprint = of("caller", "/p", "body");
+    void shouldDifferWhenHostPathOrBodyDiffer() {
+        RequestFingerprint fingerprint = of("host", "/p", "body");
 
         assertThat(of("another", "/p", "body")).isNotEqualTo(fingerprint);
-        assertThat(of("caller", "/q", "body")).isNotEqualTo(fingerprint);
-        assertThat(of("caller", "/p", "bodies")).isNotEqualTo(fingerprint);
+        assertThat(of("host", "/q", "body")).isNotEqualTo(fingerprint);
+        assertThat(of("host", "/p", "bodies")).isNotEqualTo(fingerprint);
     }
 
     // Guards against two requests that are one: the end of one part read as the begin of the next.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -388,7 +388,6 @@
             fingerprint =
                     Optional.of(
                             RequestFingerprint.of(
-                                    exchange.getSourceAddress().getAddress().getHostAddress(),
                                     exchange.getRequestMethod().toString(),
                                     exchange.getHostName(),
                                     pathAndQuery(),
--- a/daemon/src/test/java/org/tamaracktrack/daemon/quarantine/QuarantineExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/quarantine/QuarantineExchangeTest.java
@@ -24,7 +24,7 @@
 class QuarantineExchangeTest {
     private static final TopicPart PART = new TopicPart("ends", 0);
     private static final RequestFingerprint REQUEST =
-            RequestFingerprint.of("caller", "POST", "host", "/", new byte[0]);
+            RequestFingerprint.of("POST", "host", "/", new byte[0]);
 
     private final MemoryLog log = new MemoryLog();
     private RelayPair pair;
