Hold a request at the fourth end also when targets are not known to have run it

The head of an answer can be lost with the connection that a target's end resets, so an end that a request caused may look like one at which it waited. With two such ends a request was held only at the fifth. Four ends of any kind hold it now: one more than is sure, since what waits at four targets that end, without an answer in between, has used up its tries. QuarantineRegisterTest#shouldHoldARequestWhenTwoOfFourTargetsAreNotKnownToHaveRunIt failed before (five). The look whether a target has ended waits a second for a busy host, and says also when a target goes on.

--- a/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
@@ -21,7 +21,7 @@
     private static final int MOST_RAN = 3;
 
     /** The same with targets that may only have let it wait. */
-    private static final int MOST_ENDS = 5;
+    private static final int MOST_ENDS = 4;
 
     /** A request that is not held is forgotten this long after the last target ended under it. */
     private static final long SUSPECT_MILLIS = 10 * 60_000;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/EndedTargets.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/EndedTargets.java
@@ -18,8 +18,8 @@
 final class EndedTargets {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.targets");
 
-    /** A connection within a region opens, or is refused, in a few milliseconds. */
-    private static final long ANSWER_MILLIS = 500;
+    /** A refusal takes a few milliseconds, and longer on a busy host. */
+    private static final long ANSWER_MILLIS = 1_000;
 
     /** A process that ends may close its connections a moment before it refuses new ones. */
     private static final long SECOND_LOOK_MILLIS = 200;
@@ -76,15 +76,17 @@
             return;
         }
         List<TargetEnd> ends = broken.remove(entry.incarnation());
+        LOG.info(
+                "event="
+                        + (refused ? "target-ended" : "target-goes-on")
+                        + " target="
+                        + entry.incarnation()
+                        + " running="
+                        + ends.stream().filter(TargetEnd::ran).count()
+                        + " requests="
+                        + ends.size());
         if (refused) {
             services.loads().of(entry.incarnation()).gone(services.nowMillis());
-            LOG.info(
-                    "event=target-ended target="
-                            + entry.incarnation()
-                            + " running="
-                            + ends.stream().filter(TargetEnd::ran).count()
-                            + " requests="
-                            + ends.size());
             listener.onEnded(List.copyOf(ends));
         }
     }
