Begin anew when the store comes back from a copy, and never go back with it

In a drill the store may come back from a copy some seconds old: offsets go back and are given out again, a read beyond the end gets 410, and the era in all its answers rises. Nothing read the era.

Change: the store's client names the era of each answer once (StoreEra); an answer of another era than its call's says nothing. Followers list anew and drop every step planned before; the relay's batches bear the era, so a daemon hears of it by the holder too and takes no offsets of another one. What the listing lacks counts as lapsed in an outage. The lease is void: nobody acts for a trust and a pause after hearing of the new era, nor after starting in one that is not the first, and fencing numbers have the era above the offset. A target's run that said it leaves stays gone. Ends of targets that a listing lacks are written again by the daemon that wrote them.

Ruled out: 410 as the only sign (the log may have grown past the place again); resetting terms to what engines report (engines that don't check numbers report none).

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RecentlyUsed.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RecentlyUsed.java
@@ -1,7 +1,9 @@
 package org.tamaracktrack.core.dispatch;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A map of bounded size that forgets what was used least recently.
@@ -36,6 +38,17 @@
         return new RecentlyUsed<>(mostEntries);
     }
 
+    /**
+     * Returns a set without elements that forgets what was added least recently.
+     *
+     * @param mostElements how many it keeps
+     * @param <E> the elements
+     * @return the set
+     */
+    public static <E> Set<E> setOf(int mostElements) {
+        return Collections.newSetFromMap(of(mostElements));
+    }
+
     @Override
     protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
         return size() > mostEntries;
--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.tamaracktrack.core.dispatch.RecentlyUsed;
 import org.tamaracktrack.core.id.TargetId;
 
 /**
@@ -24,8 +25,12 @@
      */
     private static final long RETURN_MILLIS = 2_250;
 
+    /** Runs of targets that left and are remembered. */
+    private static final int MOST_DEPARTED = 1_000;
+
     private final Map<TargetId, TargetEntry> entries = new HashMap<>();
     private final Set<TargetId> missing = new HashSet<>();
+    private final Set<TargetIncarnation> departed = RecentlyUsed.setOf(MOST_DEPARTED);
     private Fleet fleet = Fleet.empty();
     private boolean away;
     private long backAtMillis = Long.MIN_VALUE / 2;
@@ -60,6 +65,9 @@
     public boolean accept(TargetEntry entry) {
         Objects.requireNonNull(entry, "entry is null");
         TargetId target = entry.incarnation().target();
+        if (departed.contains(entry.incarnation()) && !entry.leaving()) {
+            return false;
+        }
         missing.remove(target);
         TargetEntry known = entries.get(target);
         if (known != null && older(entry, known)) {
@@ -125,7 +133,15 @@
         return away || nowMillis - backAtMillis < RETURN_MILLIS;
     }
 
+    // A registry that comes back from a copy has old entries again, those of targets that left
+    // among
+    // them. What said that it leaves stays so for as long as it runs.
     private void drop(Set<TargetId> targets) {
+        targets.stream()
+                .map(entries::get)
+                .filter(entry -> entry != null && entry.leaving())
+                .map(TargetEntry::incarnation)
+                .forEach(departed::add);
         missing.removeAll(targets);
         entries.keySet().removeAll(targets);
         fleet = Fleet.of(entries);
--- a/core/src/main/java/org/tamaracktrack/core/lease/ConditionalLease.java
+++ b/core/src/main/java/org/tamaracktrack/core/lease/ConditionalLease.java
@@ -32,6 +32,7 @@
     private Optional<Sent> pending = Optional.empty();
     private long trustedUntilMillis = Long.MIN_VALUE;
     private long actFromMillis;
+    private long notBeforeMillis = Long.MIN_VALUE;
     private long renewals;
     private long nextAppendMillis;
     private boolean left;
@@ -253,6 +254,18 @@
         trustedUntilMillis = Long.MIN_VALUE;
     }
 
+    /**
+     * The log came back from a copy: records may be gone, that of the holder among them.
+     *
+     * @param nowMillis the monotonic time
+     */
+    public void restored(long nowMillis) {
+        distrust();
+        // Somebody may hold by a record that is gone, and not know yet.
+        skipped(0, nowMillis);
+        notBeforeMillis = nowMillis + terms.trust() + terms.quiet();
+    }
+
     /**
      * Returns the record to append now, if one is due.
      *
@@ -358,7 +371,10 @@
      * @return the fencing number; empty when it may not
      */
     public OptionalLong term(long nowMillis) {
-        boolean mayAct = nowMillis < trustedUntilMillis && nowMillis >= actFromMillis;
+        boolean mayAct =
+                nowMillis < trustedUntilMillis
+                        && nowMillis >= actFromMillis
+                        && nowMillis >= notBeforeMillis;
         return mayAct ? OptionalLong.of(term) : OptionalLong.empty();
     }
 
--- a/core/src/main/java/org/tamaracktrack/core/message/Message.java
+++ b/core/src/main/java/org/tamaracktrack/core/message/Message.java
@@ -232,6 +232,7 @@
      * @param end where the partition ended
      * @param wholeAtMillis the time, by the receiver's steady clock, before which nothing was
      *     written beyond these records; {@link #UNKNOWN_MILLIS} when that can't be told
+     * @param era the era of the log that the offsets belong to
      */
     record Records(
             String topic,
@@ -239,7 +240,8 @@
             long from,
             List<byte[]> records,
             long end,
-            long wholeAtMillis)
+            long wholeAtMillis,
+            long era)
             implements Message {
 
         /** A time before every other. */
--- a/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
@@ -147,6 +147,16 @@
                 .map(target -> new TargetEnd(request, target.getKey(), target.getValue().ran()));
     }
 
+    /**
+     * Returns whether an end is known and still counts.
+     *
+     * @param end the request and the target
+     * @return true when it does
+     */
+    public boolean counts(TargetEnd end) {
+        return ends.getOrDefault(end.request(), Map.of()).containsKey(end.target());
+    }
+
     /**
      * Returns how many targets ended under a request.
      *
--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
@@ -11,11 +11,19 @@
 import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
 import org.tamaracktrack.core.lease.ConditionalLease.Terms;
 
-/** Processes that compete for a lease in a log, with freezes, lost answers and late appends. */
+/**
+ * Processes that compete for a lease in a log, with freezes, lost answers and late appends, and a
+ * log that comes back from a copy.
+ */
 final class ConditionalLeaseScenario {
     private static final int PROCESSES = 4;
     private static final long STEP_MILLIS = 20;
     private static final long WATCH_MILLIS = 700;
+    private static final int ERA_SHIFT = 32;
+    private static final long FIRST_ERA = 1;
+
+    /** A copy is older by some seconds, and a holder writes more than one record a second. */
+    private static final int MOST_RECORDS_LOST = 12;
 
     private final Random random;
     private final List<LeaseRecord> log = new ArrayList<>();
@@ -25,16 +33,24 @@
     private long nowMillis;
     private long awayUntilMillis;
     private boolean calm;
+    private final boolean restores;
+    private long logEra = 1;
 
-    private ConditionalLeaseScenario(Random random, Terms terms) {
+    private ConditionalLeaseScenario(Random random, Terms terms, boolean restores) {
         this.random = random;
+        this.restores = restores;
         for (int number = 0; number < PROCESSES; number++) {
             processes.add(new Process("process-" + number, terms));
         }
     }
 
     static ConditionalLeaseScenario of(long seed, Terms terms) {
-        return new ConditionalLeaseScenario(new Random(seed), terms);
+        return new ConditionalLeaseScenario(new Random(seed), terms, false);
+    }
+
+    /** The same with a log that now and then comes back from a copy. */
+    static ConditionalLeaseScenario restoring(long seed, Terms terms) {
+        return new ConditionalLeaseScenario(new Random(seed), terms, true);
     }
 
     /** A moment at which a process believed that it may give orders. */
@@ -42,6 +58,8 @@
 
     private record Event(long atMillis, Runnable task) {}
 
+    private record Answer(int run, long sentIn, long era, Runnable task) {}
+
     private final class Process {
         private final String name;
         private final Terms terms;
@@ -53,6 +71,9 @@
         private long nextWatchMillis;
         private boolean calling;
 
+        /** The newest era heard of; 0 before the first answer. */
+        private long era;
+
         Process(String name, Terms terms) {
             this.name = name;
             this.terms = terms;
@@ -71,6 +92,7 @@
             lease = newLease();
             calling = false;
             nextWatchMillis = 0;
+            era = 0;
         }
 
         long steady() {
@@ -95,7 +117,7 @@
             OptionalLong term = lease.term(steady());
             return term.isEmpty()
                     ? Optional.empty()
-                    : Optional.of(new Act(name, term.getAsLong(), nowMillis));
+                    : Optional.of(new Act(name, (era << ERA_SHIFT) + term.getAsLong(), nowMillis));
         }
 
         private void call() {
@@ -109,17 +131,19 @@
 
         private void read() {
             calling = true;
-            after(latency(), this::readAtLog);
+            long sentIn = era;
+            after(latency(), () -> readAtLog(sentIn));
         }
 
-        private void readAtLog() {
-            if (nowMillis < awayUntilMillis) {
-                answer(() -> {});
+        private void readAtLog(long sentIn) {
+            int from = (int) lease.readFrom();
+            if (nowMillis < awayUntilMillis || from > log.size()) {
+                answer(sentIn, () -> {});
                 return;
             }
-            int from = (int) lease.readFrom();
             List<LeaseRecord> records = List.copyOf(log.subList(from, log.size()));
             answer(
+                    sentIn,
                     () -> {
                         long offset = from;
                         for (LeaseRecord content : records) {
@@ -131,56 +155,71 @@
 
         private void append(Append append) {
             calling = true;
+            long sentIn = era;
             boolean late = !calm && random.nextInt(12) == 0;
             boolean lost = late || !calm && random.nextInt(12) == 0;
             after(
                     latency() + (late ? 1_000 + random.nextInt(5_000) : 0),
-                    () -> write(append, lost));
+                    () -> write(append, sentIn, lost));
             if (lost) {
-                after(1_500, () -> answer(lease::unanswered));
+                after(1_500, () -> answer(sentIn, lease::unanswered));
             }
         }
 
-        private void write(Append append, boolean lost) {
+        private void write(Append append, long sentIn, boolean lost) {
             if (nowMillis < awayUntilMillis) {
-                answerUnless(lost, lease::refused);
+                answerUnless(lost, sentIn, lease::refused);
             } else if (log.size() != append.expectedEnd()) {
-                answerUnless(lost, lease::conflict);
+                answerUnless(lost, sentIn, lease::conflict);
             } else {
                 log.add(append.content());
                 long offset = log.size() - 1;
-                answerUnless(lost, () -> lease.appended(offset, steady()));
+                answerUnless(lost, sentIn, () -> lease.appended(offset, steady()));
             }
         }
 
-        private void answerUnless(boolean lost, Runnable task) {
+        private void answerUnless(boolean lost, long sentIn, Runnable task) {
             if (!lost) {
-                answer(task);
+                answer(sentIn, task);
             }
         }
 
-        private void answer(Runnable task) {
-            answer(task, runs);
+        private void answer(long sentIn, Runnable task) {
+            answer(new Answer(runs, sentIn, logEra, task));
         }
 
-        private void answer(Runnable task, int asked) {
+        private void answer(Answer answer) {
             after(
                     latency(),
                     () -> {
-                        if (asked != runs) {
+                        if (answer.run() != runs) {
                             return;
                         }
                         if (frozen()) {
-                            events.add(new Event(frozenUntilMillis, () -> answer(task, asked)));
+                            events.add(new Event(frozenUntilMillis, () -> answer(answer)));
                             return;
                         }
                         if (freezes.froze(steady(), nowMillis)) {
                             lease.distrust();
                         }
                         calling = false;
-                        task.run();
+                        take(answer);
                     });
         }
+
+        // As the store's client does: an answer of another era than the call's says nothing.
+        private void take(Answer answer) {
+            if (answer.era() > Math.max(FIRST_ERA, era)) {
+                lease.restored(steady());
+            }
+            era = Math.max(era, answer.era());
+            boolean holds = answer.era() == era && (answer.sentIn() == 0 || answer.sentIn() == era);
+            if (holds) {
+                answer.task().run();
+            } else {
+                lease.unanswered();
+            }
+        }
     }
 
     private void after(long delayMillis, Runnable task) {
@@ -225,5 +264,10 @@
         if (random.nextInt(400) == 0) {
             processes.get(random.nextInt(PROCESSES)).startAgain();
         }
+        if (restores && random.nextInt(600) == 0) {
+            int kept = Math.max(0, log.size() - random.nextInt(MOST_RECORDS_LOST));
+            log.subList(kept, log.size()).clear();
+            logEra++;
+        }
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
@@ -39,6 +39,25 @@
             checkPauses(ConditionalLeaseScenario.of(seed, Terms.of(3_000, 0)).run(90_000));
         }
 
+        // Guards against two holders of one term, or without a pause between them, after the log
+        // came back from a copy: the offsets that terms are made of are given out again, and some
+        // processes hear of it seconds after the others.
+        @Property(seed = "94", tries = 300)
+        void shouldLeaveAPauseBetweenTwoHoldersWhenTheLogComesBackFromACopy(
+                @ForAll @LongRange(max = 1_000_000) long seed) {
+            checkPauses(ConditionalLeaseScenario.restoring(seed, Terms.of(3_000, 0)).run(90_000));
+        }
+
+        @Property(seed = "95", tries = 60)
+        void shouldHaveAHolderWhenTheLogHasComeBackFromACopy(
+                @ForAll @LongRange(max = 1_000_000) long seed) {
+            ConditionalLeaseScenario scenario = ConditionalLeaseScenario.restoring(seed, TERMS);
+            scenario.run(30_000);
+            scenario.calm();
+
+            assertThat(scenario.run(15_000)).isNotEmpty();
+        }
+
         private static void checkPauses(List<Act> acts) {
             Act before = null;
             for (Act act : acts) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -90,11 +90,17 @@
         Objects.requireNonNull(meter, "meter is null");
         DemandExchange exchange =
                 new DemandExchange(process, topics, part, control, lease, relay, book, meter);
+        topics.era().onRestored(() -> control.post(exchange::restored));
         control.post(() -> relay.onTold(part, exchange::told));
         control.every(TICK_MILLIS, exchange::tick);
         return exchange;
     }
 
+    private void restored() {
+        next = 0;
+        skipHistory = true;
+    }
+
     private void tick() {
         meter.get().thenAccept(demand -> control.post(() -> metered(demand)));
         if (lease.holds() && !reading) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -29,6 +29,15 @@
      */
     private static final long RELAYED_WATCH_MILLIS = 900;
 
+    /** The term of the first holder ever. */
+    private static final long FIRST_TERM = 0;
+
+    /** The era of a store that never came back from a copy. */
+    private static final long FIRST_ERA = 1;
+
+    /** Offsets of one era stay below this power of two. */
+    private static final int ERA_SHIFT = 32;
+
     private final TopicClient topics;
     private final TopicPart part;
     private final ControlThread control;
@@ -37,6 +46,7 @@
     private final FreezeDetector freezes =
             FreezeDetector.of(ControlThread.nowMillis(), System.currentTimeMillis());
     private boolean calling;
+    private boolean eraKnown;
     private long nextWatchMillis;
     private boolean held;
     private Optional<CompletableFuture<Void>> leaving = Optional.empty();
@@ -63,6 +73,7 @@
         Objects.requireNonNull(lease, "lease is null");
         Objects.requireNonNull(relay, "relay is null");
         LeaseDriver driver = new LeaseDriver(topics, part, control, lease, relay);
+        topics.era().onRestored(() -> control.post(driver::restored));
         control.post(() -> relay.onRecords(part, driver.new Relayed()));
         control.every(TICK_MILLIS, driver::tick);
         return driver;
@@ -74,8 +85,9 @@
      * @param term the fencing number
      * @param untilMillis the monotonic time at which it ends
      * @param clockDifference time of day less steady clock when it was given
+     * @param first whether nobody gave orders before
      */
-    record Permit(long term, long untilMillis, long clockDifference) {
+    record Permit(long term, long untilMillis, long clockDifference, boolean first) {
 
         // Asked right before the first byte of an order leaves: the process may have been frozen
         // since the decision, and then another holder may have begun.
@@ -96,9 +108,10 @@
                 ? Optional.empty()
                 : Optional.of(
                         new Permit(
-                                term.getAsLong(),
+                                fencingNumber(term.getAsLong()),
                                 lease.trustedUntilMillis(),
-                                System.currentTimeMillis() - steadyMillis));
+                                System.currentTimeMillis() - steadyMillis,
+                                term.getAsLong() == FIRST_TERM && topics.era().restores() == 0));
     }
 
     boolean holds() {
@@ -106,6 +119,18 @@
         return lease.holds(ControlThread.nowMillis());
     }
 
+    private void restored() {
+        LOG.warn("event=lease-void held=" + held);
+        lease.restored(ControlThread.nowMillis());
+        nextWatchMillis = 0;
+    }
+
+    // Offsets, and terms with them, are given out a second time after the store came back from a
+    // copy. With the era before it each term exceeds all that engines have seen.
+    private long fencingNumber(long term) {
+        return (topics.era().newest() << ERA_SHIFT) + term;
+    }
+
     private void noticeFreeze() {
         if (freezes.froze(ControlThread.nowMillis(), System.currentTimeMillis())) {
             LOG.warn("event=clock-jump lease_held=" + held);
@@ -171,12 +196,22 @@
         if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
             lease.skipped(expired.first(), nowMillis);
         } else if (answer instanceof TopicAnswer.Done<RecordBatch> done) {
+            noticeEarlierRestore();
             take(done.value(), nowMillis);
         }
         // Any other answer: the store is away, nobody can claim; the next tick reads again.
         leaving.ifPresent(this::release);
     }
 
+    // A process that starts after the store came back from a copy can't tell how long ago that was.
+    // Somebody may hold by a record that is gone.
+    private void noticeEarlierRestore() {
+        if (!eraKnown && topics.era().newest() > FIRST_ERA) {
+            lease.restored(ControlThread.nowMillis());
+        }
+        eraKnown = true;
+    }
+
     private void take(RecordBatch batch, long nowMillis) {
         long offset = batch.from();
         for (byte[] record : batch.records()) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -52,9 +52,6 @@
      */
     private static final long REST_FACTOR = 20;
 
-    /** The term of the first holder ever. */
-    private static final long FIRST_TERM = 0;
-
     private final EngineOrders orders;
     private final LeaseDriver lease;
     private final ControlThread control;
@@ -119,7 +116,9 @@
             // What another holder ordered meanwhile is not in these books.
             books.clear();
             lastTerm = permit.get().term();
-            followAnother();
+            if (!permit.get().first()) {
+                followAnother();
+            }
             LOG.info("event=order-duty-begins term=" + lastTerm);
         }
         demand.fade(ControlThread.nowMillis());
@@ -160,9 +159,6 @@
     }
 
     private void followAnother() {
-        if (lastTerm == FIRST_TERM) {
-            return;
-        }
         configuration.stream()
                 .flatMap(inForce -> inForce.services().values().stream())
                 .flatMap(service -> service.engine().stream())
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -52,6 +52,7 @@
     private boolean needsTime;
     private boolean busy;
     private boolean checking;
+    private long generation;
     private long relayedNext;
 
     /** Up to when what the holder passed on is whole; forgotten when the connection is lost. */
@@ -191,6 +192,7 @@
             Listener listener,
             RecordRelay relay) {
         KeyedFollower follower = new KeyedFollower(topics, part, control, pace, listener, relay);
+        topics.era().onRestored(() -> control.post(follower::restored));
         control.post(
                 () -> {
                     relay.onRecords(part, follower.new Relayed());
@@ -198,6 +200,37 @@
                 });
     }
 
+    // Offsets go back and are given out again. Followed from where it was, the partition would
+    // show nothing until it has grown past that place, and never what was written before it. What
+    // the listing lacks was written after the copy was made, and its writers write it again, as
+    // they do after an outage.
+    private void restored() {
+        LOG.info("event=listing-anew part=" + part + " next=" + next);
+        generation++;
+        busy = false;
+        checking = false;
+        relayedNext = 0;
+        relayedAtMillis = Long.MIN_VALUE / 2;
+        if (!away) {
+            away = true;
+            awayAtMillis = ControlThread.nowMillis();
+            listener.onAway();
+        }
+        list();
+    }
+
+    /** Drops a step that was planned in an era before. */
+    private void ifNow(long planned, Runnable step) {
+        if (planned == generation) {
+            step.run();
+        }
+    }
+
+    private void after(long millis, Runnable step) {
+        long planned = generation;
+        control.after(millis, () -> ifNow(planned, step));
+    }
+
     private void list() {
         next = NOT_LISTED;
         listing.clear();
@@ -209,7 +242,10 @@
         if (first) {
             firstPageAskedAtMillis = askedAtMillis;
         }
-        topics.newest(part, afterKey).thenAccept(answer -> control.post(() -> page(answer, first)));
+        long planned = generation;
+        topics.newest(part, afterKey)
+                .thenAccept(
+                        answer -> control.post(() -> ifNow(planned, () -> page(answer, first))));
     }
 
     private void page(TopicAnswer<NewestPage> answer, boolean first) {
@@ -253,8 +289,12 @@
         busy = true;
         askedAtMillis = ControlThread.nowMillis();
         long waitMillis = waitMillis();
+        long planned = generation;
         topics.read(part, next, waitMillis)
-                .thenAccept(answer -> control.post(() -> records(answer, waitMillis)));
+                .thenAccept(
+                        answer ->
+                                control.post(
+                                        () -> ifNow(planned, () -> records(answer, waitMillis))));
     }
 
     // The first read after a failed one does not wait for records. The time that lapsed entries
@@ -280,7 +320,7 @@
             return;
         }
         checking = true;
-        control.after(
+        after(
                 millis,
                 () -> {
                     checking = false;
@@ -392,7 +432,7 @@
 
     private void pause(long millis) {
         busy = true;
-        control.after(
+        after(
                 millis,
                 () -> {
                     busy = false;
@@ -435,7 +475,7 @@
         } else {
             needsTime = !needsTime && answer instanceof TopicAnswer.Unknown<?>;
         }
-        control.after(retryMillis, step);
+        after(retryMillis, step);
         retryMillis = Math.min(MOST_RETRY_MILLIS, 2 * retryMillis);
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quarantine/QuarantineExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quarantine/QuarantineExchange.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.dispatch.RecentlyUsed;
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.quarantine.QuarantineRegister;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
@@ -49,6 +50,7 @@
     private final Consumer<Quarantine> changed;
     private final QuarantineRegister register = QuarantineRegister.empty();
     private final Map<String, Optional<byte[]>> unwritten = new LinkedHashMap<>();
+    private final Map<String, EndRecord> written = RecentlyUsed.of(MOST_UNWRITTEN);
     private volatile Quarantine quarantine = Quarantine.empty();
     private boolean writing;
 
@@ -116,12 +118,16 @@
         ends.stream()
                 .filter(end -> register.add(end, nowMillis))
                 .map(end -> new EndRecord(end, nowMillis))
-                .forEach(
-                        record ->
-                                toWrite(EndRecord.key(record.end()), Optional.of(record.value())));
+                .forEach(this::toWrite);
         tell();
     }
 
+    private void toWrite(EndRecord record) {
+        String key = EndRecord.key(record.end());
+        written.put(key, record);
+        toWrite(key, Optional.of(record.value()));
+    }
+
     private void forget(List<TargetEnd> ends) {
         ends.forEach(end -> toWrite(EndRecord.key(end), Optional.empty()));
         tell();
@@ -170,9 +176,20 @@
         }
     }
 
+    // A listing that lacks what this daemon wrote comes from a store that went back to a copy.
     @Override
     public void onListing(List<KeyedRecord> records) {
         onRecords(records);
+        Set<String> listed = records.stream().map(KeyedRecord::key).collect(Collectors.toSet());
+        List<EndRecord> lost =
+                written.values().stream()
+                        .filter(record -> !listed.contains(EndRecord.key(record.end())))
+                        .filter(record -> register.counts(record.end()))
+                        .collect(Collectors.toList());
+        lost.forEach(this::toWrite);
+        if (!lost.isEmpty()) {
+            LOG.warn("event=ends-written-again records=" + lost.size());
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
@@ -24,6 +24,7 @@
 import org.tamaracktrack.link.frame.RecordsCodec;
 import org.tamaracktrack.link.frame.XnioFrameTransport;
 import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.StoreEra;
 import org.tamaracktrack.link.topic.TopicPart;
 import org.xnio.XnioWorker;
 
@@ -67,6 +68,7 @@
     private final XnioWorker worker;
     private final ControlThread control;
     private final Optional<InetSocketAddress> address;
+    private final StoreEra era;
     private final Map<TopicPart, Reader> readers = new HashMap<>();
     private final Map<TopicPart, Consumer<byte[]>> receivers = new HashMap<>();
     private final Map<Connection, Follower> followers = new HashMap<>();
@@ -94,7 +96,11 @@
     }
 
     private RecordRelay(
-            XnioWorker worker, ControlThread control, Optional<InetSocketAddress> address) {
+            XnioWorker worker,
+            ControlThread control,
+            Optional<InetSocketAddress> address,
+            StoreEra era) {
+        this.era = era;
         this.worker = worker;
         this.control = control;
         this.address = address;
@@ -106,14 +112,19 @@
      * @param worker the threads of its connections
      * @param control the thread that it belongs to
      * @param address where other daemons reach this one; empty when they can't
+     * @param era the era of the store, which other daemons may hear of first
      * @return the relay
      */
     public static RecordRelay of(
-            XnioWorker worker, ControlThread control, Optional<InetSocketAddress> address) {
+            XnioWorker worker,
+            ControlThread control,
+            Optional<InetSocketAddress> address,
+            StoreEra era) {
         Objects.requireNonNull(worker, "worker is null");
         Objects.requireNonNull(control, "control is null");
         Objects.requireNonNull(address, "address is null");
-        return new RecordRelay(worker, control, address);
+        Objects.requireNonNull(era, "era is null");
+        return new RecordRelay(worker, control, address, era);
     }
 
     /**
@@ -255,7 +266,7 @@
         }
         // One that takes nothing any more is closed; it reads the store instead.
         List.copyOf(followers.values()).stream()
-                .filter(follower -> !follower.send(part, batch, wholeAtMillis))
+                .filter(follower -> !follower.send(part, batch, wholeAtMillis, era.newest()))
                 .map(Follower::connection)
                 .forEach(this::drop);
     }
@@ -268,7 +279,7 @@
      * time by the receiver's own clock makes delays on either way only count as age.
      */
     private record Follower(Connection connection, long clockMillis, long heardAtMillis) {
-        private boolean send(TopicPart part, RecordBatch batch, long wholeAtMillis) {
+        private boolean send(TopicPart part, RecordBatch batch, long wholeAtMillis, long era) {
             return connection.send(
                     new Message.Records(
                             part.topic(),
@@ -276,7 +287,8 @@
                             batch.from(),
                             batch.records(),
                             batch.end(),
-                            clockMillis + wholeAtMillis - heardAtMillis));
+                            clockMillis + wholeAtMillis - heardAtMillis,
+                            era));
         }
     }
 
@@ -313,7 +325,8 @@
                                                 0,
                                                 List.of(record),
                                                 0,
-                                                Message.Records.UNKNOWN_MILLIS)))
+                                                Message.Records.UNKNOWN_MILLIS,
+                                                era.newest())))
                 .isPresent();
     }
 
@@ -386,6 +399,13 @@
             if (ahead || heardAtMillis - readingAtMillis >= READING_EVERY_MILLIS) {
                 tellClock();
             }
+            // Offsets of another era stand for other records.
+            if (records.era() > era.newest()) {
+                era.note(records.era());
+            }
+            if (records.era() != era.newest()) {
+                return;
+            }
             RecordBatch batch = new RecordBatch(records.from(), records.records(), records.end());
             Optional.ofNullable(readers.get(new TopicPart(records.topic(), records.partition())))
                     .ifPresent(reader -> reader.onBatch(batch, wholeAtMillis));
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
@@ -9,12 +9,14 @@
 import org.tamaracktrack.link.topic.KeyedRecord;
 import org.tamaracktrack.link.topic.NewestPage;
 import org.tamaracktrack.link.topic.RecordBatch;
+import org.tamaracktrack.link.topic.StoreEra;
 import org.tamaracktrack.link.topic.TopicAnswer;
 import org.tamaracktrack.link.topic.TopicClient;
 import org.tamaracktrack.link.topic.TopicPart;
 
 /** A partition in memory, used on one thread, whose answers can be held back or lost. */
 public final class MemoryLog implements TopicClient {
+    private final StoreEra era = StoreEra.unknown();
     private final List<byte[]> records = new ArrayList<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private CompletableFuture<Void> appends = CompletableFuture.completedFuture(null);
@@ -84,6 +86,11 @@
         return new TopicAnswer.Done<>(batch(from));
     }
 
+    @Override
+    public StoreEra era() {
+        return era;
+    }
+
     @Override
     public CompletableFuture<TopicAnswer<NewestPage>> newest(TopicPart part, String afterKey) {
         return CompletableFuture.completedFuture(
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.link.topic.StoreEra;
 import org.xnio.XnioWorker;
 
 /** The relays of a holder and of one other daemon, connected over loopback. */
@@ -22,8 +23,12 @@
     private RelayPair() throws IOException {
         worker = TestWorker.start();
         holder =
-                RecordRelay.of(worker, control, Optional.of(new InetSocketAddress("127.0.0.1", 0)));
-        follower = RecordRelay.of(worker, control, Optional.empty());
+                RecordRelay.of(
+                        worker,
+                        control,
+                        Optional.of(new InetSocketAddress("127.0.0.1", 0)),
+                        StoreEra.unknown());
+        follower = RecordRelay.of(worker, control, Optional.empty(), StoreEra.unknown());
     }
 
     public static RelayPair start() throws IOException {
@@ -44,7 +49,7 @@
 
     /** The relay of a further daemon, which nobody reaches. */
     public RecordRelay unconnected() {
-        return RecordRelay.of(worker, control, Optional.empty());
+        return RecordRelay.of(worker, control, Optional.empty(), StoreEra.unknown());
     }
 
     /** The one daemon takes the lease, the other learns of it. */
--- a/link/src/main/java/org/tamaracktrack/link/frame/RecordsCodec.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/RecordsCodec.java
@@ -14,8 +14,8 @@
 
 /**
  * MessagePack for connections that carry nothing but records (topic, partition, first offset, end,
- * the records, and the time up to which they are whole, in this order) and readings of clocks (a
- * number alone).
+ * the records, the time up to which they are whole, and their era, in this order) and readings of
+ * clocks (a number alone).
  *
  * <p>Written by hand, since a codec by fields takes 130 ms of processor time to look at all kinds
  * of messages before the first, on the thread of the traffic and at the moment at which a daemon
@@ -53,6 +53,7 @@
             packer.writePayload(record);
         }
         packer.packLong(records.wholeAtMillis());
+        packer.packLong(records.era());
     }
 
     @Override
@@ -66,7 +67,14 @@
             long from = unpacker.unpackLong();
             long end = unpacker.unpackLong();
             List<byte[]> records = records(unpacker, frame);
-            return new Message.Records(topic, partition, from, records, end, unpacker.unpackLong());
+            return new Message.Records(
+                    topic,
+                    partition,
+                    from,
+                    records,
+                    end,
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong());
         } catch (IOException | MessagePackException unreadable) {
             throw TamaracktrackException.of(ErrorCode.BAD_FRAME, "not records", unreadable);
         }
--- a/link/src/main/java/org/tamaracktrack/link/topic/TopicClient.java
+++ b/link/src/main/java/org/tamaracktrack/link/topic/TopicClient.java
@@ -11,6 +11,14 @@
  */
 public interface TopicClient {
 
+    /**
+     * Returns the era of the store. A call that is answered in another era than the one it was sent
+     * in is {@link TopicAnswer.Unknown}.
+     *
+     * @return the era
+     */
+    StoreEra era();
+
     /**
      * Reads the newest record of each key.
      *
--- a/link/src/test/java/org/tamaracktrack/link/frame/RecordsCodecTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/frame/RecordsCodecTest.java
@@ -25,7 +25,8 @@
             @ForAll long from,
             @ForAll @Size(max = 5) List<byte[]> records,
             @ForAll long end,
-            @ForAll long wholeAtMillis) {
+            @ForAll long wholeAtMillis,
+            @ForAll long era) {
         Message.Records read =
                 (Message.Records)
                         codec.decode(
@@ -36,13 +37,15 @@
                                                 from,
                                                 records,
                                                 end,
-                                                wholeAtMillis)));
+                                                wholeAtMillis,
+                                                era)));
 
         assertThat(read.topic()).isEqualTo(topic);
         assertThat(read.partition()).isEqualTo(partition);
         assertThat(read.from()).isEqualTo(from);
         assertThat(read.end()).isEqualTo(end);
         assertThat(read.wholeAtMillis()).isEqualTo(wholeAtMillis);
+        assertThat(read.era()).isEqualTo(era);
         assertThat(read.records()).hasSize(records.size());
         for (int index = 0; index < records.size(); index++) {
             assertThat(read.records().get(index)).isEqualTo(records.get(index));
@@ -66,7 +69,7 @@
 
     @Test
     void shouldRefuseAMessageThatIsCutOff() {
-        byte[] whole = codec.encode(new Message.Records("t", 0, 1, List.of(new byte[9]), 2, 3));
+        byte[] whole = codec.encode(new Message.Records("t", 0, 1, List.of(new byte[9]), 2, 3, 4));
 
         for (int length = 0; length < whole.length; length++) {
             byte[] part = Arrays.copyOf(whole, length);
