--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -35,8 +35,11 @@
     /** The era of a store that never came back from a copy. */
     private static final long FIRST_ERA = 1;
 
-    /** Offsets of one era stay below this power of two. */
-    private static final int ERA_SHIFT = 32;
+    /**
+     * Far more records than a store loses that comes back from a copy, so that a term of one era
+     * exceeds all of the era before; small enough for engines that keep the number in 32 bits.
+     */
+    private static final long TERMS_PER_ERA = 1_000_000;
 
     private final TopicClient topics;
     private final TopicPart part;
@@ -128,7 +131,7 @@
     // Offsets, and terms with them, are given out a second time after the store came back from a
     // copy. With the era before it each term exceeds all that engines have seen.
     private long fencingNumber(long term) {
-        return (topics.era().newest() << ERA_SHIFT) + term;
+        return topics.era().newest() * TERMS_PER_ERA + term;
     }
 
     private void noticeFreeze() {
