Split what is suspected of a request from its forwarding; say it once; close followers of a holder that is none any more

Behaviour is the same but for one thing: a daemon that connected to a holder and told its clock only after that one had lost the lease kept an idle connection; it is closed, so that it reads the store at once. No test shows it. QuarantineProcessTest, GatewayProcessTest, KeyedFollowerTest, RecordRelayTest, QuarantineRegisterTest pass.

--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetRegister.java
@@ -133,9 +133,8 @@
         return away || nowMillis - backAtMillis < RETURN_MILLIS;
     }
 
-    // A registry that comes back from a copy has old entries again, those of targets that left
-    // among
-    // them. What said that it leaves stays so for as long as it runs.
+    // A registry that comes back from a copy has old entries again, also those of targets that
+    // left. What said that it leaves stays so for as long as it runs.
     private void drop(Set<TargetId> targets) {
         targets.stream()
                 .map(entries::get)
--- a/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
@@ -17,11 +17,11 @@
  * its targets is there time and again; the others are answered elsewhere, which clears them.
  */
 public final class QuarantineRegister {
-    /** Targets that ended while they ran a request, from which on it is held. */
-    private static final int MOST_RAN = 3;
+    /** So many targets that ended while they ran a request hold it. */
+    private static final int HOLDING_RUNS = 3;
 
-    /** The same with targets that may only have let it wait. */
-    private static final int MOST_ENDS = 4;
+    /** So many targets that ended hold it, though it may only have waited there. */
+    private static final int HOLDING_ENDS = 4;
 
     /** A request that is not held is forgotten this long after the last target ended under it. */
     private static final long SUSPECT_MILLIS = 10 * 60_000;
@@ -137,8 +137,8 @@
 
     private boolean held(RequestFingerprint request) {
         Map<TargetIncarnation, Seen> targets = ends.get(request);
-        return targets.size() >= MOST_ENDS
-                || targets.values().stream().filter(Seen::ran).count() >= MOST_RAN;
+        return targets.size() >= HOLDING_ENDS
+                || targets.values().stream().filter(Seen::ran).count() >= HOLDING_RUNS;
     }
 
     private static Stream<TargetEnd> ends(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -17,8 +17,6 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
-import org.tamaracktrack.core.quarantine.Quarantine;
-import org.tamaracktrack.core.quarantine.RequestFingerprint;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
 import org.tamaracktrack.core.stream.EventSplitter;
@@ -54,6 +52,7 @@
     private final CallerAnswer answer;
     private final HeaderMap headers;
     private final PieceTimes pieces;
+    private final RequestSuspicion suspicion;
     private final boolean returned;
     private final List<TargetId> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
@@ -67,7 +66,6 @@
     private int refusals;
     private int mayHaveRun;
     private long registryAgeMillis = -1;
-    private Optional<RequestFingerprint> fingerprint = Optional.empty();
     private boolean done;
 
     private ForwardedRequest(
@@ -90,6 +88,7 @@
                 services.callerWaits(route.name())
                         .returned(facts.waitMillis().orElse(route.timeoutMillis()));
         this.pieces = PieceTimes.since(arrivedMillis);
+        this.suspicion = RequestSuspicion.of(services, exchange, body);
         this.answer = CallerAnswer.of(exchange, services::leaving, this);
     }
 
@@ -128,12 +127,8 @@
     private void begin() {
         connection.onClosed(this::callerGone);
         CallerConnection.watch(exchange);
-        if (quarantined()) {
-            refuseQuarantined();
-            return;
-        }
         services.allowance(work.service()).request(arrivedMillis);
-        if (!returned) {
+        if (!returned && !suspicion.held()) {
             facts.need().ifPresent(need -> services.demand().note(need, route));
         }
         endTimer = Optional.of(services.timer(endsMillis - services.nowMillis(), this::timeIsUp));
@@ -148,11 +143,9 @@
     // Asked again before each attempt: the target that has just ended may have been the last one
     // that this request is allowed.
     private void dispatch() {
-        if (quarantined()) {
-            refuseQuarantined();
-            return;
+        if (!refusedAsHeld()) {
+            choose().ifPresentOrElse(this::sendUnlessTooLate, this::noTarget);
         }
-        choose().ifPresentOrElse(this::sendUnlessTooLate, this::noTarget);
     }
 
     private Optional<TargetChooser.Choice> choose() {
@@ -202,7 +195,7 @@
         TargetAttempt.Sending sending =
                 new TargetAttempt.Sending(
                         exchange.getRequestMethod().toString(),
-                        pathAndQuery(),
+                        CallerPath.of(exchange),
                         outgoing,
                         body,
                         leftMillis,
@@ -214,11 +207,6 @@
                                 services, entry, work, facts.attempt(), streamed, sending, this));
     }
 
-    private String pathAndQuery() {
-        String query = exchange.getQueryString();
-        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + '?' + query;
-    }
-
     private Optional<String> resumeAfter() {
         return events.lastId().or(facts::resumeAfter);
     }
@@ -244,8 +232,7 @@
 
     /** Tries again, since the fleet changed. */
     void retryWaiting() {
-        if (!done && quarantined()) {
-            refuseQuarantined();
+        if (done || refusedAsHeld()) {
             return;
         }
         Optional<TargetChooser.Choice> choice = choose();
@@ -364,7 +351,7 @@
             return;
         }
         beginStream();
-        noteAnswered();
+        suspicion.answered();
         finish("served", streamStatus);
         answer.end();
     }
@@ -372,28 +359,14 @@
     @Override
     public void onWhole(int status, Map<String, String> answerHeaders, byte[] answerBody) {
         pieces.note(services.nowMillis());
-        noteAnswered();
+        suspicion.answered();
         finish(status < FIRST_NON_SUCCESS ? "served" : "target_status", status);
         answer.whole(status, answerHeaders, answerBody);
     }
 
     @Override
     public void onTargetBroken(boolean ran) {
-        attempt.ifPresent(
-                broken -> services.endedTargets().broke(broken.entry(), fingerprint(), ran));
-    }
-
-    private RequestFingerprint fingerprint() {
-        if (fingerprint.isEmpty()) {
-            fingerprint =
-                    Optional.of(
-                            RequestFingerprint.of(
-                                    exchange.getRequestMethod().toString(),
-                                    exchange.getHostName(),
-                                    pathAndQuery(),
-                                    body));
-        }
-        return fingerprint.get();
+        attempt.ifPresent(broken -> suspicion.broke(broken.entry(), ran));
     }
 
     @Override
@@ -407,7 +380,7 @@
         }
         RequestLog.attemptEnded(
                 facts.attempt(),
-                fingerprint,
+                suspicion.fingerprint(),
                 attempt.map(TargetAttempt::entry),
                 end,
                 services.nowMillis() - arrivedMillis,
@@ -439,7 +412,7 @@
         switch (next) {
             case AGAIN -> dispatch();
             case PASS_ON -> passOn(failure.orElseThrow());
-            case REFUSE -> refuse("refused_by_target");
+            case REFUSE -> fail(ErrorCode.NO_TARGET, "refused_by_target");
             case UNKNOWN -> fail(ErrorCode.OUTCOME_UNKNOWN, end.name());
             case BREAK -> breakOff();
             default -> throw new AssertionError(next);
@@ -462,32 +435,20 @@
         } else if (mayHaveRun > 0) {
             fail(ErrorCode.OUTCOME_UNKNOWN, reason);
         } else {
-            refuse(reason);
+            fail(ErrorCode.NO_TARGET, reason);
         }
     }
 
-    private boolean quarantined() {
-        Quarantine quarantine = services.quarantine();
-        return !quarantine.held().isEmpty() && quarantine.held().contains(fingerprint());
-    }
-
-    private void refuseQuarantined() {
+    private boolean refusedAsHeld() {
+        if (!suspicion.held()) {
+            return false;
+        }
         if (answer.begun()) {
             breakOff();
         } else {
             fail(mayHaveRun > 0 ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.QUARANTINED, "quarantined");
         }
-    }
-
-    private void noteAnswered() {
-        Quarantine quarantine = services.quarantine();
-        if (!quarantine.isEmpty() && quarantine.suspects().contains(fingerprint())) {
-            services.endedTargets().answered(fingerprint());
-        }
-    }
-
-    private void refuse(String reason) {
-        fail(ErrorCode.NO_TARGET, reason);
+        return true;
     }
 
     private void fail(ErrorCode code, String reason) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -211,6 +211,7 @@
         checking = false;
         relayedNext = 0;
         relayedAtMillis = Long.MIN_VALUE / 2;
+        holderWasAnswered = false;
         if (!away) {
             away = true;
             awayAtMillis = ControlThread.nowMillis();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
@@ -467,6 +467,7 @@
         // The first reading makes a follower: nothing that is passed on before it could be dated.
         private void read(Connection from, Message.ClockReading reading) {
             if (!holding) {
+                from.close();
                 return;
             }
             Follower follower = new Follower(from, reading.millis(), ControlThread.nowMillis());
