--- a/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
@@ -17,11 +17,12 @@
  * its targets is there time and again; the others are answered elsewhere, which clears them.
  */
 public final class QuarantineRegister {
-    /** So many targets that ended while they ran a request hold it. */
-    private static final int HOLDING_RUNS = 3;
-
-    /** So many targets that ended hold it, though it may only have waited there. */
-    private static final int HOLDING_ENDS = 4;
+    /**
+     * So many targets that ended hold a request. Whether they ran it or let it wait does not
+     * matter: the head of an answer can be lost with the connection, and what waits at three
+     * targets that end, without an answer in between, has used up its tries.
+     */
+    private static final int HOLDING_ENDS = 3;
 
     /** A request that is not held is forgotten this long after the last target ended under it. */
     private static final long SUSPECT_MILLIS = 10 * 60_000;
@@ -136,9 +137,7 @@
     }
 
     private boolean held(RequestFingerprint request) {
-        Map<TargetIncarnation, Seen> targets = ends.get(request);
-        return targets.size() >= HOLDING_ENDS
-                || targets.values().stream().filter(Seen::ran).count() >= HOLDING_RUNS;
+        return ends.get(request).size() >= HOLDING_ENDS;
     }
 
     private static Stream<TargetEnd> ends(
