--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailureRule.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailureRule.java
@@ -29,6 +29,26 @@
         BREAK
     }
 
+    /** How a repeat counts against the service's retry budget. */
+    public enum Payment {
+        /** It was taken from the allowance. */
+        PAID,
+        /** The allowance is used up, so there is no repeat. */
+        DENIED,
+        /** The attempt reached no target, so another one is no repeat. */
+        FREE,
+        /** There is no repeat for another reason. */
+        NONE
+    }
+
+    /**
+     * What to do next, and what paid for it.
+     *
+     * @param next what to do
+     * @param payment how a repeat counts
+     */
+    public record Verdict(Next next, Payment payment) {}
+
     /**
      * What happened to a request so far.
      *
@@ -48,18 +68,31 @@
      * @param leftMillis what is left of the caller's time
      * @param allowance the service's share of repeats; taken from only for {@code AGAIN}
      * @param nowMillis the monotonic time
-     * @return what to do
+     * @return what to do, and what paid for it
      */
-    public static Next next(
+    public static Verdict next(
             Route route,
             AttemptEnd end,
             History history,
             long leftMillis,
             RetryAllowance allowance,
             long nowMillis) {
-        if (mayRepeat(route, end, history)
-                && leftMillis >= LEAST_LEFT_MILLIS
-                && (end == AttemptEnd.NOT_SENT || allowance.take(nowMillis))) {
+        Payment payment =
+                mayRepeat(route, end, history) && leftMillis >= LEAST_LEFT_MILLIS
+                        ? pay(end, allowance, nowMillis)
+                        : Payment.NONE;
+        return new Verdict(next(end, history, payment), payment);
+    }
+
+    private static Payment pay(AttemptEnd end, RetryAllowance allowance, long nowMillis) {
+        if (end == AttemptEnd.NOT_SENT) {
+            return Payment.FREE;
+        }
+        return allowance.take(nowMillis) ? Payment.PAID : Payment.DENIED;
+    }
+
+    private static Next next(AttemptEnd end, History history, Payment payment) {
+        if (payment == Payment.PAID || payment == Payment.FREE) {
             return Next.AGAIN;
         }
         if (history.begun()) {
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -22,6 +22,15 @@
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
 
+    /**
+     * What an allowance decides by.
+     *
+     * @param requests of callers in the window
+     * @param repeats in the window
+     * @param left repeats that may follow now
+     */
+    public record State(int requests, int repeats, double left) {}
+
     private RetryAllowance(double ratio, long windowMillis, double besides) {
         this.ratio = ratio;
         this.windowMillis = windowMillis;
@@ -58,13 +67,28 @@
      */
     public boolean take(long nowMillis) {
         forget(nowMillis);
-        if (repeats.size() + 1 > ratio * MARGIN * requests.size() + besides) {
+        if (repeats.size() + 1 > share()) {
             return false;
         }
         repeats.addLast(nowMillis);
         return true;
     }
 
+    /**
+     * Tells what the next repeat would be decided by.
+     *
+     * @param nowMillis the monotonic time
+     * @return the state
+     */
+    public State state(long nowMillis) {
+        forget(nowMillis);
+        return new State(requests.size(), repeats.size(), share() - repeats.size());
+    }
+
+    private double share() {
+        return ratio * MARGIN * requests.size() + besides;
+    }
+
     private void forget(long nowMillis) {
         forget(requests, nowMillis);
         forget(repeats, nowMillis);
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.dispatch.FailureRule.History;
 import org.tamaracktrack.core.dispatch.FailureRule.Next;
+import org.tamaracktrack.core.dispatch.FailureRule.Payment;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
@@ -35,7 +36,7 @@
     }
 
     private Next next(Route route, AttemptEnd end, History history) {
-        return FailureRule.next(route, end, history, ENOUGH_MILLIS, plenty, 0);
+        return FailureRule.next(route, end, history, ENOUGH_MILLIS, plenty, 0).next();
     }
 
     @Nested
@@ -102,27 +103,51 @@
         void shouldNotCallItRefusedWhenAnEarlierAttemptWasLost() {
             Next next =
                     FailureRule.next(
-                            lookup,
-                            AttemptEnd.REFUSED,
-                            new History(0, 1, 1, false),
-                            ENOUGH_MILLIS,
-                            none,
-                            0);
+                                    lookup,
+                                    AttemptEnd.REFUSED,
+                                    new History(0, 1, 1, false),
+                                    ENOUGH_MILLIS,
+                                    none,
+                                    0)
+                            .next();
 
             assertThat(next).isEqualTo(Next.UNKNOWN);
         }
 
+        @Test
+        void shouldSayWhatPaidForARepeat() {
+            assertThat(verdict(AttemptEnd.REFUSED, plenty).payment()).isEqualTo(Payment.PAID);
+            assertThat(verdict(AttemptEnd.REFUSED, none).payment()).isEqualTo(Payment.DENIED);
+            assertThat(verdict(AttemptEnd.NOT_SENT, none).payment()).isEqualTo(Payment.FREE);
+            assertThat(
+                            FailureRule.next(
+                                            lookup,
+                                            AttemptEnd.LOST,
+                                            new History(0, 0, 2, false),
+                                            ENOUGH_MILLIS,
+                                            plenty,
+                                            0)
+                                    .payment())
+                    .isEqualTo(Payment.NONE);
+        }
+
+        private FailureRule.Verdict verdict(AttemptEnd end, RetryAllowance allowance) {
+            return FailureRule.next(
+                    lookup, end, new History(0, 1, 0, false), ENOUGH_MILLIS, allowance, 0);
+        }
+
         // All targets refuse. With the shared allowance used up, repeats would multiply the load.
         @Test
         void shouldRefuseWhenTheAllowanceIsUsedUp() {
             Next next =
                     FailureRule.next(
-                            lookup,
-                            AttemptEnd.REFUSED,
-                            new History(0, 1, 0, false),
-                            ENOUGH_MILLIS,
-                            none,
-                            0);
+                                    lookup,
+                                    AttemptEnd.REFUSED,
+                                    new History(0, 1, 0, false),
+                                    ENOUGH_MILLIS,
+                                    none,
+                                    0)
+                            .next();
 
             assertThat(next).isEqualTo(Next.REFUSE);
         }
@@ -155,12 +180,13 @@
 
             assertThat(
                             FailureRule.next(
-                                    stream,
-                                    AttemptEnd.CUT,
-                                    new History(0, 0, 1, true),
-                                    5,
-                                    plenty,
-                                    0))
+                                            stream,
+                                            AttemptEnd.CUT,
+                                            new History(0, 0, 1, true),
+                                            5,
+                                            plenty,
+                                            0)
+                                    .next())
                     .isEqualTo(Next.BREAK);
         }
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.FailureRule;
+import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.dispatch.Work;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -378,25 +379,33 @@
         if (done) {
             return;
         }
-        RequestLog.attemptEnded(
-                facts.attempt(),
-                suspicion.fingerprint(),
-                attempt.map(TargetAttempt::entry),
-                end,
-                services.nowMillis() - arrivedMillis,
-                leftMillis());
+        long nowMillis = services.nowMillis();
+        Optional<TargetEntry> target = attempt.map(TargetAttempt::entry);
         attempt = Optional.empty();
         events.dropPart();
         count(end);
-        FailureRule.Next next =
+        RetryAllowance allowance = services.allowance(work.service());
+        FailureRule.Verdict verdict =
                 FailureRule.next(
                         route,
                         end,
                         new FailureRule.History(notSent, refusals, mayHaveRun, answer.begun()),
                         leftMillis(),
-                        services.allowance(work.service()),
-                        services.nowMillis());
-        follow(next, end, failure);
+                        allowance,
+                        nowMillis);
+        RetryAllowance.State repeats = allowance.state(nowMillis);
+        services.metrics().repeat(work.service(), verdict.payment(), repeats.left());
+        RequestLog.attemptEnded(
+                new RequestLog.AttemptEnded(
+                        facts.attempt(),
+                        suspicion.fingerprint(),
+                        target,
+                        end,
+                        nowMillis - arrivedMillis,
+                        leftMillis(),
+                        verdict,
+                        repeats));
+        follow(verdict.next(), end, failure);
     }
 
     private void count(AttemptEnd end) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -1,12 +1,16 @@
 package org.tamaracktrack.daemon.gateway;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tamaracktrack.core.dispatch.FailureRule;
+import org.tamaracktrack.core.id.ServiceId;
 
 /** Counters and histograms of passed-on requests, by route. Owned by the traffic thread. */
 final class GatewayMetrics {
@@ -17,6 +21,7 @@
 
     private final MeterRegistry registry;
     private final Map<String, Timer> timers = new HashMap<>();
+    private final Map<ServiceId, AtomicInteger> repeatsLeft = new HashMap<>();
 
     private GatewayMetrics(MeterRegistry registry) {
         this.registry = registry;
@@ -43,4 +48,26 @@
     void attemptEnded(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
+
+    /**
+     * Counts how a possible repeat was decided, and shows how many more this daemon could send to
+     * the service then.
+     */
+    void repeat(ServiceId service, FailureRule.Payment payment, double left) {
+        registry.counter(
+                        "tamaracktrack.gateway.repeats",
+                        "service",
+                        service.value(),
+                        "payment",
+                        payment.name())
+                .increment();
+        repeatsLeft.computeIfAbsent(service, this::repeatsLeft).set((int) left);
+    }
+
+    private AtomicInteger repeatsLeft(ServiceId service) {
+        return registry.gauge(
+                "tamaracktrack.gateway.repeats.left",
+                Tags.of("service", service.value()),
+                new AtomicInteger());
+    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
+import org.tamaracktrack.core.dispatch.FailureRule;
+import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.Work;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.TargetId;
@@ -13,6 +15,9 @@
 final class RequestLog {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
 
+    /** Figures are written with one digit after the point. */
+    private static final double TENTHS = 10;
+
     private RequestLog() {}
 
     /**
@@ -79,24 +84,50 @@
                         + request.registryAgeMillis());
     }
 
-    static void attemptEnded(
+    /**
+     * How an attempt at a target ended badly, and what followed.
+     *
+     * @param attempt the caller's name for the request
+     * @param fingerprint the request's, where it is known
+     * @param target the target
+     * @param end how it ended
+     * @param afterMillis since the request arrived
+     * @param leftMillis until its deadline
+     * @param verdict what follows, and what pays for it
+     * @param allowance the service's share of repeats at this daemon, after the verdict
+     */
+    record AttemptEnded(
             String attempt,
             Optional<RequestFingerprint> fingerprint,
             Optional<TargetEntry> target,
             AttemptEnd end,
             long afterMillis,
-            long leftMillis) {
+            long leftMillis,
+            FailureRule.Verdict verdict,
+            RetryAllowance.State allowance) {}
+
+    static void attemptEnded(AttemptEnded ended) {
         LOG.info(
                 "event=attempt-ended request="
-                        + attempt
-                        + fingerprint.map(known -> " fingerprint=" + known).orElse("")
+                        + ended.attempt()
+                        + ended.fingerprint().map(known -> " fingerprint=" + known).orElse("")
                         + " target="
-                        + target.map(entry -> entry.incarnation().toString()).orElse("-")
+                        + ended.target().map(entry -> entry.incarnation().toString()).orElse("-")
                         + " end="
-                        + end
+                        + ended.end()
                         + " after_ms="
-                        + afterMillis
+                        + ended.afterMillis()
                         + " left_ms="
-                        + leftMillis);
+                        + ended.leftMillis()
+                        + " next="
+                        + ended.verdict().next()
+                        + " repeat="
+                        + ended.verdict().payment()
+                        + " window_requests="
+                        + ended.allowance().requests()
+                        + " window_repeats="
+                        + ended.allowance().repeats()
+                        + " repeats_left="
+                        + Math.floor(ended.allowance().left() * TENTHS) / TENTHS);
     }
 }
