--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
@@ -30,7 +30,8 @@
                         .mapToObj(
                                 daemon ->
                                         RetryAllowance.of(
-                                                RATIO, WINDOW_MILLIS, SLACK / (double) SLACK_PARTS))
+                                                new RetryBudget(RATIO, WINDOW_MILLIS, SLACK),
+                                                now -> 1.0 / SLACK_PARTS))
                         .toList();
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryScenario.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryScenario.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.tamaracktrack.core.id.ServiceId;
 
 /**
  * Daemons in virtual time whose targets refuse everything for a while, so that each sends as many
@@ -19,6 +20,10 @@
     static final double RATIO = 0.2;
     static final int SLACK = 84;
 
+    private static final RetryBudget BUDGET = new RetryBudget(RATIO, WINDOW_MILLIS, SLACK);
+    private static final ServiceId SERVICE = ServiceId.of("service");
+    private static final long MOST_UNDER_WAY_MILLIS = 700;
+
     private static final long STEP_MILLIS = 20;
     private static final long LEAD_MILLIS = 15_000;
     private static final long END_MILLIS = 50_000;
@@ -94,7 +99,9 @@
         private final long[] counts = new long[(int) (END_MILLIS / STEP_MILLIS) + 1];
 
         void add(long atMillis) {
-            counts[(int) (atMillis / STEP_MILLIS)]++;
+            if (atMillis < END_MILLIS) {
+                counts[(int) (atMillis / STEP_MILLIS)]++;
+            }
         }
 
         long from(long fromMillis) {
@@ -109,8 +116,8 @@
 
     /** One process. Its steady clock stands still while it is frozen. */
     private final class Member {
-        private final RetryAllowance allowance =
-                RetryAllowance.of(RATIO, WINDOW_MILLIS, SLACK / 8.0);
+        private final RetryAllowances allowances =
+                RetryAllowances.of(BUDGET, steadyMillis(), nowMillis);
         private final long lagMillis = random.nextLong(MOST_LAG_MILLIS);
         private double weight = random.nextDouble();
         private long stoodStillMillis;
@@ -146,17 +153,30 @@
         void read() {
             while (unread > 0) {
                 unread--;
-                allowance.request(steadyMillis());
+                allowance().request(steadyMillis());
             }
         }
 
         void repeatAll() {
-            while (allowance.take(steadyMillis())) {
-                repeats.add(nowMillis);
+            while (allowance().take(steadyMillis())) {
+                repeats.add(nowMillis + random.nextLong(MOST_UNDER_WAY_MILLIS));
             }
         }
 
-        void heard(List<Member> list) {}
+        private RetryAllowance allowance() {
+            return allowances.allowance(SERVICE, steadyMillis(), nowMillis);
+        }
+
+        void reload() {
+            allowances.limit(new RetryBudget(RATIO, WINDOW_MILLIS, SLACK - random.nextInt(2)));
+        }
+
+        void heard(List<Member> list, long agoMillis) {
+            if (list.contains(this)) {
+                allowances.listed(
+                        list.size(), steadyMillis() - agoMillis, steadyMillis(), nowMillis);
+            }
+        }
     }
 
     private List<Span> spans(int most, int longestMillis) {
@@ -243,7 +263,7 @@
 
     private void tell(Member member, List<Member> list) {
         if (member.reached()) {
-            member.heard(list);
+            member.heard(list, member.lagMillis);
         }
     }
 
@@ -264,12 +284,13 @@
             return;
         }
         List<Member> some = some();
-        switch (random.nextInt(6)) {
+        switch (random.nextInt(7)) {
             case 0 -> some.forEach(this::restart);
             case 1 -> some.subList(0, some.size() / 2).forEach(this::end);
             case 2 -> some.forEach(this::replace);
             case 3 -> at(nowMillis, this::start);
-            case 4 -> some.forEach(member -> member.freeze(500 + random.nextInt(8_000)));
+            case 4 -> some.forEach(Member::reload);
+            case 5 -> some.forEach(member -> member.freeze(500 + random.nextInt(8_000)));
             default ->
                     some.forEach(
                             member ->
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.copies.DemandBook;
+import org.tamaracktrack.core.dispatch.RetryBudget;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
@@ -84,14 +85,14 @@
      * @param readiness the address of the readiness check
      * @param readinessPath its path
      * @param dataCentre where the daemon stands
-     * @param limits bounds for all gateways together
+     * @param retryBudget bounds the repeats of all gateways together
      */
     public record Place(
             InetSocketAddress callers,
             InetSocketAddress readiness,
             String readinessPath,
             DataCentreId dataCentre,
-            GatewayLimits limits) {}
+            RetryBudget retryBudget) {}
 
     /**
      * Starts a gateway. It is ready once it has a configuration and the fleet.
@@ -122,7 +123,7 @@
                         thread,
                         dialect,
                         TargetChooser.of(place.dataCentre()),
-                        place.limits(),
+                        place.retryBudget(),
                         GatewayMetrics.of(metrics),
                         leaving,
                         random);
@@ -328,12 +329,22 @@
     }
 
     /**
-     * Takes new bounds in.
+     * Takes another bound of the repeats of all gateways together in.
      *
-     * @param limits the bounds
+     * @param retryBudget the bound
      */
-    public void limit(GatewayLimits limits) {
-        thread.execute(() -> services.limit(limits));
+    public void limit(RetryBudget retryBudget) {
+        thread.execute(() -> services.limit(retryBudget));
+    }
+
+    /**
+     * This daemon was on a list of all daemons, which share the slack of the retry budget.
+     *
+     * @param daemons how many were on it
+     * @param atMillis when the list was true, by the monotonic clock
+     */
+    public void listed(int daemons, long atMillis) {
+        services.listed(daemons, atMillis);
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -1,6 +1,5 @@
 package org.tamaracktrack.daemon.gateway;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,6 +12,8 @@
 import org.tamaracktrack.core.dispatch.CallerWaits;
 import org.tamaracktrack.core.dispatch.RecentlyUsed;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
+import org.tamaracktrack.core.dispatch.RetryAllowances;
+import org.tamaracktrack.core.dispatch.RetryBudget;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
@@ -34,14 +35,13 @@
     private final XnioIoThread thread;
     private final CallerDialect dialect;
     private final TargetChooser chooser;
-    private GatewayLimits limits;
+    private final RetryAllowances allowances;
     private final GatewayMetrics metrics;
     private final BooleanSupplier leaving;
     private final RandomGenerator random;
     private final LoadBoard loads = LoadBoard.empty();
     private final WaitingRequests waiting = WaitingRequests.empty();
     private final DemandMeter demand = DemandMeter.empty();
-    private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
     private final Map<String, CallerWaits> waits = RecentlyUsed.of(MOST_ROUTES);
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
     private final EndedTargets endedTargets = new EndedTargets(this);
@@ -55,7 +55,7 @@
             XnioIoThread thread,
             CallerDialect dialect,
             TargetChooser chooser,
-            GatewayLimits limits,
+            RetryBudget retryBudget,
             GatewayMetrics metrics,
             BooleanSupplier leaving,
             RandomGenerator random) {
@@ -63,7 +63,7 @@
         this.thread = thread;
         this.dialect = dialect;
         this.chooser = chooser;
-        this.limits = limits;
+        this.allowances = RetryAllowances.of(retryBudget, nowMillis(), dayMillis());
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
@@ -124,26 +124,25 @@
         return ControlThread.nowMillis();
     }
 
+    private static long dayMillis() {
+        return System.currentTimeMillis();
+    }
+
     RetryAllowance allowance(ServiceId service) {
-        return allowances.computeIfAbsent(
-                service,
-                name ->
-                        RetryAllowance.of(
-                                limits.retryRatio(),
-                                limits.retryWindowMillis(),
-                                limits.retriesBesides()));
+        return allowances.allowance(service, nowMillis(), dayMillis());
     }
 
-    CallerWaits callerWaits(String route) {
-        return waits.computeIfAbsent(route, name -> CallerWaits.empty());
+    /** This daemon was on a list of daemons, which was true then; for any thread. */
+    void listed(int daemons, long atMillis) {
+        execute(() -> allowances.listed(daemons, atMillis, nowMillis(), dayMillis()));
     }
 
-    void limit(GatewayLimits newer) {
-        // With new allowances every daemon could spend its part without requests once more.
-        if (!newer.equals(limits)) {
-            limits = newer;
-            allowances.clear();
-        }
+    void limit(RetryBudget newer) {
+        allowances.limit(newer);
+    }
+
+    CallerWaits callerWaits(String route) {
+        return waits.computeIfAbsent(route, name -> CallerWaits.empty());
     }
 
     /** An answer of a target closed its connection. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
@@ -6,12 +6,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.dispatch.PeerSelection;
 import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.RecordBatch;
@@ -19,7 +19,8 @@
 
 /**
  * Finds the peers of this daemon: each daemon tells the holder of the lease where it is reached,
- * which passes the list on. Without a holder the last list stays in use. On the control thread.
+ * which passes the list on, and says at each tick that it still holds. Without a holder the last
+ * peers stay in use. On the control thread.
  */
 public final class PeerDirectory {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.load");
@@ -32,18 +33,36 @@
     private final Peer self;
     private final TopicPart part;
     private final RecordRelay relay;
-    private final Consumer<List<Peer>> changed;
+    private final Listener listener;
     private final Map<Peer, Long> heardAtMillis = new HashMap<>();
     private Set<Peer> published = Set.of();
+    private Optional<Set<Peer>> listed = Optional.empty();
     private volatile Set<Peer> selected = Set.of();
     private boolean newcomer;
 
-    private PeerDirectory(
-            Peer self, TopicPart part, RecordRelay relay, Consumer<List<Peer>> changed) {
+    /** Hears of the daemons, on the control thread. */
+    public interface Listener {
+        /**
+         * The peers of this daemon have changed.
+         *
+         * @param peers the peers
+         */
+        void onPeers(List<Peer> peers);
+
+        /**
+         * This daemon is on the holder's list.
+         *
+         * @param daemons how many daemons are on it
+         * @param atMillis when it was true at the latest, by the steady clock of this process
+         */
+        void onListed(int daemons, long atMillis);
+    }
+
+    private PeerDirectory(Peer self, TopicPart part, RecordRelay relay, Listener listener) {
         this.self = self;
         this.part = part;
         this.relay = relay;
-        this.changed = changed;
+        this.listener = listener;
     }
 
     /**
@@ -53,7 +72,7 @@
      * @param part names what is passed on; nothing is ever appended to it
      * @param relay passes it on
      * @param control the thread that it belongs to
-     * @param changed takes the peers whenever they change
+     * @param listener hears of the daemons
      * @return the directory
      */
     public static PeerDirectory start(
@@ -61,10 +80,10 @@
             TopicPart part,
             RecordRelay relay,
             ControlThread control,
-            Consumer<List<Peer>> changed) {
+            Listener listener) {
         Objects.requireNonNull(self, "self is null");
-        Objects.requireNonNull(changed, "changed is null");
-        PeerDirectory directory = new PeerDirectory(self, part, relay, changed);
+        Objects.requireNonNull(listener, "listener is null");
+        PeerDirectory directory = new PeerDirectory(self, part, relay, listener);
         control.post(directory::listen);
         control.every(TICK_MILLIS, directory::tick);
         return directory;
@@ -91,11 +110,17 @@
             batch.records().stream()
                     .flatMap(bytes -> decode(bytes).stream())
                     .forEach(PeerDirectory.this::select);
+            if (wholeAtMillis != Message.Records.UNKNOWN_MILLIS) {
+                listed.filter(list -> list.contains(self))
+                        .ifPresent(list -> listener.onListed(list.size(), wholeAtMillis));
+            }
         }
 
         // Peers are found again through the next holder; until then the last ones stay.
         @Override
-        public void onLost() {}
+        public void onLost() {
+            listed = Optional.empty();
+        }
     }
 
     private void tick() {
@@ -109,12 +134,15 @@
         heardAtMillis.put(self, nowMillis);
         heardAtMillis.values().removeIf(heard -> nowMillis - heard > SILENT_MILLIS);
         Set<Peer> known = Set.copyOf(heardAtMillis.keySet());
-        if (newcomer || !known.equals(published)) {
+        boolean anew = newcomer || !known.equals(published);
+        List<byte[]> list = anew ? List.of(PeerRecord.encode(known)) : List.of();
+        relay.publish(part, new RecordBatch(0, list, 1));
+        if (anew) {
             newcomer = false;
             published = known;
-            relay.publish(part, new RecordBatch(0, List.of(PeerRecord.encode(known)), 1));
             select(known);
         }
+        listener.onListed(known.size(), nowMillis);
     }
 
     private void told(byte[] bytes) {
@@ -123,6 +151,7 @@
     }
 
     private void select(Set<Peer> known) {
+        listed = Optional.of(known);
         List<Peer> peers = PeerSelection.of(self, known);
         Set<Peer> newer = Set.copyOf(peers);
         if (!newer.equals(selected)) {
@@ -132,7 +161,7 @@
                             + known.size()
                             + " peers="
                             + peers.stream().map(Peer::address).collect(Collectors.toList()));
-            changed.accept(peers);
+            listener.onPeers(peers);
         }
     }
 
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/PeerDirectoryTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/PeerDirectoryTest.java
@@ -20,14 +20,32 @@
     private static final Peer OTHER = new Peer("other", DataCentreId.of("home"), "10.0.0.2:1");
 
     private RelayPair pair;
-    private volatile List<Peer> ofHolder = List.of();
-    private volatile List<Peer> ofOther = List.of();
+    private final Heard ofHolder = new Heard();
+    private final Heard ofOther = new Heard();
+
+    /** What a daemon has heard last. */
+    private static final class Heard implements PeerDirectory.Listener {
+        private volatile List<Peer> peers = List.of();
+        private volatile int daemons;
+        private volatile int lists;
+
+        @Override
+        public void onPeers(List<Peer> newer) {
+            peers = newer;
+        }
+
+        @Override
+        public void onListed(int newer, long atMillis) {
+            daemons = newer;
+            lists++;
+        }
+    }
 
     @BeforeEach
     void start() throws IOException {
         pair = RelayPair.start();
-        PeerDirectory.start(HOLDER, PART, pair.holder(), pair.control(), peers -> ofHolder = peers);
-        PeerDirectory.start(OTHER, PART, pair.follower(), pair.control(), peers -> ofOther = peers);
+        PeerDirectory.start(HOLDER, PART, pair.holder(), pair.control(), ofHolder);
+        PeerDirectory.start(OTHER, PART, pair.follower(), pair.control(), ofOther);
     }
 
     @AfterEach
@@ -40,7 +58,8 @@
         pair.await(
                 () -> {
                     publishAsReadsDo();
-                    return ofHolder.equals(List.of(OTHER)) && ofOther.equals(List.of(HOLDER));
+                    return ofHolder.peers.equals(List.of(OTHER))
+                            && ofOther.peers.equals(List.of(HOLDER));
                 });
     }
 
@@ -53,8 +72,8 @@
     void shouldFindEachOtherThroughTheHolder() {
         meet();
 
-        assertThat(ofHolder).containsExactly(OTHER);
-        assertThat(ofOther).containsExactly(HOLDER);
+        assertThat(ofHolder.peers).containsExactly(OTHER);
+        assertThat(ofOther.peers).containsExactly(HOLDER);
     }
 
     // Guards against daemons that know nothing of each other while the lease changes hands.
@@ -65,7 +84,7 @@
         pair.onControl(() -> pair.holder().holder(false, Optional.empty()));
 
         pair.await(() -> !pair.follower().connected());
-        assertThat(ofOther).containsExactly(HOLDER);
+        assertThat(ofOther.peers).containsExactly(HOLDER);
     }
 
     // Guards against messages to a host that is gone for good.
@@ -75,7 +94,30 @@
 
         pair.onControl(pair.follower()::close);
 
-        pair.await(() -> ofHolder.isEmpty());
-        assertThat(ofHolder).isEmpty();
+        pair.await(() -> ofHolder.peers.isEmpty());
+        assertThat(ofHolder.peers).isEmpty();
+    }
+
+    @Test
+    void shouldSayHowManyDaemonsThereAreAsLongAsTheHolderSaysSo() {
+        meet();
+        int heard = ofOther.lists;
+
+        pair.await(() -> ofOther.lists > heard + 2);
+        assertThat(ofOther.daemons).isEqualTo(2);
+        assertThat(ofHolder.daemons).isEqualTo(2);
+    }
+
+    // Guards against a part of the retry budget by a list that nobody stands for any more.
+    @Test
+    void shouldHearOfNoListWhenTheHolderIsLost() {
+        meet();
+
+        pair.onControl(() -> pair.holder().holder(false, Optional.empty()));
+        pair.await(() -> !pair.follower().connected());
+        int heard = ofOther.lists;
+        pair.onControl(() -> {});
+
+        assertThat(ofOther.lists).isEqualTo(heard);
     }
 }
