--- a/core/src/main/java/org/tamaracktrack/core/copies/StorePace.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/StorePace.java
@@ -42,16 +42,16 @@
     }
 
     /**
-     * Another giver of orders was in charge until a few seconds ago, and the store still counts the
-     * loads that it began. They are not known here; half of what a window allows is left to them.
+     * Another giver of orders was in charge, and the store still counts the loads that it began.
+     * They are not known here; it may have begun all that a window allows in its last moment.
      *
      * @param loadsPerSecond the store's rate
-     * @param nowMillis the monotonic time
+     * @param lastMillis the monotonic time of its last moment
      */
-    public void follow(double loadsPerSecond, long nowMillis) {
-        long half = Math.round(SHARE * loadsPerSecond * WINDOW_MILLIS / 2_000);
-        for (long count = 0; count < half; count++) {
-            begun.addLast(nowMillis);
+    public void follow(double loadsPerSecond, long lastMillis) {
+        long most = (long) (SHARE * loadsPerSecond * WINDOW_MILLIS / 1_000);
+        for (long count = 0; count < most; count++) {
+            begun.addLast(lastMillis);
         }
     }
 
--- a/core/src/test/java/org/tamaracktrack/core/copies/StorePaceTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/StorePaceTest.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
 
 class StorePaceTest {
 
@@ -40,7 +41,7 @@
         List<Long> begun = new ArrayList<>();
         take(StorePace.empty(), rate, 0, 10_000, begun);
         StorePace next = StorePace.empty();
-        next.follow(rate, 13_200);
+        next.follow(rate, 10_000);
         take(next, rate, 13_200, 25_000, begun);
 
         for (long from = 0; from < 20_000; from += 50) {
@@ -50,6 +51,25 @@
         }
     }
 
+    // Guards against a giver that leaves the one before it less than that one may have used in its
+    // last moment, after a calm time.
+    @Property(seed = "97", tries = 50)
+    void shouldKeepWindowsWithinTheBoundWhenTheFormerGiverWasIdleUntilItsEnd(
+            @ForAll @DoubleRange(min = 1, max = 40) double rate,
+            @ForAll @IntRange(max = 1_500) int lastMillis) {
+        List<Long> begun = new ArrayList<>();
+        take(StorePace.empty(), rate, 10_000 - lastMillis, 10_000, begun);
+        StorePace next = StorePace.empty();
+        next.follow(rate, 10_000);
+        take(next, rate, 13_000, 25_000, begun);
+
+        for (long from = 0; from < 20_000; from += 50) {
+            long start = from;
+            long inWindow = begun.stream().filter(at -> at >= start && at < start + 5_000).count();
+            assertThat((double) inWindow).isAtMost(rate * 5 * 1.1 + 3);
+        }
+    }
+
     private static void take(StorePace pace, double rate, long from, long until, List<Long> begun) {
         for (long now = from; now < until; now += 50) {
             if (pace.allows(rate, now)) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/CopyDuty.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/CopyDuty.java
@@ -82,7 +82,8 @@
                 meter);
         HoldingsExchange holdings =
                 HoldingsExchange.start(new TopicPart(member.topic(), 2), relay, control, changed);
-        OrderGiver giver = OrderGiver.start(orders, lease, control, demand, holdings);
+        OrderGiver giver =
+                OrderGiver.start(orders, lease, control, demand, holdings, member.pauseMillis());
         return new CopyDuty(lease, giver, holdings, control);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -57,6 +57,7 @@
     private final ControlThread control;
     private final DemandBook demand;
     private final HoldingsExchange holdings;
+    private final long pauseMillis;
     private final StorePace pace = StorePace.empty();
     private final UnansweredOrders unanswered = UnansweredOrders.none();
     private final Map<ServiceId, EngineCapacity> capacities = new HashMap<>();
@@ -74,12 +75,14 @@
             LeaseDriver lease,
             ControlThread control,
             DemandBook demand,
-            HoldingsExchange holdings) {
+            HoldingsExchange holdings,
+            long pauseMillis) {
         this.orders = orders;
         this.lease = lease;
         this.control = control;
         this.demand = demand;
         this.holdings = holdings;
+        this.pauseMillis = pauseMillis;
     }
 
     static OrderGiver start(
@@ -87,9 +90,10 @@
             LeaseDriver lease,
             ControlThread control,
             DemandBook demand,
-            HoldingsExchange holdings) {
+            HoldingsExchange holdings,
+            long pauseMillis) {
         Objects.requireNonNull(orders, "orders is null");
-        OrderGiver giver = new OrderGiver(orders, lease, control, demand, holdings);
+        OrderGiver giver = new OrderGiver(orders, lease, control, demand, holdings, pauseMillis);
         control.every(TICK_MILLIS, giver::tick);
         return giver;
     }
@@ -162,7 +166,11 @@
         configuration.stream()
                 .flatMap(inForce -> inForce.services().values().stream())
                 .flatMap(service -> service.engine().stream())
-                .forEach(engine -> pace.follow(engine.loadsPerSecond(), ControlThread.nowMillis()));
+                .forEach(
+                        engine ->
+                                pace.follow(
+                                        engine.loadsPerSecond(),
+                                        ControlThread.nowMillis() - pauseMillis));
     }
 
     /** Demand as of a tick, which gives up to sixteen orders by it. */
