--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryBudget.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FleetRetryBudget.java
@@ -10,7 +10,7 @@
  * @param windowMillis the window over which both are counted
  * @param slack repeats besides
  */
-public record RetryBudget(double ratio, long windowMillis, double slack) {
+public record FleetRetryBudget(double ratio, long windowMillis, double slack) {
 
     /**
      * Checks the figures.
@@ -18,7 +18,7 @@
      * @throws TamaracktrackException with {@code INVALID_SETTINGS} when one of them is negative, or
      *     there is no window
      */
-    public RetryBudget {
+    public FleetRetryBudget {
         if (!(ratio >= 0) || windowMillis <= 0 || !(slack >= 0)) {
             throw TamaracktrackException.of(
                     ErrorCode.INVALID_SETTINGS,
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -31,7 +31,7 @@
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> credits = new ArrayDeque<>();
     private final Deque<Repeat> repeats = new ArrayDeque<>();
-    private RetryBudget budget;
+    private FleetRetryBudget budget;
     private double spentOfOldest;
     private long earnsFromMillis = Long.MIN_VALUE;
 
@@ -40,14 +40,20 @@
      *
      * @param requests of callers in the window
      * @param repeats in the window
-     * @param left repeats that may follow now
+     * @param credit repeats that requests have earned and that may follow now
+     * @param slack repeats that may follow besides
      */
-    public record State(int requests, int repeats, double left) {}
+    public record State(int requests, int repeats, double credit, double slack) {
+        /** Returns how many repeats may follow now. */
+        public double left() {
+            return credit + slack;
+        }
+    }
 
     /** A repeat, and how much of it the slack paid for. */
     private record Repeat(long atMillis, double slack) {}
 
-    private RetryAllowance(RetryBudget budget, LongToDoubleFunction slackPart) {
+    private RetryAllowance(FleetRetryBudget budget, LongToDoubleFunction slackPart) {
         this.budget = budget;
         this.slackPart = slackPart;
     }
@@ -60,7 +66,7 @@
      *     milliseconds
      * @return the allowance
      */
-    public static RetryAllowance of(RetryBudget budget, LongToDoubleFunction slackPart) {
+    public static RetryAllowance of(FleetRetryBudget budget, LongToDoubleFunction slackPart) {
         Objects.requireNonNull(budget, "budget is null");
         Objects.requireNonNull(slackPart, "slackPart is null");
         return new RetryAllowance(budget, slackPart);
@@ -115,7 +121,7 @@
      *
      * @param newer the bound
      */
-    public void limit(RetryBudget newer) {
+    public void limit(FleetRetryBudget newer) {
         budget = newer;
     }
 
@@ -128,7 +134,7 @@
     public State state(long nowMillis) {
         forget(nowMillis);
         return new State(
-                requests.size(), repeats.size(), creditLeft() + Math.max(0, slackLeft(nowMillis)));
+                requests.size(), repeats.size(), creditLeft(), Math.max(0, slackLeft(nowMillis)));
     }
 
     // Requests of a window and of the credits' lifetime before it may pay for the repeats that
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowances.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowances.java
@@ -12,11 +12,11 @@
 
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
     private final FreezeDetector freezes;
-    private RetryBudget budget;
+    private FleetRetryBudget budget;
     private SlackShare slack;
     private long frozeAtMillis = NEVER;
 
-    private RetryAllowances(RetryBudget budget, FreezeDetector freezes) {
+    private RetryAllowances(FleetRetryBudget budget, FreezeDetector freezes) {
         this.budget = budget;
         this.freezes = freezes;
         this.slack = SlackShare.of(budget.windowMillis());
@@ -30,7 +30,7 @@
      * @param dayMillis the time of day
      * @return the allowances
      */
-    public static RetryAllowances of(RetryBudget budget, long steadyMillis, long dayMillis) {
+    public static RetryAllowances of(FleetRetryBudget budget, long steadyMillis, long dayMillis) {
         Objects.requireNonNull(budget, "budget is null");
         return new RetryAllowances(budget, FreezeDetector.of(steadyMillis, dayMillis));
     }
@@ -72,7 +72,7 @@
      *
      * @param newer the bound
      */
-    public void limit(RetryBudget newer) {
+    public void limit(FleetRetryBudget newer) {
         Objects.requireNonNull(newer, "newer is null");
         if (newer.windowMillis() != budget.windowMillis()) {
             slack = SlackShare.of(newer.windowMillis());
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
@@ -19,8 +19,9 @@
     private static final long ENOUGH_MILLIS = 1_000;
 
     private final RetryAllowance plenty =
-            RetryAllowance.of(new RetryBudget(0, 10_000, 100), now -> 1);
-    private final RetryAllowance none = RetryAllowance.of(new RetryBudget(0, 10_000, 0), now -> 1);
+            RetryAllowance.of(new FleetRetryBudget(0, 10_000, 100), now -> 1);
+    private final RetryAllowance none =
+            RetryAllowance.of(new FleetRetryBudget(0, 10_000, 0), now -> 1);
 
     private static Route route(RouteKind kind, boolean resumable, int attempts) {
         return new Route(
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
@@ -30,7 +30,7 @@
                         .mapToObj(
                                 daemon ->
                                         RetryAllowance.of(
-                                                new RetryBudget(RATIO, WINDOW_MILLIS, SLACK),
+                                                new FleetRetryBudget(RATIO, WINDOW_MILLIS, SLACK),
                                                 now -> 1.0 / SLACK_PARTS))
                         .toList();
         List<Long> requests = new ArrayList<>();
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
@@ -13,7 +13,7 @@
 class RetryAllowancesTest {
     private static final ServiceId SERVICE = ServiceId.of("service");
     private static final ServiceId OTHER = ServiceId.of("other");
-    private static final RetryBudget BUDGET = new RetryBudget(0.2, 10_000, 0);
+    private static final FleetRetryBudget BUDGET = new FleetRetryBudget(0.2, 10_000, 0);
 
     private final RetryAllowances allowances = RetryAllowances.of(BUDGET, 0, 0);
 
@@ -104,14 +104,14 @@
             requests(100, 1_000);
             takeAll(SERVICE, 1_000, 1_000);
 
-            allowances.limit(new RetryBudget(0.19, 10_000, 1));
+            allowances.limit(new FleetRetryBudget(0.19, 10_000, 1));
 
             assertThat(takeAll(SERVICE, 1_000, 1_000)).isEqualTo(0);
         }
 
         @Test
         void shouldPayByTheNewBudget() {
-            allowances.limit(new RetryBudget(0, 10_000, 0));
+            allowances.limit(new FleetRetryBudget(0, 10_000, 0));
             requests(100, 1_000);
 
             assertThat(takeAll(SERVICE, 1_000, 1_000)).isEqualTo(0);
@@ -120,7 +120,8 @@
         @Test
         void shouldRefuseABudgetWithoutAWindow() {
             TamaracktrackException wrong =
-                    assertThrows(TamaracktrackException.class, () -> new RetryBudget(0.2, 0, 1));
+                    assertThrows(
+                            TamaracktrackException.class, () -> new FleetRetryBudget(0.2, 0, 1));
 
             assertThat(wrong.code()).isEqualTo(ErrorCode.INVALID_SETTINGS);
         }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryScenario.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryScenario.java
@@ -20,7 +20,8 @@
     static final double RATIO = 0.2;
     static final int SLACK = 84;
 
-    private static final RetryBudget BUDGET = new RetryBudget(RATIO, WINDOW_MILLIS, SLACK);
+    private static final FleetRetryBudget BUDGET =
+            new FleetRetryBudget(RATIO, WINDOW_MILLIS, SLACK);
     private static final ServiceId SERVICE = ServiceId.of("service");
     private static final long MOST_UNDER_WAY_MILLIS = 700;
 
@@ -168,7 +169,7 @@
         }
 
         void reload() {
-            allowances.limit(new RetryBudget(RATIO, WINDOW_MILLIS, SLACK - random.nextInt(2)));
+            allowances.limit(new FleetRetryBudget(RATIO, WINDOW_MILLIS, SLACK - random.nextInt(2)));
         }
 
         void heard(List<Member> list, long agoMillis) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -19,7 +19,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.copies.DemandBook;
-import org.tamaracktrack.core.dispatch.RetryBudget;
+import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
@@ -92,7 +92,7 @@
             InetSocketAddress readiness,
             String readinessPath,
             DataCentreId dataCentre,
-            RetryBudget retryBudget) {}
+            FleetRetryBudget retryBudget) {}
 
     /**
      * Starts a gateway. It is ready once it has a configuration and the fleet.
@@ -333,7 +333,7 @@
      *
      * @param retryBudget the bound
      */
-    public void limit(RetryBudget retryBudget) {
+    public void limit(FleetRetryBudget retryBudget) {
         thread.execute(() -> services.limit(retryBudget));
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -10,10 +10,10 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.CallerWaits;
+import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.RecentlyUsed;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.RetryAllowances;
-import org.tamaracktrack.core.dispatch.RetryBudget;
 import org.tamaracktrack.core.dispatch.TargetChooser;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
@@ -55,7 +55,7 @@
             XnioIoThread thread,
             CallerDialect dialect,
             TargetChooser chooser,
-            RetryBudget retryBudget,
+            FleetRetryBudget retryBudget,
             GatewayMetrics metrics,
             BooleanSupplier leaving,
             RandomGenerator random) {
@@ -137,7 +137,7 @@
         execute(() -> allowances.listed(daemons, atMillis, nowMillis(), dayMillis()));
     }
 
-    void limit(RetryBudget newer) {
+    void limit(FleetRetryBudget newer) {
         allowances.limit(newer);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -127,7 +127,13 @@
                         + ended.allowance().requests()
                         + " window_repeats="
                         + ended.allowance().repeats()
-                        + " repeats_left="
-                        + Math.floor(ended.allowance().left() * TENTHS) / TENTHS);
+                        + " credit_left="
+                        + tenths(ended.allowance().credit())
+                        + " slack_left="
+                        + tenths(ended.allowance().slack()));
+    }
+
+    private static double tenths(double figure) {
+        return Math.floor(figure * TENTHS) / TENTHS;
     }
 }
