--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -16,10 +16,10 @@
  */
 public final class RetryAllowance {
     /** Kept back, since callers move and other daemons' windows end at other moments. */
-    private static final double MARGIN = 0.8;
+    private static final double MARGIN = 0.85;
 
     /** How long after it was taken a repeat may still reach its target, in milliseconds. */
-    private static final long UNDER_WAY_MILLIS = 1_000;
+    private static final long MOST_UNDER_WAY_MILLIS = 1_000;
 
     /** What came while the process stood still is read within this time, in milliseconds. */
     private static final long BACKLOG_MILLIS = 1_000;
@@ -142,7 +142,11 @@
     private double earned() {
         return budget.ratio()
                 * budget.windowMillis()
-                / (budget.windowMillis() + lifetimeMillis() + UNDER_WAY_MILLIS);
+                / (budget.windowMillis() + lifetimeMillis() + underWayMillis());
+    }
+
+    private long underWayMillis() {
+        return Math.min(MOST_UNDER_WAY_MILLIS, budget.windowMillis() / 4);
     }
 
     private long lifetimeMillis() {
@@ -176,7 +180,10 @@
 
     private void forget(long nowMillis) {
         long window = budget.windowMillis();
-        while (!requests.isEmpty() && nowMillis - requests.peekFirst() > window) {
+        // Shorter for requests than for repeats, since a repeat may arrive in a later window than
+        // the request that it was earned by.
+        while (!requests.isEmpty()
+                && nowMillis - requests.peekFirst() > window - underWayMillis()) {
             requests.removeFirst();
         }
         while (!credits.isEmpty() && nowMillis - credits.peekFirst() > lifetimeMillis()) {
@@ -184,7 +191,7 @@
             spentOfOldest = 0;
         }
         while (!repeats.isEmpty()
-                && nowMillis - repeats.peekFirst().atMillis() > window + UNDER_WAY_MILLIS) {
+                && nowMillis - repeats.peekFirst().atMillis() > window + underWayMillis()) {
             repeats.removeFirst();
         }
     }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
@@ -53,6 +53,18 @@
             assertThat(takeAll(OTHER, 1_000, 1_000)).isEqualTo(0);
         }
 
+        // Guards against repeats of two bursts that come together in a window which has the
+        // requests of one.
+        @Test
+        void shouldStayWithinTheRatioOfTheWindowBetweenTwoBursts() {
+            requests(400, 9_500);
+            int taken = takeAll(SERVICE, 10_000, 10_000);
+            requests(400, 19_990);
+            taken += takeAll(SERVICE, 19_990, 19_990);
+
+            assertThat(taken).isAtMost(80);
+        }
+
         // Guards against a window's worth at each daemon to which callers move in turn.
         @Test
         void shouldLapseAfterHalfAWindow() {
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryScenario.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryScenario.java
@@ -31,7 +31,8 @@
     private static final long TICK_MILLIS = 500;
     private static final long SILENT_MILLIS = 2_500;
     private static final long MOST_LAG_MILLIS = 300;
-    private static final double[] RATES = {5, 60, 500, 2_200};
+    private static final int CHANGES = 7;
+    private static final double[] RATES = {0, 5, 60, 500, 2_200};
 
     private final Random random;
     private final boolean changes;
@@ -39,6 +40,8 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((one, other) -> Long.compare(one.atMillis, other.atMillis));
     private final List<Member> members = new ArrayList<>();
+    private final int usualChange;
+    private final boolean repeatsAtOnce;
     private final List<Span> bursts;
     private final List<Span> refusals;
     private final Counts requests = new Counts();
@@ -52,8 +55,10 @@
         this.random = random;
         this.changes = changes;
         this.rate = RATES[random.nextInt(RATES.length)];
+        this.usualChange = random.nextInt(CHANGES);
+        this.repeatsAtOnce = random.nextBoolean();
         this.bursts = spans(3, 5_000);
-        this.refusals = spans(3, 15_000);
+        this.refusals = spans(3, 25_000);
         IntStream.range(0, daemons).forEach(number -> at(random.nextInt(300), this::start));
     }
 
@@ -158,9 +163,9 @@
             }
         }
 
-        void repeatAll() {
+        void repeatAll(long underWayMillis) {
             while (allowance().take(steadyMillis())) {
-                repeats.add(nowMillis + random.nextLong(MOST_UNDER_WAY_MILLIS));
+                repeats.add(nowMillis + underWayMillis);
             }
         }
 
@@ -222,14 +227,16 @@
                             requests.add(nowMillis);
                             choose(random.nextDouble() * whole).request();
                         });
+        // A slow moment at the targets delays the repeats of all daemons alike.
+        long underWayMillis = random.nextInt(20) == 0 ? MOST_UNDER_WAY_MILLIS : 0;
         boolean refusing = refusals.stream().anyMatch(span -> span.holds(nowMillis));
         members.stream()
                 .filter(member -> !member.frozen())
                 .forEach(
                         member -> {
                             member.read();
-                            if (refusing && random.nextBoolean()) {
-                                member.repeatAll();
+                            if (refusing && (repeatsAtOnce || random.nextInt(40) == 0)) {
+                                member.repeatAll(underWayMillis);
                             }
                         });
     }
@@ -285,7 +292,7 @@
             return;
         }
         List<Member> some = some();
-        switch (random.nextInt(7)) {
+        switch (random.nextInt(3) == 0 ? random.nextInt(CHANGES) : usualChange) {
             case 0 -> some.forEach(this::restart);
             case 1 -> some.subList(0, some.size() / 2).forEach(this::end);
             case 2 -> some.forEach(this::replace);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -205,7 +205,7 @@
     /** Takes a newer view; for any thread. */
     void update(GatewayView newer) {
         view = newer;
-        thread.execute(
+        execute(
                 () -> {
                     loads.keep(newer.fleet());
                     waiting.retry();
