--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
@@ -53,7 +53,7 @@
          * This daemon is on the holder's list.
          *
          * @param daemons how many daemons are on it
-         * @param atMillis when it was true at the latest, by the steady clock of this process
+         * @param atMillis a time, by the steady clock of this process, at which it was still true
          */
         void onListed(int daemons, long atMillis);
     }
