--- a/daemon/src/main/java/org/tamaracktrack/daemon/runtime/ControlThread.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/runtime/ControlThread.java
@@ -11,6 +11,9 @@
 public final class ControlThread implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(ControlThread.class);
 
+    /** What a task may take before others that wait behind it are late, in milliseconds. */
+    private static final long LONG_TASK_MILLIS = 250;
+
     private final ScheduledExecutorService executor;
 
     private ControlThread(ScheduledExecutorService executor) {
@@ -88,14 +91,24 @@
     // while traffic goes on; logged and swallowed, the next tick runs.
     private static Runnable guarded(Runnable task) {
         return () -> {
+            long startedMillis = nowMillis();
             try {
                 task.run();
             } catch (RuntimeException failure) {
                 LOG.errorf(failure, "event=control-task-failed");
             }
+            noteLength(nowMillis() - startedMillis, task);
         };
     }
 
+    private static void noteLength(long ranMillis, Runnable task) {
+        if (ranMillis > LONG_TASK_MILLIS) {
+            LOG.infof(
+                    "event=control-task-long ran_ms=%d task=%s",
+                    ranMillis, task.getClass().getName());
+        }
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
