--- /dev/null
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LastMomentTest.java
@@ -0,0 +1,235 @@
+package org.tamaracktrack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.dispatch.FleetRetryBudget;
+import org.tamaracktrack.core.fleet.Fleet;
+import org.tamaracktrack.core.fleet.TargetAddress;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.route.CallerLimits;
+import org.tamaracktrack.core.route.Route;
+import org.tamaracktrack.core.route.RouteKind;
+import org.tamaracktrack.core.route.RouteTable;
+import org.tamaracktrack.core.route.ServiceSpecification;
+import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.core.route.WeightedService;
+import org.tamaracktrack.daemon.relay.TestWorker;
+import org.tamaracktrack.link.http.HttpAnswer;
+import org.tamaracktrack.link.http.HttpCall;
+import org.tamaracktrack.link.http.HttpCaller;
+import org.tamaracktrack.link.http.HttpFailure;
+import org.tamaracktrack.link.http.HttpListener;
+import org.tamaracktrack.link.http.HttpStream;
+import org.xnio.XnioWorker;
+
+/** What is asked right before the first byte of a request leaves. */
+class LastMomentTest {
+    private static final ServiceId SERVICE = ServiceId.of("plain");
+    private static final DataCentreId HOME = DataCentreId.of("home");
+
+    private final BlockingQueue<Sending> sendings = new LinkedBlockingQueue<>();
+    private XnioWorker worker;
+    private DefaultByteBufferPool buffers;
+    private Gateway gateway;
+
+    /** A call that waits for a connection. */
+    private record Sending(HttpCall call, BooleanSupplier maySend, HttpListener listener) {}
+
+    /** Leaves each call waiting for its connection. */
+    private final class WaitingCaller implements HttpCaller {
+        @Override
+        public HttpAnswer call(HttpCall call) {
+            throw new AssertionError("nobody waits for an answer here");
+        }
+
+        @Override
+        public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
+            sendings.add(new Sending(call, maySend, listener));
+            return new HttpStream() {
+                @Override
+                public void pause() {
+                    // Nothing flows.
+                }
+
+                @Override
+                public void resume() {
+                    // As above.
+                }
+
+                @Override
+                public void cancel() {
+                    // As above.
+                }
+            };
+        }
+
+        @Override
+        public CompletableFuture<Boolean> refusesConnections(
+                InetSocketAddress address, long limitMillis) {
+            return CompletableFuture.completedFuture(false);
+        }
+
+        @Override
+        public void close() {
+            // Nothing is open.
+        }
+    }
+
+    /** Headers that say nothing. */
+    private static final class PlainDialect implements CallerDialect {
+        @Override
+        public Optional<RequestFacts> request(HeaderMap headers) {
+            return Optional.of(
+                    new RequestFacts(
+                            "a1",
+                            OptionalLong.empty(),
+                            Optional.empty(),
+                            0,
+                            List.of(),
+                            Optional.empty()));
+        }
+
+        @Override
+        public Map<String, String> toTarget(HeaderMap headers, Send send) {
+            return Map.of();
+        }
+
+        @Override
+        public AnswerFacts answer(int status, Map<String, String> headers) {
+            return new AnswerFacts(Optional.of("a1"), true, false, Optional.empty(), false);
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        worker = TestWorker.start();
+        buffers = new DefaultByteBufferPool(false, 4_096);
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        gateway =
+                Gateway.start(
+                        new Gateway.Place(
+                                anyPort,
+                                anyPort,
+                                "/ready",
+                                HOME,
+                                new FleetRetryBudget(10, 10_000, 50)),
+                        worker,
+                        buffers,
+                        new WaitingCaller(),
+                        new PlainDialect(),
+                        new SimpleMeterRegistry(),
+                        new SplittableRandom(1));
+        gateway.configure(configuration());
+        gateway.fleet(fleet(false));
+    }
+
+    @AfterEach
+    void close() {
+        gateway.close();
+        worker.shutdownNow();
+        buffers.close();
+    }
+
+    private static ServingConfiguration configuration() {
+        Route route =
+                new Route(
+                        "lookup",
+                        "example",
+                        "/lookup/",
+                        RouteKind.IDEMPOTENT,
+                        false,
+                        Duration.ofSeconds(10).toMillis(),
+                        500,
+                        0,
+                        2,
+                        List.of(new WeightedService(SERVICE, 1)));
+        return new ServingConfiguration(
+                1,
+                RouteTable.of(List.of(route)),
+                Map.of(SERVICE, new ServiceSpecification(SERVICE, Optional.empty())),
+                new CallerLimits(10_000));
+    }
+
+    private static Fleet fleet(boolean leaving) {
+        TargetEntry one = entry("r1", leaving);
+        TargetEntry two = entry("r2", false);
+        return leaving
+                ? Fleet.of(Map.of(one.incarnation().target(), one, two.incarnation().target(), two))
+                : Fleet.of(Map.of(one.incarnation().target(), one));
+    }
+
+    private static TargetEntry entry(String name, boolean leaving) {
+        return new TargetEntry(
+                new TargetIncarnation(TargetId.of(name), 0),
+                SERVICE,
+                new TargetAddress("127.0.0.1", 9),
+                HOME,
+                8,
+                leaving,
+                leaving ? 2 : 1,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
+    private Socket lookup() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(gateway.callersAddress());
+        socket.getOutputStream()
+                .write(
+                        "GET /lookup/ HTTP/1.1\r\nHost: example\r\nContent-Length: 0\r\n\r\n"
+                                .getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private Sending sending() throws InterruptedException {
+        Sending sending = sendings.poll(10, TimeUnit.SECONDS);
+        assertThat(sending).isNotNull();
+        return sending;
+    }
+
+    // Guards against a request that waits for a connection while its target says that it leaves,
+    // and is sent there long after.
+    @Test
+    void shouldSendNothingWhenTheTargetHasLeftWhileTheConnectionWasOpened() throws Exception {
+        try (Socket inTime = lookup();
+                Socket late = lookup()) {
+            Sending first = sending();
+            Sending second = sending();
+            assertThat(first.maySend().getAsBoolean()).isTrue();
+
+            gateway.fleet(fleet(true));
+
+            assertThat(second.maySend().getAsBoolean()).isFalse();
+            worker.getIoThread().execute(() -> second.listener().onFailure(HttpFailure.NOT_SENT));
+            assertThat(sending().maySend().getAsBoolean()).isTrue();
+        }
+    }
+}
