Check the age of what is known where it is acted on

Callers' requests reached targets 3.5 and 3.8 s after the store had acknowledged that they leave (bound 3.0 s), from one daemon that was held up. Cause: the promise was kept as a sum of steps, some without a bound, and nothing looked at how old the registry's knowledge was when a request was sent; its age was only logged. Ruled out: an entry passed over, an address used again (two targets, one daemon, both until it was ready again).

Change: Knowledge (up to when all is known), KnowledgeBound (the promised time less a fifth for the way), KnowledgeGate (waits shortly for a fresh read, then 503 OUTDATED, not run, not ready), asked on arrival, at the choice and last before bytes leave, where the target must be in the fleet of that moment. The gate would open just when it is needed if the daemon's own late reads counted as an outage of the store, so they don't: SchedulingDelay and DelayMonitor tell whether its threads ran in time, and a time limit that a late thread comes to first looks at the socket once more.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/AttemptEnd.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/AttemptEnd.java
@@ -4,6 +4,10 @@
 public enum AttemptEnd {
     /** No connection could be opened: the target saw nothing. */
     NOT_SENT,
+    /**
+     * It was kept back at the last moment: the target leaves, or what is known of it is too old.
+     */
+    WITHHELD,
     /** The target said that it did not run the request. */
     REFUSED,
     /** The target answered with a failure of its own, after it ran the request. */
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailureRule.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailureRule.java
@@ -85,7 +85,7 @@
     }
 
     private static Payment pay(AttemptEnd end, RetryAllowance allowance, long nowMillis) {
-        if (end == AttemptEnd.NOT_SENT) {
+        if (end == AttemptEnd.NOT_SENT || end == AttemptEnd.WITHHELD) {
             return Payment.FREE;
         }
         return allowance.take(nowMillis) ? Payment.PAID : Payment.DENIED;
@@ -113,6 +113,7 @@
         }
         return switch (end) {
             case NOT_SENT -> history.notSent() < MOST_NOT_SENT;
+            case WITHHELD -> true;
             case REFUSED ->
                     history.refusals() < MOST_REFUSALS
                             && history.mayHaveRun() < route.maximumAttempts();
--- a/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
+++ b/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
@@ -28,6 +28,8 @@
     MODEL_NOT_RESIDENT(503, Ran.NO, true),
     /** The target or the entry daemon takes no new work. */
     LEAVING(503, Ran.NO, true),
+    /** What the process knows is too old to decide about requests. */
+    OUTDATED(503, Ran.NO, true),
     /** The process has no configuration yet. */
     NOT_READY(503, Ran.NO, true),
     /** The connection to the target could not be opened, so nothing was sent. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -145,10 +145,22 @@
     // that this request is allowed.
     private void dispatch() {
         if (!refusedAsHeld()) {
+            services.gate().whenOpen(this::chooseAndSend, this::refuseAsOutdated);
+        }
+    }
+
+    private void chooseAndSend() {
+        if (!done) {
             choose().ifPresentOrElse(this::sendUnlessTooLate, this::noTarget);
         }
     }
 
+    private void refuseAsOutdated() {
+        if (!done) {
+            refuseOrGiveUp(ErrorCode.OUTDATED, "outdated");
+        }
+    }
+
     private Optional<TargetChooser.Choice> choose() {
         return services.chooser()
                 .choose(
@@ -185,7 +197,6 @@
 
     private void send(TargetEntry entry) {
         tried.add(entry.incarnation().target());
-        registryAgeMillis = services.registryAgeMillis();
         long leftMillis = leftMillis();
         Map<String, String> outgoing =
                 services.dialect()
@@ -233,7 +244,7 @@
 
     /** Tries again, since the fleet changed. */
     void retryWaiting() {
-        if (done || refusedAsHeld()) {
+        if (done || services.gate().closed() || refusedAsHeld()) {
             return;
         }
         Optional<TargetChooser.Choice> choice = choose();
@@ -365,6 +376,11 @@
         answer.whole(status, answerHeaders, answerBody);
     }
 
+    @Override
+    public void onSending() {
+        registryAgeMillis = services.registryAgeMillis();
+    }
+
     @Override
     public void onTargetBroken(boolean ran) {
         attempt.ifPresent(broken -> suspicion.broke(broken.entry(), ran));
@@ -384,6 +400,9 @@
         attempt = Optional.empty();
         events.dropPart();
         count(end);
+        if (end == AttemptEnd.WITHHELD) {
+            target.map(entry -> entry.incarnation().target()).ifPresent(tried::remove);
+        }
         RetryAllowance allowance = services.allowance(work.service());
         FailureRule.Verdict verdict =
                 FailureRule.next(
@@ -412,6 +431,9 @@
         switch (end) {
             case NOT_SENT -> notSent++;
             case REFUSED -> refusals++;
+            case WITHHELD -> {
+                // Nobody had the request, and nobody refused it.
+            }
             default -> mayHaveRun++;
         }
     }
@@ -439,12 +461,16 @@
     }
 
     private void refuseOrGiveUp(String reason) {
+        refuseOrGiveUp(ErrorCode.NO_TARGET, reason);
+    }
+
+    private void refuseOrGiveUp(ErrorCode refusal, String reason) {
         if (answer.begun()) {
             breakOff();
         } else if (mayHaveRun > 0) {
             fail(ErrorCode.OUTCOME_UNKNOWN, reason);
         } else {
-            fail(ErrorCode.NO_TARGET, reason);
+            fail(refusal, reason);
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.knowledge.KnowledgeBound;
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.load.Datagrams;
@@ -181,7 +182,10 @@
 
     private static boolean ready(GatewayServices services, Leaving leaving) {
         GatewayView view = services.view();
-        return !leaving.getAsBoolean() && view.configuration().isPresent() && view.fleetKnown();
+        return !leaving.getAsBoolean()
+                && view.configuration().isPresent()
+                && view.fleetKnown()
+                && !services.gate().refuses();
     }
 
     // A request taken late in a planned stop would still run when the process has to end, and be
@@ -304,6 +308,18 @@
         services.registryAge(ageMillis);
     }
 
+    /**
+     * Watches how old a part of what decides about requests is. While it is too old they wait for a
+     * fresh read for a moment, and are then refused as not run.
+     *
+     * @param name names it in the log
+     * @param bound how old it may be
+     * @param source knows how old it is
+     */
+    public void watch(String name, KnowledgeBound bound, KnowledgeSource source) {
+        services.gate().watch(name, bound, source);
+    }
+
     /**
      * Names who hears of targets that ended, and of what they had.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -1,6 +1,7 @@
 package org.tamaracktrack.daemon.gateway;
 
 import io.undertow.io.Receiver;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -47,6 +48,10 @@
             Refusals.answer(exchange, ErrorCode.LEAVING);
             return;
         }
+        if (services.gate().closed()) {
+            hold(exchange);
+            return;
+        }
         Optional<Route> route =
                 configuration.get().routes().find(host(exchange), exchange.getRequestURI());
         if (route.isEmpty()) {
@@ -61,6 +66,19 @@
         read(exchange, configuration.get(), route.get(), facts.get());
     }
 
+    // Routed by an old configuration a request may be refused for good, or run where it no longer
+    // belongs.
+    private void hold(HttpServerExchange exchange) {
+        count(exchange);
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () ->
+                        services.gate()
+                                .whenOpen(
+                                        () -> Connectors.executeRootHandler(this, exchange),
+                                        () -> Refusals.answer(exchange, ErrorCode.OUTDATED)));
+    }
+
     private static String host(HttpServerExchange exchange) {
         String host =
                 Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST)).orElse("");
@@ -79,12 +97,7 @@
             Refusals.answer(exchange, ErrorCode.BODY_TOO_LARGE);
             return;
         }
-        inProgress.incrementAndGet();
-        exchange.addExchangeCompleteListener(
-                (ended, next) -> {
-                    inProgress.decrementAndGet();
-                    next.proceed();
-                });
+        count(exchange);
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(mostBytes);
         receiver.receiveFullBytes(
@@ -104,6 +117,15 @@
                 (same, failure) -> Refusals.answer(exchange, ErrorCode.BODY_TOO_LARGE));
     }
 
+    private void count(HttpServerExchange exchange) {
+        inProgress.incrementAndGet();
+        exchange.addExchangeCompleteListener(
+                (ended, next) -> {
+                    inProgress.decrementAndGet();
+                    next.proceed();
+                });
+    }
+
     private void forward(HttpServerExchange exchange, ForwardedRequest.Accepted accepted) {
         ForwardedRequest.start(
                 services, exchange, CallerConnection.of(exchange, connections), accepted);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -15,6 +15,7 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.RetryAllowances;
 import org.tamaracktrack.core.dispatch.TargetChooser;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quarantine.Quarantine;
@@ -45,6 +46,8 @@
     private final Map<String, CallerWaits> waits = RecentlyUsed.of(MOST_ROUTES);
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
     private final EndedTargets endedTargets = new EndedTargets(this);
+    private final KnowledgeGate gate =
+            new KnowledgeGate(this, GatewayServices::dayMillis, waiting::retry);
     private Runnable loadsChanged = () -> {};
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
@@ -170,6 +173,23 @@
         return endedTargets;
     }
 
+    KnowledgeGate gate() {
+        return gate;
+    }
+
+    /**
+     * Whether a request may be sent to a target, by what is known at this moment. The target may
+     * have said that it leaves since it was chosen.
+     */
+    boolean mayReach(TargetIncarnation target) {
+        return !gate.closed()
+                && view.fleet()
+                        .entry(target.target())
+                        .filter(entry -> entry.incarnation().equals(target))
+                        .filter(entry -> !entry.leaving())
+                        .isPresent();
+    }
+
     /** Runs a task on the traffic thread, unless that ends; for any thread. */
     void execute(Runnable task) {
         unlessClosed(() -> thread.execute(task));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -2,9 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.knowledge.Knowledge;
+import org.tamaracktrack.core.knowledge.KnowledgeBound;
 import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
@@ -21,10 +26,8 @@
  * come from the holder of the lease, which passes on what it reads; from reads of its own when it
  * hears nothing of the holder, or not everything. On the control thread.
  */
-public final class KeyedFollower {
+public final class KeyedFollower implements KnowledgeSource {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.topics");
-    private static final long FIRST_RETRY_MILLIS = 100;
-    private static final long MOST_RETRY_MILLIS = 800;
 
     /**
      * How long a read of the holder waits: each tells the other daemons that there is nothing new.
@@ -34,6 +37,9 @@
     /** Records that are heard of this long after the partition was last known whole are logged. */
     private static final long LATE_MILLIS = 1_000;
 
+    /** How often the age of what is known is looked at. */
+    private static final long LOOK_MILLIS = 100;
+
     private static final long NOT_LISTED = -1;
 
     private final TopicClient topics;
@@ -42,14 +48,15 @@
     private final Listener listener;
     private final Pace pace;
     private final RecordRelay relay;
+    private final Watch watch;
+    private final StoreContact contact;
+    private final AtomicBoolean refreshing = new AtomicBoolean();
     private final List<KeyedRecord> listing = new ArrayList<>();
     private long next = NOT_LISTED;
     private long listedAt;
-    private long askedAtMillis;
-    private long firstPageAskedAtMillis;
-    private long retryMillis = FIRST_RETRY_MILLIS;
-    private boolean away;
-    private boolean needsTime;
+    private Moment asked = Moment.now();
+    private Moment firstPageAsked = asked;
+    private boolean relayFellQuiet;
     private boolean busy;
     private boolean checking;
     private long generation;
@@ -61,13 +68,6 @@
     /** The same, and kept when the connection to the holder is lost. */
     private long heardAtMillis = Long.MIN_VALUE / 2;
 
-    private long awayAtMillis;
-    private long returnedAtMillis;
-    private boolean holderWasAnswered;
-
-    /** Every record that was written before this time is known. */
-    private long wholeAtMillis = Long.MIN_VALUE / 2;
-
     private boolean reliesOnHolder;
 
     /** Hears of records, on the control thread. */
@@ -112,6 +112,22 @@
      */
     public record Pace(long waitMillis, long gapMillis) {}
 
+    /**
+     * When to ask for a fresh read, and what to make of one that fails.
+     *
+     * @param bound how old what is known may become
+     * @param punctualSince whether this process's threads have run in time since a moment by the
+     *     steady clock; a read that failed while they did not tells nothing of the store
+     */
+    public record Watch(KnowledgeBound bound, LongPredicate punctualSince) {
+
+        /** Checks the arguments. */
+        public Watch {
+            Objects.requireNonNull(bound, "bound is null");
+            Objects.requireNonNull(punctualSince, "punctualSince is null");
+        }
+    }
+
     /** What the holder of the lease passes on. */
     private final class Relayed implements RecordRelay.Reader {
         @Override
@@ -122,11 +138,11 @@
             if (next == NOT_LISTED) {
                 return;
             }
-            holderHasRead(wholeAtMillis);
+            contact.holderHasRead(wholeAtMillis);
             // With a gap before the batch, the records are read of the store.
             if (batch.from() <= next) {
                 deliver(batch, "relay");
-                whole(batch, wholeAtMillis);
+                whole(batch, Moment.now().at(wholeAtMillis));
             }
             follow();
         }
@@ -134,44 +150,27 @@
         @Override
         public void onLost() {
             relayedAtMillis = Long.MIN_VALUE / 2;
-            holderWasAnswered = false;
+            contact.holderLost();
             follow();
         }
     }
 
-    // The holder may have asked before the store's return and been answered after it; what it read
-    // next it asked for after that answer. A host that was cut off alone learns so that the store
-    // was never away, and does not keep a target that left meanwhile as one that has lapsed.
-    private void holderHasRead(long wholeAtMillis) {
-        if (wholeAtMillis <= awayAtMillis) {
-            return;
-        }
-        back();
-        if (holderWasAnswered && wholeAtMillis < returnedAtMillis) {
-            returnedAtMillis = wholeAtMillis;
-            LOG.info(
-                    "event=store-back-earlier part="
-                            + part
-                            + " before_ms="
-                            + (ControlThread.nowMillis() - wholeAtMillis));
-            listener.onBack(wholeAtMillis);
-        }
-        holderWasAnswered = true;
-    }
-
     private KeyedFollower(
             TopicClient topics,
             TopicPart part,
             ControlThread control,
             Pace pace,
             Listener listener,
-            RecordRelay relay) {
+            RecordRelay relay,
+            Watch watch) {
         this.topics = topics;
         this.part = part;
         this.control = control;
         this.pace = pace;
         this.listener = listener;
         this.relay = relay;
+        this.watch = watch;
+        this.contact = new StoreContact(part, listener, watch);
     }
 
     /**
@@ -183,21 +182,78 @@
      * @param pace how often to read
      * @param listener hears of records
      * @param relay passes on what the holder of the lease reads
+     * @param watch when to ask for a fresh read, and what to make of one that fails
+     * @return the follower
      */
-    public static void start(
+    public static KeyedFollower start(
             TopicClient topics,
             TopicPart part,
             ControlThread control,
             Pace pace,
             Listener listener,
-            RecordRelay relay) {
-        KeyedFollower follower = new KeyedFollower(topics, part, control, pace, listener, relay);
+            RecordRelay relay,
+            Watch watch) {
+        KeyedFollower follower =
+                new KeyedFollower(topics, part, control, pace, listener, relay, watch);
         topics.era().onRestored(() -> control.post(follower::restored));
         control.post(
                 () -> {
                     relay.onRecords(part, follower.new Relayed());
                     follower.list();
                 });
+        control.every(LOOK_MILLIS, follower::refreshIfOld);
+        return follower;
+    }
+
+    @Override
+    public Knowledge knowledge() {
+        return contact.knowledge();
+    }
+
+    @Override
+    public void refresh() {
+        if (refreshing.compareAndSet(false, true)) {
+            control.post(this::readNow);
+        }
+    }
+
+    private void refreshIfOld() {
+        Knowledge known = knowledge();
+        boolean old =
+                watch.bound()
+                        .refreshes(known, ControlThread.nowMillis(), System.currentTimeMillis());
+        if (old && !known.storeAway()) {
+            refresh();
+        }
+    }
+
+    // Beside the read that waits for records, and without waiting: what is acted on may not become
+    // older while that one hangs on a connection that fell silent.
+    private void readNow() {
+        if (next == NOT_LISTED) {
+            refreshing.set(false);
+            return;
+        }
+        Moment askedNow = Moment.now();
+        long planned = generation;
+        topics.read(part, next, 0)
+                .thenAccept(
+                        answer ->
+                                control.post(
+                                        () -> {
+                                            refreshing.set(false);
+                                            ifNow(planned, () -> refreshed(answer, askedNow));
+                                        }));
+    }
+
+    private void refreshed(TopicAnswer<RecordBatch> answer, Moment askedNow) {
+        if (answer instanceof TopicAnswer.Done<RecordBatch> done) {
+            contact.back();
+            take(done.value(), askedNow, "refresh");
+        } else if (!(answer instanceof TopicAnswer.Expired<RecordBatch>)
+                && askedNow.steadyMillis() >= heardAtMillis) {
+            contact.failed(answer, askedNow);
+        }
     }
 
     // Offsets go back and are given out again. Followed from where it was, the partition would
@@ -211,12 +267,7 @@
         checking = false;
         relayedNext = 0;
         relayedAtMillis = Long.MIN_VALUE / 2;
-        holderWasAnswered = false;
-        if (!away) {
-            away = true;
-            awayAtMillis = ControlThread.nowMillis();
-            listener.onAway();
-        }
+        contact.restored();
         list();
     }
 
@@ -239,9 +290,9 @@
     }
 
     private void readPage(String afterKey, boolean first) {
-        askedAtMillis = ControlThread.nowMillis();
+        asked = Moment.now();
         if (first) {
-            firstPageAskedAtMillis = askedAtMillis;
+            firstPageAsked = asked;
         }
         long planned = generation;
         topics.newest(part, afterKey)
@@ -254,7 +305,7 @@
             retry(answer, this::list);
             return;
         }
-        back();
+        contact.back();
         NewestPage page = done.value();
         if (first) {
             // Pages are no snapshot. Following from the end at the first page, a change between
@@ -269,7 +320,7 @@
         listener.onListing(List.copyOf(listing));
         listing.clear();
         next = listedAt;
-        wholeAt(firstPageAskedAtMillis);
+        contact.wholeAt(firstPageAsked);
         follow();
     }
 
@@ -285,10 +336,15 @@
         }
         if (reliesOnHolder) {
             reliesOnHolder = false;
-            LOG.info("event=relay-quiet part=" + part + " whole_before_ms=" + wholeBeforeMillis());
+            relayFellQuiet = true;
+            LOG.info(
+                    "event=relay-quiet part="
+                            + part
+                            + " whole_before_ms="
+                            + contact.wholeBeforeMillis());
         }
         busy = true;
-        askedAtMillis = ControlThread.nowMillis();
+        asked = Moment.now();
         long waitMillis = waitMillis();
         long planned = generation;
         topics.read(part, next, waitMillis)
@@ -302,10 +358,12 @@
     // have runs from the store's return; waiting, a read tells of it more than a second late, and
     // a target that left meanwhile gets requests for as much longer. If that one times out the
     // next waits: the less a read waits the sooner it is given up, and one that has much to fetch
-    // over a slow link would never end.
+    // over a slow link would never end. Nor does the read wait that follows the holder's silence,
+    // since what is known is old by then.
     private long waitMillis() {
-        if (away) {
-            return needsTime ? pace.waitMillis() : 0;
+        if (contact.failing() || relayFellQuiet) {
+            relayFellQuiet = false;
+            return contact.needsTime() ? pace.waitMillis() : 0;
         }
         return relay.holding() ? holderWaitMillis() : pace.waitMillis();
     }
@@ -313,7 +371,7 @@
     // Records end a read early, and only what was written before it was asked is sure to be among
     // them. The next read makes up for that, so that other daemons need not read themselves.
     private long holderWaitMillis() {
-        return Math.max(0, HOLDER_WAIT_MILLIS - Math.max(0, wholeBeforeMillis()));
+        return Math.max(0, HOLDER_WAIT_MILLIS - Math.max(0, contact.wholeBeforeMillis()));
     }
 
     private void checkAfter(long millis) {
@@ -346,65 +404,53 @@
             failed(answer);
             return;
         }
-        back();
+        contact.back();
         RecordBatch batch = done.value();
-        long wholeAtMillis = wholeAtMillis(batch, waitedMillis);
-        relay.publish(part, batch, wholeAtMillis);
-        if (batch.next() <= next) {
-            whole(batch, wholeAtMillis);
+        boolean nothingNew = batch.next() <= next;
+        boolean moreIsThere = batch.next() < batch.end();
+        take(batch, answeredAt(batch, waitedMillis), "read");
+        if (nothingNew || moreIsThere) {
             follow();
-            return;
+        } else {
+            pause(Math.max(1, pace.gapMillis()));
         }
-        deliver(batch, "read");
-        whole(batch, wholeAtMillis);
-        pause(Math.max(1, pace.gapMillis()));
+    }
+
+    /** Takes in what was read, and passes it on. */
+    private void take(RecordBatch batch, Moment at, String source) {
+        relay.publish(
+                part,
+                batch,
+                batch.next() < batch.end() ? Message.Records.UNKNOWN_MILLIS : at.steadyMillis());
+        deliver(batch, source);
+        whole(batch, at);
     }
 
     // A read that hangs in an outage ends by its time limit, up to two seconds later. Once the
     // holder has read the store since it was asked, it tells of an outage that is over. Taken for
     // a new one, what lapsed would be kept for as much longer.
     private void failed(TopicAnswer<RecordBatch> answer) {
-        if (askedAtMillis >= heardAtMillis) {
+        if (asked.steadyMillis() >= heardAtMillis) {
             retry(answer, this::follow);
             return;
         }
-        LOG.info("event=read-outdated " + describe(answer));
+        LOG.info("event=read-outdated " + contact.describe(answer, asked));
         follow();
     }
 
-    private String describe(TopicAnswer<?> answer) {
-        long askedBeforeMillis = ControlThread.nowMillis() - askedAtMillis;
-        return "part=" + part + " answer=" + answer + " asked_before_ms=" + askedBeforeMillis;
-    }
-
     // A read without records came back when its wait was over, however long its answer lay here.
-    private long wholeAtMillis(RecordBatch batch, long waitedMillis) {
-        if (batch.next() < batch.end()) {
-            return Message.Records.UNKNOWN_MILLIS;
-        }
-        long tookMillis = ControlThread.nowMillis() - askedAtMillis;
+    private Moment answeredAt(RecordBatch batch, long waitedMillis) {
         return batch.records().isEmpty()
-                ? askedAtMillis + Math.min(waitedMillis, tookMillis)
-                : askedAtMillis;
+                ? asked.at(asked.steadyMillis() + Math.min(waitedMillis, asked.agoMillis()))
+                : asked;
     }
 
-    private void whole(RecordBatch batch, long atMillis) {
+    private void whole(RecordBatch batch, Moment at) {
         if (batch.next() >= batch.end()) {
-            wholeAt(atMillis);
-        }
-    }
-
-    private void wholeAt(long atMillis) {
-        if (atMillis > wholeAtMillis) {
-            wholeAtMillis = atMillis;
-            listener.onWhole(atMillis);
+            contact.wholeAt(at);
         }
     }
 
-    private long wholeBeforeMillis() {
-        return ControlThread.nowMillis() - wholeAtMillis;
-    }
-
     // Records may be relayed while they are being read.
     private void deliver(RecordBatch batch, String source) {
         List<KeyedRecord> unread =
@@ -415,7 +461,7 @@
         if (unread.isEmpty()) {
             return;
         }
-        if (wholeBeforeMillis() > LATE_MILLIS) {
+        if (contact.wholeBeforeMillis() > LATE_MILLIS) {
             LOG.info(
                     "event=records-late part="
                             + part
@@ -424,9 +470,9 @@
                             + " records="
                             + unread.size()
                             + " whole_before_ms="
-                            + wholeBeforeMillis()
+                            + contact.wholeBeforeMillis()
                             + " asked_before_ms="
-                            + (ControlThread.nowMillis() - askedAtMillis));
+                            + asked.agoMillis());
         }
         listener.onRecords(unread);
     }
@@ -455,28 +501,7 @@
         return decoded;
     }
 
-    private void back() {
-        retryMillis = FIRST_RETRY_MILLIS;
-        if (away) {
-            away = false;
-            needsTime = false;
-            LOG.info("event=store-back part=" + part);
-            returnedAtMillis = ControlThread.nowMillis();
-            listener.onBack(returnedAtMillis);
-        }
-    }
-
     private void retry(TopicAnswer<?> answer, Runnable step) {
-        if (!away) {
-            away = true;
-            awayAtMillis = askedAtMillis;
-            holderWasAnswered = false;
-            LOG.warn("event=store-away " + describe(answer));
-            listener.onAway();
-        } else {
-            needsTime = !needsTime && answer instanceof TopicAnswer.Unknown<?>;
-        }
-        after(retryMillis, step);
-        retryMillis = Math.min(MOST_RETRY_MILLIS, 2 * retryMillis);
+        after(contact.retry(answer, asked), step);
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KnowledgeSource.java
@@ -0,0 +1,17 @@
+package org.tamaracktrack.daemon.gateway;
+
+import org.tamaracktrack.core.knowledge.Knowledge;
+
+/** Knows a part of the store. Safe for use by any thread. */
+public interface KnowledgeSource {
+
+    /**
+     * Returns how far what is known reaches.
+     *
+     * @return the knowledge
+     */
+    Knowledge knowledge();
+
+    /** Asks the store at once, unless that is under way. */
+    void refresh();
+}
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -59,6 +59,7 @@
     private int aheadTokens;
     private long heardMillis;
     private boolean streaming;
+    private boolean withheld;
 
     private enum Mode {
         NO_HEAD,
@@ -89,6 +90,9 @@
          */
         void onFailed(AttemptEnd end, Optional<TargetFailure> failure);
 
+        /** Its first byte is about to leave. */
+        void onSending();
+
         /**
          * The connection to the target broke; {@code onFailed} follows.
          *
@@ -160,7 +164,20 @@
                         sending.headers(),
                         sending.body(),
                         limits);
-        stream = Optional.of(services.http().stream(call, () -> !ended, this));
+        stream = Optional.of(services.http().stream(call, this::maySend, this));
+    }
+
+    // The target may have said that it leaves while a connection was opened, and this daemon may
+    // have been held up since it chose.
+    private boolean maySend() {
+        if (ended) {
+            return false;
+        }
+        withheld = !services.mayReach(entry.incarnation());
+        if (!withheld) {
+            listener.onSending();
+        }
+        return !withheld;
     }
 
     TargetEntry entry() {
@@ -311,18 +328,26 @@
         if (!end()) {
             return;
         }
+        if (withheld && failure == HttpFailure.NOT_SENT) {
+            failed(AttemptEnd.WITHHELD, Optional.empty());
+            return;
+        }
         AttemptEnd kind = kind(failure);
         if (kind == AttemptEnd.NOT_SENT) {
             load.unreachable(services.nowMillis());
         } else {
             load.answered(true, services.nowMillis());
         }
-        if (failure == HttpFailure.NO_ANSWER || failure == HttpFailure.ANSWER_CUT) {
+        if (brokenByTarget(failure)) {
             listener.onTargetBroken(hasRun());
         }
         failed(kind, Optional.empty());
     }
 
+    private boolean brokenByTarget(HttpFailure failure) {
+        return !withheld && (failure == HttpFailure.NO_ANSWER || failure == HttpFailure.ANSWER_CUT);
+    }
+
     // An engine answers from the first token on, and a request without an answer may have waited.
     // A plain service answers at the end, and hardly lets requests wait.
     private boolean hasRun() {
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.knowledge.KnowledgeBound;
 import org.tamaracktrack.daemon.relay.MemoryLog;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.relay.RelayPair;
@@ -26,6 +28,7 @@
     private final List<String> contact = new ArrayList<>();
     private final List<Long> returnedAtMillis = new ArrayList<>();
     private List<String> expectedContact = List.of();
+    private final AtomicBoolean punctual = new AtomicBoolean(true);
     private RelayPair pair;
 
     @BeforeEach
@@ -60,7 +63,9 @@
                                         returnedAtMillis.add(atMillis);
                                     }
                                 },
-                                pair.follower()));
+                                pair.follower(),
+                                new KeyedFollower.Watch(
+                                        KnowledgeBound.of(2_000), since -> punctual.get())));
         pair.await(log::hasWaitingRead);
     }
 
--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -31,6 +32,9 @@
 
 /** One call: opens or takes a connection, sends, reads. Its state belongs to one thread. */
 final class Exchange implements HttpStream {
+    /** A thread that is this late with a time limit is late with what it reads too. */
+    private static final long LATE_MILLIS = 50;
+
     private final HttpCall call;
     private final BooleanSupplier maySend;
     private final HttpListener listener;
@@ -129,15 +133,30 @@
             return;
         }
         connection = Optional.of(opened);
+        limit(call.timeoutMillis(), this::timeIsUp);
+        // From here on bytes may reach the server, so the call is no longer "not sent".
+        failureNow = HttpFailure.NO_ANSWER;
+        opened.sendRequest(request(), callback(this::sendBody));
+    }
+
+    private void limit(long millis, LongConsumer whenOver) {
+        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         timer =
                 Optional.of(
                         thread.executeAfter(
-                                () -> fail(HttpFailure.TIMED_OUT),
-                                call.timeoutMillis(),
+                                () -> whenOver.accept(System.nanoTime() - dueNanos),
+                                millis,
                                 TimeUnit.MILLISECONDS));
-        // From here on bytes may reach the server, so the call is no longer "not sent".
-        failureNow = HttpFailure.NO_ANSWER;
-        opened.sendRequest(request(), callback(this::sendBody));
+    }
+
+    // A thread that was held up comes to its timers before its sockets. Given up at once, an answer
+    // that has long been here would count as none, and the server as away.
+    private void timeIsUp(long lateNanos) {
+        if (TimeUnit.NANOSECONDS.toMillis(lateNanos) > LATE_MILLIS) {
+            limit(LATE_MILLIS, evenLater -> fail(HttpFailure.TIMED_OUT));
+        } else {
+            fail(HttpFailure.TIMED_OUT);
+        }
     }
 
     private ClientRequest request() {
@@ -177,7 +196,7 @@
         try {
             while (body.hasRemaining()) {
                 if (sink.write(body) == 0) {
-                    sink.getWriteSetter().set(channel -> write(sink, body));
+                    sink.getWriteSetter().set(channel -> writeOn(sink, body));
                     sink.resumeWrites();
                     return;
                 }
@@ -199,6 +218,15 @@
         }
     }
 
+    // A server takes a request whose body is long in coming when the last of it arrives.
+    private void writeOn(StreamSinkChannel sink, ByteBuffer body) {
+        if (maySend.getAsBoolean()) {
+            write(sink, body);
+        } else {
+            fail(failureNow);
+        }
+    }
+
     private void receiveHead(ClientExchange exchange) {
         if (ended) {
             return;
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -32,7 +32,8 @@
      * sending.
      *
      * @param call the call
-     * @param maySend asked once, right before the first byte is sent; on false nothing is sent
+     * @param maySend asked right before the first byte is sent; on false nothing is sent; see
+     *     {@link #stream(HttpCall, BooleanSupplier, HttpListener)}
      * @return the whole answer, whatever its status; fails with an {@link HttpCallException}
      */
     default CompletableFuture<HttpAnswer> send(HttpCall call, BooleanSupplier maySend) {
@@ -56,8 +57,10 @@
      * Makes a call and streams the answer, unless its time has passed by the moment of sending.
      *
      * @param call the call
-     * @param maySend asked once, right before the first byte is sent; on false nothing is sent and
-     *     the listener hears {@code NOT_SENT}
+     * @param maySend asked right before the first byte is sent; on false nothing is sent and the
+     *     listener hears {@code NOT_SENT}. Asked again before each further part of a body that
+     *     can't be sent at once; on false the connection is reset and the listener hears {@code
+     *     NO_ANSWER}
      * @param listener hears of the answer
      * @return the call under way
      */
--- a/link/src/main/java/org/tamaracktrack/link/topic/TopicAnswer.java
+++ b/link/src/main/java/org/tamaracktrack/link/topic/TopicAnswer.java
@@ -32,8 +32,9 @@
      * Nothing was done.
      *
      * @param why a reason for the log
+     * @param answered whether the store said so itself
      */
-    record Unavailable<T>(String why) implements TopicAnswer<T> {}
+    record Unavailable<T>(String why, boolean answered) implements TopicAnswer<T> {}
 
     /**
      * No answer came: an append may have taken effect, or may still.
