Bound what the relay has under way to all daemons together

The holder of the lease passed each batch on to every daemon, and only the 256 KB that may wait on each connection bounded it. Now a batch that was read of the store goes out with its records only if the link carries it and all that is under way to all followers within 200 ms (--link-megabits); otherwise they get a notice (from = end of the batch, no records, age unknown), on which KeyedFollower reads the store. What is under way is counted to leave at half the link's rate. A follower whose connection has more than its part waiting (at least 4 KB) gets a notice alone, so that one that is frozen neither takes the others' part nor is closed for a batch of more than 256 KB.

What stands in no partition (holdings, the list of daemons) goes out whole as before, as do records of the lease: a notice would lose the first two, and parts of them sent at once would wait on the same link. They count as under way, so that records of the store give way to them.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/relay/RecordRelay.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -51,10 +50,11 @@
 
     /**
      * A record is some hundred bytes, and a daemon that takes nothing for a while is better served
-     * by the store: 256 KB are about a minute of records of a large fleet.
+     * by the store.
      */
     private static final XnioFrameTransport.Format FORMAT =
-            new XnioFrameTransport.Format(new RecordsCodec(), 4 * 1024, 256L * 1024);
+            new XnioFrameTransport.Format(
+                    new RecordsCodec(), 4 * 1024, RelayLimits.CONNECTION_BYTES);
 
     /** How often a daemon tells the holder what its clock shows, in milliseconds. */
     private static final long READING_EVERY_MILLIS = 1_000;
@@ -71,7 +71,7 @@
     private final StoreEra era;
     private final Map<TopicPart, Reader> readers = new HashMap<>();
     private final Map<TopicPart, Consumer<byte[]>> receivers = new HashMap<>();
-    private final Map<Connection, Follower> followers = new HashMap<>();
+    private final Followers followers;
     private final List<Runnable> followerListeners = new ArrayList<>();
     private volatile boolean holding;
     private volatile Optional<Link> link = Optional.empty();
@@ -99,8 +99,10 @@
             XnioWorker worker,
             ControlThread control,
             Optional<InetSocketAddress> address,
-            StoreEra era) {
+            StoreEra era,
+            Followers followers) {
         this.era = era;
+        this.followers = followers;
         this.worker = worker;
         this.control = control;
         this.address = address;
@@ -113,18 +115,21 @@
      * @param control the thread that it belongs to
      * @param address where other daemons reach this one; empty when they can't
      * @param era the era of the store, which other daemons may hear of first
+     * @param limits how much it may have under way to other daemons
      * @return the relay
      */
     public static RecordRelay of(
             XnioWorker worker,
             ControlThread control,
             Optional<InetSocketAddress> address,
-            StoreEra era) {
+            StoreEra era,
+            RelayLimits limits) {
         Objects.requireNonNull(worker, "worker is null");
         Objects.requireNonNull(control, "control is null");
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(era, "era is null");
-        return new RecordRelay(worker, control, address, era);
+        Objects.requireNonNull(limits, "limits is null");
+        return new RecordRelay(worker, control, address, era, Followers.of(limits, era));
     }
 
     /**
@@ -200,8 +205,7 @@
      */
     public void holder(boolean self, Optional<Contact> other) {
         if (holding && !self) {
-            Set.copyOf(followers.keySet()).forEach(Connection::close);
-            followers.clear();
+            followers.close();
         }
         holding = self;
         Optional<Contact> wanted = self ? Optional.empty() : other;
@@ -244,57 +248,40 @@
     }
 
     /**
-     * Passes on what holds now, if this daemon holds the lease.
+     * Passes on what holds now, if this daemon holds the lease. It goes out whole whatever its
+     * size, since most of it stands nowhere else.
      *
      * @param part the partition
      * @param batch the records
      */
     public void publish(TopicPart part, RecordBatch batch) {
-        publish(part, batch, ControlThread.nowMillis());
+        if (holding) {
+            followers.send(part, batch, ControlThread.nowMillis());
+        }
     }
 
     /**
-     * Passes on what was read, if this daemon holds the lease.
+     * Passes on what was read of the store, if this daemon holds the lease. Where the link has no
+     * room for the records, the other daemons hear only that there is something to read.
      *
      * @param part the partition
      * @param batch the records; none when a read found nothing new
      * @param wholeAtMillis the time before which nothing was written beyond the records
      */
     public void publish(TopicPart part, RecordBatch batch, long wholeAtMillis) {
-        if (!holding) {
-            return;
+        if (holding) {
+            followers.sendIfRoom(part, batch, wholeAtMillis);
         }
-        // One that takes nothing any more is closed; it reads the store instead.
-        List.copyOf(followers.values()).stream()
-                .filter(follower -> !follower.send(part, batch, wholeAtMillis, era.newest()))
-                .map(Follower::connection)
-                .forEach(this::drop);
     }
 
     /**
-     * Another daemon, and what its clock showed when it was last heard of.
+     * Returns how many batches other daemons were told of without their records. May be asked by
+     * any thread.
      *
-     * <p>A batch may be long on its way, and a holder that was frozen passes on what it read long
-     * ago. Counted from its arrival, the age of a batch would be unknown to who relies on it; the
-     * time by the receiver's own clock makes delays on either way only count as age.
+     * @return the number, counted for each daemon
      */
-    private record Follower(Connection connection, long clockMillis, long heardAtMillis) {
-        private boolean send(TopicPart part, RecordBatch batch, long wholeAtMillis, long era) {
-            return connection.send(
-                    new Message.Records(
-                            part.topic(),
-                            part.part(),
-                            batch.from(),
-                            batch.records(),
-                            batch.end(),
-                            clockMillis + wholeAtMillis - heardAtMillis,
-                            era));
-        }
-    }
-
-    private void drop(Connection follower) {
-        followers.remove(follower);
-        follower.close();
+    public long notPassedOn() {
+        return followers.notPassedOn();
     }
 
     /**
@@ -334,7 +321,7 @@
     public void close() {
         transport.ifPresent(FrameTransport::close);
         link.ifPresent(Link::end);
-        Set.copyOf(followers.keySet()).forEach(Connection::close);
+        followers.close();
     }
 
     /** The connection of this daemon to the holder. Its state is the control thread's. */
@@ -470,8 +457,7 @@
                 from.close();
                 return;
             }
-            Follower follower = new Follower(from, reading.millis(), ControlThread.nowMillis());
-            if (followers.put(from, follower) == null) {
+            if (followers.read(from, reading)) {
                 followerListeners.forEach(Runnable::run);
             }
         }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/RequestRunnerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/RequestRunnerTest.java
@@ -95,6 +95,11 @@
             return true;
         }
 
+        @Override
+        public long queuedBytes() {
+            return 0;
+        }
+
         @Override
         public void close() {}
 
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -14,6 +14,7 @@
 import org.tamaracktrack.core.knowledge.KnowledgeBound;
 import org.tamaracktrack.daemon.relay.MemoryLog;
 import org.tamaracktrack.daemon.relay.RecordRelay;
+import org.tamaracktrack.daemon.relay.RelayLimits;
 import org.tamaracktrack.daemon.relay.RelayPair;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.KeyedRecord;
@@ -23,6 +24,9 @@
 class KeyedFollowerTest {
     private static final TopicPart PART = new TopicPart("keyed", 0);
 
+    /** Takes 0.8 s of the link. */
+    private static final String LARGE_RECORD = "large\n" + "x".repeat(100_000);
+
     private final MemoryLog log = new MemoryLog();
     private final List<String> heard = new ArrayList<>();
     private final List<String> contact = new ArrayList<>();
@@ -33,7 +37,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        pair = RelayPair.start();
+        pair = RelayPair.start(new RelayLimits(1));
         pair.onControl(
                 () ->
                         KeyedFollower.start(
@@ -81,6 +85,11 @@
         pair.onControl(() -> pair.holder().publish(PART, log.batch(from)));
     }
 
+    private void passOnWhatWasRead(long from) {
+        pair.onControl(
+                () -> pair.holder().publish(PART, log.batch(from), ControlThread.nowMillis()));
+    }
+
     /** The holder is heard of; a read waits from before. */
     private void hearOfTheHolder() {
         pair.hold();
@@ -124,6 +133,38 @@
         pair.await(() -> heard.equals(List.of("a", "b", "c")));
     }
 
+    // Guards against a large configuration that takes the link of a small holder for seconds.
+    @Test
+    void shouldReadTheLogAndHearEachRecordOnceWhenTheLinkHasNoRoomForThem() {
+        follow();
+        int before = log.reads();
+        log.add("a");
+        log.add(LARGE_RECORD);
+
+        passOnWhatWasRead(0);
+        pair.await(() -> heard.equals(List.of("a", "large")));
+        log.add("b");
+        passOnWhatWasRead(2);
+        pair.await(() -> heard.equals(List.of("a", "large", "b")));
+
+        assertThat(log.reads()).isGreaterThan(before);
+    }
+
+    @Test
+    void shouldHearARecordOnceWhenItIsReadBeforeTheWordThatItIsThere() {
+        hearOfTheHolder();
+        log.add(LARGE_RECORD);
+        pair.onControl(log::endWaits);
+        pair.await(() -> heard.equals(List.of("large")));
+
+        passOnWhatWasRead(0);
+        log.add("b");
+        publish(1);
+
+        pair.await(() -> heard.size() > 1);
+        pair.onControl(() -> assertThat(heard).containsExactly("large", "b").inOrder());
+    }
+
     // The holder is frozen: its connections stay open, and it passes nothing on. A change has to
     // be seen within two seconds all the same.
     @Test
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/RecordRelayTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RecordRelayTest.java
@@ -20,6 +20,9 @@
     private static final TopicPart PART = new TopicPart("topic", 0);
     private static final byte[] RECORD = "record".getBytes(StandardCharsets.UTF_8);
 
+    /** Takes 0.8 s of the link. */
+    private static final byte[] LARGE_RECORD = new byte[100_000];
+
     private final List<RecordBatch> heard = new ArrayList<>();
     private final List<Long> wholeAtMillis = new ArrayList<>();
     private final List<byte[]> told = new ArrayList<>();
@@ -28,7 +31,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        pair = RelayPair.start();
+        pair = RelayPair.start(new RelayLimits(1));
         pair.onControl(
                 () -> {
                     pair.follower()
@@ -89,6 +92,42 @@
                 .isIn(Range.closed(readAtMillis - 1_000, readAtMillis));
     }
 
+    // Guards against records that keep the link of a small holder from all else for seconds.
+    @Test
+    void shouldTellOnlyWhereToReadWhenTheLinkHasNoRoomForTheRecords() {
+        pair.hold();
+        publishUntilHeard();
+
+        pair.onControl(
+                () ->
+                        pair.holder()
+                                .publish(
+                                        PART,
+                                        new RecordBatch(8, List.of(RECORD, LARGE_RECORD), 20),
+                                        ControlThread.nowMillis()));
+        pair.await(() -> heard.get(heard.size() - 1).end() == 20);
+
+        RecordBatch last = heard.get(heard.size() - 1);
+        assertThat(last.records()).isEmpty();
+        assertThat(last.from()).isEqualTo(10);
+        assertThat(wholeAtMillis.get(wholeAtMillis.size() - 1)).isLessThan(0L);
+        assertThat(pair.holder().notPassedOn()).isEqualTo(1);
+    }
+
+    // Guards against what engines hold being lost: no store has it.
+    @Test
+    void shouldPassOnWhatHoldsNowWhateverItsSize() {
+        pair.hold();
+        publishUntilHeard();
+
+        pair.onControl(
+                () -> pair.holder().publish(PART, new RecordBatch(8, List.of(LARGE_RECORD), 9)));
+        pair.await(() -> heard.get(heard.size() - 1).end() == 9);
+
+        assertThat(heard.get(heard.size() - 1).records().get(0)).isEqualTo(LARGE_RECORD);
+        assertThat(pair.holder().notPassedOn()).isEqualTo(0);
+    }
+
     @Test
     void shouldTellTheHolderOnceItWasHeardOf() {
         pair.hold();
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/RelayPair.java
@@ -14,25 +14,31 @@
 public final class RelayPair implements AutoCloseable {
     private static final long PATIENCE_MILLIS = 20_000;
     private static final long LOOK_MILLIS = 10;
+    private static final double LINK_MEGABITS = 100;
 
     private final ControlThread control = ControlThread.of("test");
     private final XnioWorker worker;
     private final RecordRelay holder;
     private final RecordRelay follower;
 
-    private RelayPair() throws IOException {
+    private RelayPair(RelayLimits limits) throws IOException {
         worker = TestWorker.start();
         holder =
                 RecordRelay.of(
                         worker,
                         control,
                         Optional.of(new InetSocketAddress("127.0.0.1", 0)),
-                        StoreEra.unknown());
-        follower = RecordRelay.of(worker, control, Optional.empty(), StoreEra.unknown());
+                        StoreEra.unknown(),
+                        limits);
+        follower = RecordRelay.of(worker, control, Optional.empty(), StoreEra.unknown(), limits);
     }
 
     public static RelayPair start() throws IOException {
-        return new RelayPair();
+        return start(new RelayLimits(LINK_MEGABITS));
+    }
+
+    public static RelayPair start(RelayLimits limits) throws IOException {
+        return new RelayPair(limits);
     }
 
     public ControlThread control() {
@@ -49,7 +55,12 @@
 
     /** The relay of a further daemon, which nobody reaches. */
     public RecordRelay unconnected() {
-        return RecordRelay.of(worker, control, Optional.empty(), StoreEra.unknown());
+        return RecordRelay.of(
+                worker,
+                control,
+                Optional.empty(),
+                StoreEra.unknown(),
+                new RelayLimits(LINK_MEGABITS));
     }
 
     /** The one daemon takes the lease, the other learns of it. */
--- a/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeConnection.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeConnection.java
@@ -20,6 +20,11 @@
         return open && sent.add(message);
     }
 
+    @Override
+    public long queuedBytes() {
+        return 0;
+    }
+
     @Override
     public void close() {
         open = false;
--- a/link/src/main/java/org/tamaracktrack/link/frame/Connection.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/Connection.java
@@ -15,6 +15,13 @@
      */
     boolean send(Message message);
 
+    /**
+     * Returns what was queued and has not left this process.
+     *
+     * @return its size in bytes
+     */
+    long queuedBytes();
+
     /** Closes the connection; messages that are still queued may be lost. */
     void close();
 
--- a/link/src/main/java/org/tamaracktrack/link/frame/FrameConnection.java
+++ b/link/src/main/java/org/tamaracktrack/link/frame/FrameConnection.java
@@ -97,6 +97,13 @@
         return enqueue(codec.encode(message));
     }
 
+    @Override
+    public long queuedBytes() {
+        synchronized (queue) {
+            return queuedBytes;
+        }
+    }
+
     private boolean enqueue(byte[] body) {
         synchronized (queue) {
             // A peer that stops reading would let this queue grow until the heap is full and every
