Test what waits for a follower, and batches larger than a connection takes

Failed with a queue that says 0 and without a limit for each follower, pass now: XnioFrameTransportTest.shouldTellHowMuchWaitsWhileThePeerTakesNothing, FollowersTest.shouldKeepRecordsBackWhenTheyAreMoreThanAConnectionTakes.

--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/FollowersTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/FollowersTest.java
@@ -121,6 +121,21 @@
         assertThat(followers.notPassedOn()).isEqualTo(1);
     }
 
+    // Guards against a daemon that loses its connection by every batch that is larger than what the
+    // connection takes.
+    @Test
+    void shouldKeepRecordsBackWhenTheyAreMoreThanAConnectionTakes() {
+        Followers ofLargeHost = Followers.of(new RelayLimits(2_000), StoreEra.unknown());
+        Keeping follower = new Keeping();
+        ofLargeHost.read(follower, new Message.ClockReading(0));
+        int bytes = (int) RelayLimits.CONNECTION_BYTES;
+
+        ofLargeHost.sendIfRoom(PART, new RecordBatch(0, List.of(new byte[bytes]), 1), 0);
+
+        assertThat(follower.sent.get(0).records()).isEmpty();
+        assertThat(follower.sent.get(0).from()).isEqualTo(1);
+    }
+
     @Test
     void shouldSayThatThereIsNothingNewWhenThereIsNoRoom() {
         Keeping stuck = follower();
--- a/link/src/test/java/org/tamaracktrack/link/frame/XnioFrameTransportTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/frame/XnioFrameTransportTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -110,6 +112,50 @@
         assertThat(fromClient.send(new Message.LoadQuery())).isFalse();
     }
 
+    // Guards against a daemon that is frozen and counts as one that has taken everything.
+    @Test
+    void shouldTellHowMuchWaitsWhileThePeerTakesNothing() {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        client.connect(server.listen(ANY_PORT, new Stopped(go)), clientSide);
+        Connection fromClient = clientSide.connection();
+        byte[] part = new byte[1024 * 1024];
+
+        IntStream.range(0, 24)
+                .forEach(number -> fromClient.send(new Message.Chunk(ATTEMPT, number, part)));
+        assertThat(fromClient.queuedBytes())
+                .isIn(Range.closed(part.length + 0L, 25L * part.length));
+
+        go.complete(null);
+        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (fromClient.queuedBytes() > 0 && System.nanoTime() < untilNanos) {
+            Thread.onSpinWait();
+        }
+        assertThat(fromClient.queuedBytes()).isEqualTo(0);
+    }
+
+    /** Takes nothing until it may. */
+    private record Stopped(CompletableFuture<Void> go) implements ConnectionHandler {
+        @Override
+        public void onOpen(Connection connection) {
+            go.join();
+        }
+
+        @Override
+        public void onMessage(Connection connection, Message message) {
+            // Only how much waits matters.
+        }
+
+        @Override
+        public void onClosed(Connection connection) {
+            // The transport is closed after the test.
+        }
+
+        @Override
+        public void onConnectFailed(TamaracktrackException failure) {
+            throw failure;
+        }
+    }
+
     @Nested
     class Failures {
 
