Keep the counts of a request's attempts in FailureRule.History

ForwardedRequest held three counts and made a history of them for each decision; the history is now an immutable value that it replaces after each attempt. Behaviour is unchanged: the tests of FailureRule stand as they were, with tests of the counts added.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailureRule.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailureRule.java
@@ -57,7 +57,44 @@
      * @param mayHaveRun targets at which it may have run
      * @param begun whether a part of the answer went to the caller
      */
-    public record History(int notSent, int refusals, int mayHaveRun, boolean begun) {}
+    public record History(int notSent, int refusals, int mayHaveRun, boolean begun) {
+        private static final History NONE = new History(0, 0, 0, false);
+
+        /**
+         * Returns the history of a request that was not sent yet.
+         *
+         * @return the history
+         */
+        public static History none() {
+            return NONE;
+        }
+
+        /**
+         * Returns the history with one more attempt.
+         *
+         * @param end how it ended
+         * @return the history
+         */
+        public History after(AttemptEnd end) {
+            return switch (end) {
+                case NOT_SENT -> new History(notSent + 1, refusals, mayHaveRun, begun);
+                case REFUSED -> new History(notSent, refusals + 1, mayHaveRun, begun);
+                // Nobody had the request, and nobody refused it.
+                case WITHHELD -> this;
+                case FAILED, LOST, CUT -> new History(notSent, refusals, mayHaveRun + 1, begun);
+            };
+        }
+
+        /**
+         * Returns the same attempts with another answer to the caller.
+         *
+         * @param partSent whether a part of the answer went to the caller
+         * @return the history
+         */
+        public History begun(boolean partSent) {
+            return new History(notSent, refusals, mayHaveRun, partSent);
+        }
+    }
 
     /**
      * Decides.
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FailureRuleTest.java
@@ -41,6 +41,43 @@
         return FailureRule.next(route, end, history, ENOUGH_MILLIS, plenty, 0).next();
     }
 
+    @Nested
+    class Counts {
+        private final History history = new History(1, 2, 3, true);
+
+        @Test
+        void shouldKnowOfNothingWhenNothingWasSent() {
+            assertThat(History.none()).isEqualTo(new History(0, 0, 0, false));
+        }
+
+        @Test
+        void shouldCountEachAttemptByItsEnd() {
+            assertThat(history.after(AttemptEnd.NOT_SENT)).isEqualTo(new History(2, 2, 3, true));
+            assertThat(history.after(AttemptEnd.REFUSED)).isEqualTo(new History(1, 3, 3, true));
+        }
+
+        // Guards against an order that goes out again though a target may have run it.
+        @Test
+        void shouldCountAsRunWhatWasSentAndNotRefused() {
+            History ran = new History(1, 2, 4, true);
+
+            assertThat(history.after(AttemptEnd.FAILED)).isEqualTo(ran);
+            assertThat(history.after(AttemptEnd.LOST)).isEqualTo(ran);
+            assertThat(history.after(AttemptEnd.CUT)).isEqualTo(ran);
+        }
+
+        @Test
+        void shouldCountNothingWhenAnAttemptWasKeptBack() {
+            assertThat(history.after(AttemptEnd.WITHHELD)).isEqualTo(history);
+        }
+
+        @Test
+        void shouldNoteWhetherAPartOfTheAnswerWentOut() {
+            assertThat(history.begun(false)).isEqualTo(new History(1, 2, 3, false));
+            assertThat(history.begun(false).begun(true)).isEqualTo(history);
+        }
+    }
+
     @Nested
     class NonIdempotent {
         private final Route order = route(RouteKind.NON_IDEMPOTENT, false, 3);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -63,9 +63,7 @@
     private long comeBackMillis;
     private int streamStatus;
     private Map<String, String> streamHeaders = Map.of();
-    private int notSent;
-    private int refusals;
-    private int mayHaveRun;
+    private FailureRule.History history = FailureRule.History.none();
     private long registryAgeMillis = -1;
     private boolean done;
 
@@ -297,7 +295,7 @@
                         .isEmpty();
         boolean mayGoElsewhere =
                 route.repeatable()
-                        && mayHaveRun + 1 < route.maximumAttempts()
+                        && history.mayHaveRun() + 1 < route.maximumAttempts()
                         && choose().isPresent();
         if (gone || mayGoElsewhere) {
             sent.giveUp();
@@ -308,7 +306,7 @@
         if (done) {
             return;
         }
-        boolean sent = attempt.isPresent() || mayHaveRun > 0;
+        boolean sent = attempt.isPresent() || history.mayHaveRun() > 0;
         attempt.ifPresent(TargetAttempt::cancel);
         if (answer.begun()) {
             finish("cut_at_timeout", SUCCESS);
@@ -399,19 +397,13 @@
         Optional<TargetEntry> target = attempt.map(TargetAttempt::entry);
         attempt = Optional.empty();
         events.dropPart();
-        count(end);
+        history = history.after(end).begun(answer.begun());
         if (end == AttemptEnd.WITHHELD) {
             target.map(entry -> entry.incarnation().target()).ifPresent(tried::remove);
         }
         RetryAllowance allowance = services.allowance(work.service());
         FailureRule.Verdict verdict =
-                FailureRule.next(
-                        route,
-                        end,
-                        new FailureRule.History(notSent, refusals, mayHaveRun, answer.begun()),
-                        leftMillis(),
-                        allowance,
-                        nowMillis);
+                FailureRule.next(route, end, history, leftMillis(), allowance, nowMillis);
         RetryAllowance.State repeats = allowance.state(nowMillis);
         services.metrics().repeat(work.service(), verdict.payment(), repeats.left());
         RequestLog.attemptEnded(
@@ -427,17 +419,6 @@
         follow(verdict.next(), end, failure);
     }
 
-    private void count(AttemptEnd end) {
-        switch (end) {
-            case NOT_SENT -> notSent++;
-            case REFUSED -> refusals++;
-            case WITHHELD -> {
-                // Nobody had the request, and nobody refused it.
-            }
-            default -> mayHaveRun++;
-        }
-    }
-
     private void follow(
             FailureRule.Next next, AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
         switch (next) {
@@ -467,7 +448,7 @@
     private void refuseOrGiveUp(ErrorCode refusal, String reason) {
         if (answer.begun()) {
             breakOff();
-        } else if (mayHaveRun > 0) {
+        } else if (history.mayHaveRun() > 0) {
             fail(ErrorCode.OUTCOME_UNKNOWN, reason);
         } else {
             fail(refusal, reason);
@@ -481,7 +462,9 @@
         if (answer.begun()) {
             breakOff();
         } else {
-            fail(mayHaveRun > 0 ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.QUARANTINED, "quarantined");
+            fail(
+                    history.mayHaveRun() > 0 ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.QUARANTINED,
+                    "quarantined");
         }
         return true;
     }
@@ -508,7 +491,7 @@
                         outcome,
                         status,
                         tried,
-                        refusals,
+                        history.refusals(),
                         pieces.firstMillis(),
                         pieces.longestGapMillis(),
                         services.nowMillis() - arrivedMillis,
