--- /dev/null
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ClaimDelayTest.java
@@ -0,0 +1,21 @@
+package org.tamaracktrack.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ClaimDelayTest {
+    private static final double ALMOST_ONE = 0.999;
+
+    // Guards against a holder that has no processor time to pass on in time what it reads.
+    @Test
+    void shouldLetEveryLargerHostClaimFirstWhenAHostIsSmall() {
+        assertThat(ClaimDelay.millis(0.27, 0)).isGreaterThan(ClaimDelay.millis(0.75, ALMOST_ONE));
+    }
+
+    @Test
+    void shouldSpreadClaimsWhenHostsAreAlike() {
+        assertThat(ClaimDelay.millis(0.27, ALMOST_ONE)).isGreaterThan(ClaimDelay.millis(0.27, 0));
+        assertThat(ClaimDelay.millis(1, ALMOST_ONE)).isGreaterThan(ClaimDelay.millis(1, 0));
+    }
+}
