--- a/core/src/main/java/org/tamaracktrack/core/knowledge/Knowledge.java
+++ b/core/src/main/java/org/tamaracktrack/core/knowledge/Knowledge.java
@@ -1,15 +1,22 @@
 package org.tamaracktrack.core.knowledge;
 
+import java.util.Objects;
+
 /**
  * How far what a daemon knows of a part of the store reaches. Immutable.
  *
- * @param wholeAtMillis everything that was written before this time is known; by the steady clock
- * @param clockDifference time of day less steady clock when that was asked for
- * @param storeAway whether the store does not answer, by evidence that is not this daemon's own
- *     delay
+ * @param wholeAt everything that was written before this moment is known
+ * @param awayAt when the read was asked that last showed the store to be away, by evidence that is
+ *     not this daemon's own delay
  */
-public record Knowledge(long wholeAtMillis, long clockDifference, boolean storeAway) {
-    private static final long NEVER = Long.MIN_VALUE / 4;
+public record Knowledge(Moment wholeAt, Moment awayAt) {
+    private static final Knowledge NONE = new Knowledge(Moment.never(), Moment.never());
+
+    /** Checks the arguments. */
+    public Knowledge {
+        Objects.requireNonNull(wholeAt, "wholeAt is null");
+        Objects.requireNonNull(awayAt, "awayAt is null");
+    }
 
     /**
      * Returns the knowledge of a daemon that has read nothing yet.
@@ -17,39 +24,48 @@
      * @return the knowledge
      */
     public static Knowledge none() {
-        return new Knowledge(NEVER, 0, false);
+        return NONE;
     }
 
     /**
      * Returns this knowledge after a read.
      *
-     * @param atMillis everything that was written before this time is known
-     * @param difference time of day less steady clock when that was asked for
+     * @param moment everything that was written before this moment is known
      * @return the knowledge; unchanged if it reaches as far already
      */
-    public Knowledge wholeAt(long atMillis, long difference) {
-        return atMillis > wholeAtMillis ? new Knowledge(atMillis, difference, storeAway) : this;
+    public Knowledge whole(Moment moment) {
+        return moment.steadyMillis() > wholeAt.steadyMillis()
+                ? new Knowledge(moment, awayAt)
+                : this;
     }
 
     /**
-     * Returns this knowledge once the store answers no more, or again.
+     * Returns this knowledge after a read that failed since the store is away.
      *
-     * @param away whether it does not answer
-     * @return the knowledge
+     * @param asked when the read was asked
+     * @return the knowledge; unchanged if a later read has failed already
      */
-    public Knowledge away(boolean away) {
-        return new Knowledge(wholeAtMillis, clockDifference, away);
+    public Knowledge away(Moment asked) {
+        return asked.steadyMillis() > awayAt.steadyMillis() ? new Knowledge(wholeAt, asked) : this;
     }
 
     /**
-     * Returns its age. The steady clock stands still while the process is frozen, the time of day
-     * does not, so the later of both counts.
+     * Returns its age.
      *
-     * @param steadyMillis the steady clock
-     * @param dayMillis the time of day
+     * @param now the moment of asking
      * @return milliseconds; huge when nothing is known
      */
-    public long ageMillis(long steadyMillis, long dayMillis) {
-        return Math.max(steadyMillis, dayMillis - clockDifference) - wholeAtMillis;
+    public long ageMillis(Moment now) {
+        return now.since(wholeAt);
+    }
+
+    /**
+     * Returns how long ago the store was last seen to be away.
+     *
+     * @param now the moment of asking
+     * @return milliseconds; huge when it never was
+     */
+    public long awayAgeMillis(Moment now) {
+        return now.since(awayAt);
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -29,16 +29,11 @@
     private static final int SUCCESS = 200;
     private static final int FIRST_NON_SUCCESS = 300;
 
-    /** A caller that waits this long gives up; what is left must cover the way back to it. */
-    private static final long WAY_BACK_MILLIS = 10;
-
     /** Newcomers are refused while this part of a caller's patience is taken up by waiting. */
     private static final double NEWCOMERS_SHARE = 0.7;
 
-    /** Engines send events every few hundredths of a second, services answer within a quarter. */
-    private static final long SILENT_MILLIS = 1_000;
-
-    private static final long LOOK_MILLIS = 200;
+    /** A thread that is this late with a time limit is late with what it reads too. */
+    private static final long LATE_MILLIS = 50;
 
     private final GatewayServices services;
     private final HttpServerExchange exchange;
@@ -47,8 +42,7 @@
     private final RequestFacts facts;
     private final byte[] body;
     private final Work work;
-    private final long arrivedMillis;
-    private final long endsMillis;
+    private final RequestTime time;
     private final long configurationVersion;
     private final CallerAnswer answer;
     private final HeaderMap headers;
@@ -65,6 +59,7 @@
     private Map<String, String> streamHeaders = Map.of();
     private FailureRule.History history = FailureRule.History.none();
     private long registryAgeMillis = -1;
+    private boolean looksOnce;
     private boolean done;
 
     private ForwardedRequest(
@@ -78,15 +73,14 @@
         this.route = accepted.route();
         this.facts = accepted.facts();
         this.body = accepted.body();
-        this.arrivedMillis = accepted.arrivedMillis();
+        this.time = RequestTime.of(route, facts, accepted.arrivedMillis(), services::nowMillis);
         this.configurationVersion = accepted.configurationVersion();
         this.headers = exchange.getRequestHeaders();
-        this.endsMillis = arrivedMillis + Math.min(route.timeoutMillis(), callerWaits());
         this.work = new Work(accepted.service(), facts.need(), facts.promptTokens(), facts.parts());
         this.returned =
                 services.callerWaits(route.name())
                         .returned(facts.waitMillis().orElse(route.timeoutMillis()));
-        this.pieces = PieceTimes.since(arrivedMillis);
+        this.pieces = PieceTimes.since(accepted.arrivedMillis());
         this.suspicion = RequestSuspicion.of(services, exchange, body);
         this.answer = CallerAnswer.of(exchange, services::leaving, this);
     }
@@ -119,19 +113,15 @@
         return request;
     }
 
-    private long callerWaits() {
-        return Math.max(1, facts.waitMillis().orElse(route.timeoutMillis()) - WAY_BACK_MILLIS);
-    }
-
     private void begin() {
         connection.onClosed(this::callerGone);
         CallerConnection.watch(exchange);
-        services.allowance(work.service()).request(arrivedMillis);
+        services.allowance(work.service()).request(time.arrivedMillis());
         if (!returned && !suspicion.held()) {
             facts.need().ifPresent(need -> services.demand().note(need, route));
         }
-        endTimer = Optional.of(services.timer(endsMillis - services.nowMillis(), this::timeIsUp));
-        services.after(SILENT_MILLIS, this::lookForSilence);
+        endTimer = Optional.of(services.timer(time.untilEndMillis(), this::timeIsUp));
+        SilenceWatch.start(services, () -> attempt, () -> done, this::silent);
         dispatch();
     }
 
@@ -142,8 +132,15 @@
     // Asked again before each attempt: the target that has just ended may have been the last one
     // that this request is allowed.
     private void dispatch() {
-        if (!refusedAsHeld()) {
+        if (refusedAsHeld()) {
+            return;
+        }
+        if (tried.isEmpty()) {
             services.gate().whenOpen(this::chooseAndSend, this::refuseAsOutdated);
+        } else if (services.gate().closed()) {
+            refuseAsOutdated();
+        } else {
+            chooseAndSend();
         }
     }
 
@@ -174,7 +171,7 @@
     // late. Told at once, the caller can come back while it still has time.
     private void sendUnlessTooLate(TargetChooser.Choice choice) {
         boolean fresh = tried.isEmpty() && work.need().isPresent();
-        if (fresh && choice.firstPieceMillis() > patienceMillis() * share()) {
+        if (fresh && choice.firstPieceMillis() > time.patienceMillis() * share()) {
             comeBackMillis = (long) choice.firstPieceMillis();
             refuseOrGiveUp("overloaded");
             return;
@@ -188,14 +185,9 @@
         return returned ? 1 : NEWCOMERS_SHARE;
     }
 
-    private long patienceMillis() {
-        long waited = services.nowMillis() - arrivedMillis;
-        return Math.min(Patience.millis(route) - waited, leftMillis());
-    }
-
     private void send(TargetEntry entry) {
         tried.add(entry.incarnation().target());
-        long leftMillis = leftMillis();
+        long leftMillis = time.leftMillis();
         Map<String, String> outgoing =
                 services.dialect()
                         .toTarget(
@@ -211,22 +203,18 @@
                         leftMillis,
                         route.repeatable());
         boolean streamed = route.kind() == RouteKind.STREAMING;
-        attempt =
-                Optional.of(
-                        TargetAttempt.start(
-                                services, entry, work, facts.attempt(), streamed, sending, this));
+        TargetAttempt next =
+                TargetAttempt.of(services, entry, work, facts.attempt(), streamed, this);
+        attempt = Optional.of(next);
+        next.send(sending);
     }
 
     private Optional<String> resumeAfter() {
         return events.lastId().or(facts::resumeAfter);
     }
 
-    private long leftMillis() {
-        return Math.max(1, endsMillis - services.nowMillis());
-    }
-
     private void noTarget() {
-        long patience = patienceMillis();
+        long patience = time.patienceMillis();
         OptionalLong load =
                 tried.isEmpty() ? ExpectedLoad.millis(work, services.view()) : OptionalLong.empty();
         if (load.isEmpty() || load.getAsLong() > patience || services.leaving()) {
@@ -242,7 +230,7 @@
 
     /** Tries again, since the fleet changed. */
     void retryWaiting() {
-        if (done || services.gate().closed() || refusedAsHeld()) {
+        if (done || services.gate().watchedWhileClosed() || refusedAsHeld()) {
             return;
         }
         Optional<TargetChooser.Choice> choice = choose();
@@ -271,21 +259,8 @@
         }
     }
 
-    // A target that died or was cut off sends no reset; its callers would wait for their whole
-    // time. That it is silent on every connection for as long shows it. What may be repeated goes
-    // elsewhere. What may not is given up only when the registry has dropped the target as well.
-    private void lookForSilence() {
-        if (done) {
-            return;
-        }
-        long nowMillis = services.nowMillis();
-        attempt.filter(sent -> sent.silentMillis(nowMillis) >= SILENT_MILLIS)
-                .ifPresent(this::silent);
-        if (!done) {
-            services.after(LOOK_MILLIS, this::lookForSilence);
-        }
-    }
-
+    // What may be repeated goes elsewhere. What may not is given up only when the registry has
+    // dropped the target as well.
     private void silent(TargetAttempt sent) {
         boolean gone =
                 services.view()
@@ -306,6 +281,11 @@
         if (done) {
             return;
         }
+        if (!looksOnce && time.untilEndMillis() < -LATE_MILLIS) {
+            looksOnce = true;
+            endTimer = Optional.of(services.timer(LATE_MILLIS, this::timeIsUp));
+            return;
+        }
         boolean sent = attempt.isPresent() || history.mayHaveRun() > 0;
         attempt.ifPresent(TargetAttempt::cancel);
         if (answer.begun()) {
@@ -327,7 +307,7 @@
 
     @Override
     public void onStream(int status, Map<String, String> answerHeaders) {
-        if (!answer.begun()) {
+        if (!done && !answer.begun()) {
             streamStatus = status;
             streamHeaders = answerHeaders;
         }
@@ -335,6 +315,9 @@
 
     @Override
     public void onBytes(ByteBuffer bytes) {
+        if (done) {
+            return;
+        }
         byte[] whole = events.take(bytes);
         if (events.overflown()) {
             attempt.ifPresent(TargetAttempt::cancel);
@@ -356,6 +339,9 @@
 
     @Override
     public void onStreamEnd() {
+        if (done) {
+            return;
+        }
         if (events.midEvent()) {
             ended(AttemptEnd.CUT, Optional.empty());
             return;
@@ -368,6 +354,9 @@
 
     @Override
     public void onWhole(int status, Map<String, String> answerHeaders, byte[] answerBody) {
+        if (done) {
+            return;
+        }
         pieces.note(services.nowMillis());
         suspicion.answered();
         finish(status < FIRST_NON_SUCCESS ? "served" : "target_status", status);
@@ -403,7 +392,7 @@
         }
         RetryAllowance allowance = services.allowance(work.service());
         FailureRule.Verdict verdict =
-                FailureRule.next(route, end, history, leftMillis(), allowance, nowMillis);
+                FailureRule.next(route, end, history, time.leftMillis(), allowance, nowMillis);
         RetryAllowance.State repeats = allowance.state(nowMillis);
         services.metrics().repeat(work.service(), verdict.payment(), repeats.left());
         RequestLog.attemptEnded(
@@ -412,8 +401,8 @@
                         suspicion.fingerprint(),
                         target,
                         end,
-                        nowMillis - arrivedMillis,
-                        leftMillis(),
+                        time.passedMillis(),
+                        time.leftMillis(),
                         verdict,
                         repeats));
         follow(verdict.next(), end, failure);
@@ -456,23 +445,17 @@
     }
 
     private boolean refusedAsHeld() {
-        if (!suspicion.held()) {
-            return false;
-        }
-        if (answer.begun()) {
-            breakOff();
-        } else {
-            fail(
-                    history.mayHaveRun() > 0 ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.QUARANTINED,
-                    "quarantined");
+        boolean held = suspicion.held();
+        if (held) {
+            refuseOrGiveUp(ErrorCode.QUARANTINED, "quarantined");
         }
-        return true;
+        return held;
     }
 
     private void fail(ErrorCode code, String reason) {
         finish(reason, code.status());
         FailureAnswer failure =
-                FailureAnswer.of(code, comeBackMillis, leftMillis(), services.draw());
+                FailureAnswer.of(code, comeBackMillis, time.leftMillis(), services.draw());
         answer.whole(code.status(), failure.headers(), failure.body());
     }
 
@@ -494,7 +477,7 @@
                         history.refusals(),
                         pieces.firstMillis(),
                         pieces.longestGapMillis(),
-                        services.nowMillis() - arrivedMillis,
+                        time.passedMillis(),
                         events.events(),
                         configurationVersion,
                         registryAgeMillis));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -320,6 +320,15 @@
         services.gate().watch(name, bound, source);
     }
 
+    /**
+     * Tries to reach some targets, to see whether this host's link is full.
+     *
+     * @return whether one of them answered in time; true when none is known
+     */
+    public CompletableFuture<Boolean> reachesTargets() {
+        return services.linkCheck().reachesTargets();
+    }
+
     /**
      * Names who hears of targets that ended, and of what they had.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -4,6 +4,7 @@
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.util.Locale;
@@ -17,6 +18,9 @@
 
 /** Reads callers' requests, finds their routes and passes them on. On the traffic thread. */
 final class GatewayHandler implements HttpHandler {
+    /** When a request arrived that was held. */
+    private static final AttachmentKey<Long> ARRIVED_MILLIS = AttachmentKey.create(Long.class);
+
     private final GatewayServices services;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger inProgress = new AtomicInteger();
@@ -69,6 +73,7 @@
     // Routed by an old configuration a request may be refused for good, or run where it no longer
     // belongs.
     private void hold(HttpServerExchange exchange) {
+        exchange.putAttachment(ARRIVED_MILLIS, services.nowMillis());
         count(exchange);
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
@@ -76,7 +81,7 @@
                         services.gate()
                                 .whenOpen(
                                         () -> Connectors.executeRootHandler(this, exchange),
-                                        () -> Refusals.answer(exchange, ErrorCode.OUTDATED)));
+                                        () -> Refusals.outdated(exchange, services.draw())));
     }
 
     private static String host(HttpServerExchange exchange) {
@@ -91,7 +96,9 @@
             ServingConfiguration configuration,
             Route route,
             RequestFacts facts) {
-        long arrivedMillis = services.nowMillis();
+        long arrivedMillis =
+                Optional.ofNullable(exchange.getAttachment(ARRIVED_MILLIS))
+                        .orElseGet(services::nowMillis);
         int mostBytes = configuration.limits().bodyBytes();
         if (exchange.getRequestContentLength() > mostBytes) {
             Refusals.answer(exchange, ErrorCode.BODY_TOO_LARGE);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -48,6 +48,7 @@
     private final EndedTargets endedTargets = new EndedTargets(this);
     private final KnowledgeGate gate =
             new KnowledgeGate(this, GatewayServices::dayMillis, waiting::retry);
+    private final LinkCheck linkCheck;
     private Runnable loadsChanged = () -> {};
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
@@ -70,6 +71,7 @@
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
+        this.linkCheck = new LinkCheck(http, () -> view.fleet(), ControlThread::nowMillis);
     }
 
     HttpCaller http() {
@@ -177,6 +179,10 @@
         return gate;
     }
 
+    LinkCheck linkCheck() {
+        return linkCheck;
+    }
+
     /**
      * Whether a request may be sent to a target, by what is known at this moment. The target may
      * have said that it leaves since it was chosen.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -3,13 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.knowledge.Knowledge;
 import org.tamaracktrack.core.knowledge.KnowledgeBound;
+import org.tamaracktrack.core.knowledge.Moment;
 import org.tamaracktrack.core.message.Message;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
@@ -34,9 +33,6 @@
      */
     private static final long HOLDER_WAIT_MILLIS = 900;
 
-    /** Records that are heard of this long after the partition was last known whole are logged. */
-    private static final long LATE_MILLIS = 1_000;
-
     /** How often the age of what is known is looked at. */
     private static final long LOOK_MILLIS = 100;
 
@@ -54,8 +50,8 @@
     private final List<KeyedRecord> listing = new ArrayList<>();
     private long next = NOT_LISTED;
     private long listedAt;
-    private Moment asked = Moment.now();
-    private Moment firstPageAsked = asked;
+    private ReadAsked asked = ReadAsked.unchecked();
+    private Moment firstPageAsked = asked.moment();
     private boolean relayFellQuiet;
     private boolean busy;
     private boolean checking;
@@ -116,15 +112,14 @@
      * When to ask for a fresh read, and what to make of one that fails.
      *
      * @param bound how old what is known may become
-     * @param punctualSince whether this process's threads have run in time since a moment by the
-     *     steady clock; a read that failed while they did not tells nothing of the store
+     * @param self tells this daemon's own delay from the store's
      */
-    public record Watch(KnowledgeBound bound, LongPredicate punctualSince) {
+    public record Watch(KnowledgeBound bound, SelfCheck self) {
 
         /** Checks the arguments. */
         public Watch {
             Objects.requireNonNull(bound, "bound is null");
-            Objects.requireNonNull(punctualSince, "punctualSince is null");
+            Objects.requireNonNull(self, "self is null");
         }
     }
 
@@ -142,7 +137,7 @@
             // With a gap before the batch, the records are read of the store.
             if (batch.from() <= next) {
                 deliver(batch, "relay");
-                whole(batch, Moment.now().at(wholeAtMillis));
+                whole(batch, Clocks.now().at(wholeAtMillis));
             }
             follow();
         }
@@ -218,11 +213,7 @@
     }
 
     private void refreshIfOld() {
-        Knowledge known = knowledge();
-        boolean old =
-                watch.bound()
-                        .refreshes(known, ControlThread.nowMillis(), System.currentTimeMillis());
-        if (old && !known.storeAway()) {
+        if (watch.bound().refreshes(knowledge(), Clocks.now())) {
             refresh();
         }
     }
@@ -234,7 +225,7 @@
             refreshing.set(false);
             return;
         }
-        Moment askedNow = Moment.now();
+        ReadAsked askedNow = ask();
         long planned = generation;
         topics.read(part, next, 0)
                 .thenAccept(
@@ -246,12 +237,19 @@
                                         }));
     }
 
-    private void refreshed(TopicAnswer<RecordBatch> answer, Moment askedNow) {
+    // Another host is tried at the same moment: what a full link has lost of the read may come late
+    // when the link has long been free again.
+    private ReadAsked ask() {
+        return ReadAsked.checkedBy(watch.self());
+    }
+
+    private void refreshed(TopicAnswer<RecordBatch> answer, ReadAsked askedNow) {
         if (answer instanceof TopicAnswer.Done<RecordBatch> done) {
             contact.back();
-            take(done.value(), askedNow, "refresh");
-        } else if (!(answer instanceof TopicAnswer.Expired<RecordBatch>)
-                && askedNow.steadyMillis() >= heardAtMillis) {
+            take(done.value(), askedNow.moment(), "refresh");
+        } else if (answer instanceof TopicAnswer.Expired<RecordBatch>) {
+            listAnew();
+        } else if (askedNow.moment().steadyMillis() >= heardAtMillis) {
             contact.failed(answer, askedNow);
         }
     }
@@ -262,12 +260,17 @@
     // they do after an outage.
     private void restored() {
         LOG.info("event=listing-anew part=" + part + " next=" + next);
-        generation++;
-        busy = false;
-        checking = false;
         relayedNext = 0;
         relayedAtMillis = Long.MIN_VALUE / 2;
         contact.restored();
+        listAnew();
+    }
+
+    /** Drops what is under way, and begins with a listing. */
+    private void listAnew() {
+        generation++;
+        busy = false;
+        checking = false;
         list();
     }
 
@@ -290,9 +293,9 @@
     }
 
     private void readPage(String afterKey, boolean first) {
-        asked = Moment.now();
+        asked = ask();
         if (first) {
-            firstPageAsked = asked;
+            firstPageAsked = asked.moment();
         }
         long planned = generation;
         topics.newest(part, afterKey)
@@ -344,8 +347,8 @@
                             + contact.wholeBeforeMillis());
         }
         busy = true;
-        asked = Moment.now();
         long waitMillis = waitMillis();
+        asked = waitMillis == 0 ? ask() : ReadAsked.unchecked();
         long planned = generation;
         topics.read(part, next, waitMillis)
                 .thenAccept(
@@ -430,19 +433,20 @@
     // holder has read the store since it was asked, it tells of an outage that is over. Taken for
     // a new one, what lapsed would be kept for as much longer.
     private void failed(TopicAnswer<RecordBatch> answer) {
-        if (asked.steadyMillis() >= heardAtMillis) {
+        if (asked.moment().steadyMillis() >= heardAtMillis) {
             retry(answer, this::follow);
             return;
         }
-        LOG.info("event=read-outdated " + contact.describe(answer, asked));
+        LOG.info("event=read-outdated " + contact.describe(answer, asked.moment()));
         follow();
     }
 
     // A read without records came back when its wait was over, however long its answer lay here.
     private Moment answeredAt(RecordBatch batch, long waitedMillis) {
+        Moment at = asked.moment();
         return batch.records().isEmpty()
-                ? asked.at(asked.steadyMillis() + Math.min(waitedMillis, asked.agoMillis()))
-                : asked;
+                ? at.at(at.steadyMillis() + Math.min(waitedMillis, Clocks.agoMillis(at)))
+                : at;
     }
 
     private void whole(RecordBatch batch, Moment at) {
@@ -454,26 +458,14 @@
     // Records may be relayed while they are being read.
     private void deliver(RecordBatch batch, String source) {
         List<KeyedRecord> unread =
-                decode(batch).stream()
+                KeyedRecords.decode(topics, part, batch).stream()
                         .filter(record -> record.offset() >= next)
                         .collect(Collectors.toList());
         next = Math.max(next, batch.next());
         if (unread.isEmpty()) {
             return;
         }
-        if (contact.wholeBeforeMillis() > LATE_MILLIS) {
-            LOG.info(
-                    "event=records-late part="
-                            + part
-                            + " source="
-                            + source
-                            + " records="
-                            + unread.size()
-                            + " whole_before_ms="
-                            + contact.wholeBeforeMillis()
-                            + " asked_before_ms="
-                            + asked.agoMillis());
-        }
+        contact.noteLate(source, unread.size(), asked.moment());
         listener.onRecords(unread);
     }
 
@@ -487,20 +479,6 @@
                 });
     }
 
-    private List<KeyedRecord> decode(RecordBatch batch) {
-        List<KeyedRecord> decoded = new ArrayList<>();
-        long offset = batch.from();
-        for (byte[] bytes : batch.records()) {
-            Optional<KeyedRecord> record = topics.keyed(bytes, offset);
-            if (record.isEmpty()) {
-                LOG.warn("event=record-unreadable part=" + part + " offset=" + offset);
-            }
-            record.ifPresent(decoded::add);
-            offset++;
-        }
-        return decoded;
-    }
-
     private void retry(TopicAnswer<?> answer, Runnable step) {
         after(contact.retry(answer, asked), step);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KnowledgeGate.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KnowledgeGate.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.knowledge.KnowledgeBound;
+import org.tamaracktrack.core.knowledge.Moment;
 import org.tamaracktrack.core.knowledge.Standing;
 import org.tamaracktrack.daemon.load.LoadExchange;
 
@@ -21,7 +22,7 @@
      * A read of the store takes some milliseconds. Callers of a daemon that can't finish one in
      * this time are better served by another.
      */
-    private static final long HOLD_MILLIS = 500;
+    private static final long HOLD_MILLIS = 400;
 
     private static final long LOOK_MILLIS = 20;
     private static final long OPEN = Long.MAX_VALUE;
@@ -36,8 +37,8 @@
     private int refused;
 
     private record Watched(String name, KnowledgeBound bound, KnowledgeSource source) {
-        private Standing standing(long steadyMillis, long dayMillis) {
-            return bound.standing(source.knowledge(), steadyMillis, dayMillis);
+        private Standing standing(Moment now) {
+            return bound.standing(source.knowledge(), now);
         }
     }
 
@@ -63,19 +64,31 @@
 
     /** How the worst of what is known may be acted on. */
     Standing standing() {
-        long steadyMillis = timer.nowMillis();
-        long nowDayMillis = dayMillis.getAsLong();
+        Moment now = now();
         return watched.stream()
-                .map(part -> part.standing(steadyMillis, nowDayMillis))
+                .map(part -> part.standing(now))
                 .max(Comparator.naturalOrder())
                 .orElse(Standing.FRESH);
     }
 
+    private Moment now() {
+        return new Moment(timer.nowMillis(), dayMillis.getAsLong());
+    }
+
     /** Whether what is known is too old to act on. */
     boolean closed() {
         return standing() == Standing.STALE;
     }
 
+    /** Whether it is too old; then {@code opened} runs as soon as it is not. */
+    boolean watchedWhileClosed() {
+        boolean closed = closed();
+        if (closed) {
+            close();
+        }
+        return closed;
+    }
+
     /** Whether it has been too old for so long that requests are refused. */
     boolean refuses() {
         return closed() && heldForMillis() >= HOLD_MILLIS;
@@ -124,14 +137,13 @@
     }
 
     private void refreshIfStale(Watched part) {
-        long steadyMillis = timer.nowMillis();
-        long nowDayMillis = dayMillis.getAsLong();
-        if (part.standing(steadyMillis, nowDayMillis) == Standing.STALE) {
+        Moment now = now();
+        if (part.standing(now) == Standing.STALE) {
             LOG.info(
                     "event=knowledge-stale part="
                             + part.name()
                             + " age_ms="
-                            + part.source().knowledge().ageMillis(steadyMillis, nowDayMillis)
+                            + part.source().knowledge().ageMillis(now)
                             + " most_ms="
                             + part.bound().mostAgeMillis());
             part.source().refresh();
@@ -148,7 +160,7 @@
             List<Held> over = List.copyOf(held);
             held.clear();
             refused += over.size();
-            over.forEach(request -> request.refuse().run());
+            over.forEach(request -> run(request.refuse()));
         }
         lookLater();
     }
@@ -167,7 +179,16 @@
         closedAtMillis = OPEN;
         List<Held> released = List.copyOf(held);
         held.clear();
-        released.forEach(request -> request.proceed().run());
+        released.forEach(request -> run(request.proceed()));
         opened.run();
     }
+
+    // One request that fails must not take those behind it along.
+    private static void run(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException failure) {
+            LOG.errorf(failure, "event=held-request-failed");
+        }
+    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/StoreContact.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/StoreContact.java
@@ -2,6 +2,7 @@
 
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.knowledge.Knowledge;
+import org.tamaracktrack.core.knowledge.Moment;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.TopicAnswer;
 import org.tamaracktrack.link.topic.TopicPart;
@@ -15,6 +16,9 @@
     private static final long FIRST_RETRY_MILLIS = 100;
     private static final long MOST_RETRY_MILLIS = 800;
 
+    /** Records that are heard of this long after the partition was last known whole are logged. */
+    private static final long LATE_MILLIS = 1_000;
+
     private final TopicPart part;
     private final KeyedFollower.Listener listener;
     private final KeyedFollower.Watch watch;
@@ -22,6 +26,7 @@
     private boolean failing;
     private boolean needsTime;
     private boolean away;
+    private long answeredAtMillis = Long.MIN_VALUE / 2;
     private long awayAtMillis;
     private long returnedAtMillis;
     private boolean holderWasAnswered;
@@ -38,9 +43,9 @@
         return knowledge;
     }
 
-    /** Whether no read has been answered since one failed. */
+    /** Whether no read has been answered since one failed, or since the store was away. */
     boolean failing() {
-        return failing;
+        return failing || away;
     }
 
     /** Whether the next read may take its time, since one that did not wait timed out. */
@@ -49,25 +54,42 @@
     }
 
     long wholeBeforeMillis() {
-        return ControlThread.nowMillis() - knowledge.wholeAtMillis();
+        return ControlThread.nowMillis() - knowledge.wholeAt().steadyMillis();
+    }
+
+    /** Records are heard of, by the relay or a read. */
+    void noteLate(String source, int records, Moment lastAsked) {
+        if (wholeBeforeMillis() > LATE_MILLIS) {
+            LOG.info(
+                    "event=records-late part="
+                            + part
+                            + " source="
+                            + source
+                            + " records="
+                            + records
+                            + " whole_before_ms="
+                            + wholeBeforeMillis()
+                            + " asked_before_ms="
+                            + Clocks.agoMillis(lastAsked));
+        }
     }
 
     /** Every record that was written before a moment is known. */
     void wholeAt(Moment at) {
-        if (at.steadyMillis() > knowledge.wholeAtMillis()) {
-            knowledge = knowledge.wholeAt(at.steadyMillis(), at.clockDifference());
+        if (at.steadyMillis() > knowledge.wholeAt().steadyMillis()) {
+            knowledge = knowledge.whole(at);
             listener.onWhole(at.steadyMillis());
         }
     }
 
     /** A read was answered. */
     void back() {
+        answeredAtMillis = ControlThread.nowMillis();
         retryMillis = FIRST_RETRY_MILLIS;
         failing = false;
         needsTime = false;
         if (away) {
             away = false;
-            knowledge = knowledge.away(false);
             LOG.info("event=store-back part=" + part);
             returnedAtMillis = ControlThread.nowMillis();
             listener.onBack(returnedAtMillis);
@@ -78,7 +100,7 @@
     void restored() {
         holderWasAnswered = false;
         if (!away) {
-            goAway(ControlThread.nowMillis());
+            goAway(Clocks.now());
         }
     }
 
@@ -87,7 +109,7 @@
      *
      * @return the pause before that one
      */
-    long retry(TopicAnswer<?> answer, Moment asked) {
+    long retry(TopicAnswer<?> answer, ReadAsked asked) {
         if (failing) {
             needsTime = !needsTime && answer instanceof TopicAnswer.Unknown<?>;
         }
@@ -98,34 +120,40 @@
         return pauseMillis;
     }
 
-    // A daemon that is held up finds its reads over their time, however well the store is. Taken
-    // for an outage, old knowledge would be acted on and missing targets kept just then.
-    void failed(TopicAnswer<?> answer, Moment asked) {
-        if (away) {
+    // A daemon that is held up, or whose link is full, finds its reads over their time, however
+    // well the store is. Taken for an outage, old knowledge would be acted on and missing targets
+    // kept just then. Nor is it an outage that ended before another read was answered.
+    void failed(TopicAnswer<?> answer, ReadAsked asked) {
+        if (asked.moment().steadyMillis() < answeredAtMillis) {
+            LOG.info("event=read-outdated " + describe(answer, asked.moment()));
             return;
         }
-        if (!answered(answer) && !watch.punctualSince().test(asked.steadyMillis())) {
-            LOG.info("event=read-late " + describe(answer, asked));
+        if (!answered(answer) && !asked.tellsOfTheStore(watch.self())) {
+            LOG.info("event=read-late " + describe(answer, asked.moment()));
             return;
         }
-        holderWasAnswered = false;
-        LOG.warn("event=store-away " + describe(answer, asked));
-        goAway(asked.steadyMillis());
+        if (!away) {
+            holderWasAnswered = false;
+            LOG.warn("event=store-away " + describe(answer, asked.moment()));
+        }
+        goAway(asked.moment());
     }
 
     private static boolean answered(TopicAnswer<?> answer) {
         return answer instanceof TopicAnswer.Unavailable<?> unavailable && unavailable.answered();
     }
 
-    private void goAway(long atMillis) {
-        away = true;
-        awayAtMillis = atMillis;
-        knowledge = knowledge.away(true);
-        listener.onAway();
+    private void goAway(Moment asked) {
+        knowledge = knowledge.away(asked);
+        if (!away) {
+            away = true;
+            awayAtMillis = asked.steadyMillis();
+            listener.onAway();
+        }
     }
 
     String describe(TopicAnswer<?> answer, Moment asked) {
-        return "part=" + part + " answer=" + answer + " asked_before_ms=" + asked.agoMillis();
+        return "part=" + part + " answer=" + answer + " asked_before_ms=" + Clocks.agoMillis(asked);
     }
 
     // The holder may have asked before the store's return and been answered after it; what it read
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -60,6 +60,7 @@
     private long heardMillis;
     private boolean streaming;
     private boolean withheld;
+    private boolean begun;
 
     private enum Mode {
         NO_HEAD,
@@ -129,21 +130,18 @@
             long leftMillis,
             boolean repeatable) {}
 
-    static TargetAttempt start(
+    static TargetAttempt of(
             GatewayServices services,
             TargetEntry entry,
             Work work,
             String attempt,
             boolean streamed,
-            Sending sending,
             Listener listener) {
-        TargetAttempt started =
-                new TargetAttempt(services, entry, work, attempt, streamed, listener);
-        started.send(sending);
-        return started;
+        return new TargetAttempt(services, entry, work, attempt, streamed, listener);
     }
 
-    private void send(Sending sending) {
+    /** Sends it; on a kept connection the listener may hear of its end before this returns. */
+    void send(Sending sending) {
         startedMillis = services.nowMillis();
         heardMillis = startedMillis;
         aheadTokens = load.unreadTokens(startedMillis);
@@ -173,7 +171,8 @@
         if (ended) {
             return false;
         }
-        withheld = !services.mayReach(entry.incarnation());
+        withheld = begun ? services.gate().closed() : !services.mayReach(entry.incarnation());
+        begun = true;
         if (!withheld) {
             listener.onSending();
         }
@@ -251,6 +250,7 @@
             return;
         }
         noteHeard();
+        services.linkCheck().answered(startedMillis);
         AnswerFacts facts = services.dialect().answer(answerStatus, answerHeaders);
         // A late or extra answer on a kept connection belongs to another request. Passed on, a
         // caller would get what is not its own; the echoed name shows it.
@@ -335,7 +335,7 @@
         AttemptEnd kind = kind(failure);
         if (kind == AttemptEnd.NOT_SENT) {
             load.unreachable(services.nowMillis());
-        } else {
+        } else if (!withheld) {
             load.answered(true, services.nowMillis());
         }
         if (brokenByTarget(failure)) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/runtime/DelayMonitor.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/runtime/DelayMonitor.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Objects;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.delay.SchedulingDelay;
@@ -16,7 +17,7 @@
     private static final Logger LOG = Logger.getLogger("tamaracktrack.delay");
     private static final long INTERVAL_MILLIS = 100;
 
-    /** Far above what a full garbage collection takes, in milliseconds. */
+    /** What a read of the store can be late by in all before its time is over for that alone. */
     private static final long LATE_MILLIS = 250;
 
     private final SchedulingDelay control = delay();
@@ -42,13 +43,26 @@
         Objects.requireNonNull(trafficThread, "trafficThread is null");
         DelayMonitor monitor = new DelayMonitor();
         controlThread.every(INTERVAL_MILLIS, () -> beat("control", monitor.control));
-        trafficThread.executeAtInterval(
-                () -> beat("traffic", monitor.traffic), INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        monitor.beatLater(trafficThread);
         gauge("control", monitor.control, metrics);
         gauge("traffic", monitor.traffic, metrics);
         return monitor;
     }
 
+    private void beatLater(XnioIoThread trafficThread) {
+        try {
+            trafficThread.executeAfter(
+                    () -> {
+                        beat("traffic", traffic);
+                        beatLater(trafficThread);
+                    },
+                    INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException closed) {
+            LOG.debugf("event=traffic-task-dropped reason=closed");
+        }
+    }
+
     private static void gauge(String thread, SchedulingDelay delay, MeterRegistry metrics) {
         Gauge.builder("tamaracktrack.thread.delay", delay, SchedulingDelay::takeLongestMillis)
                 .tag("thread", thread)
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/KeyedFollowerTest.java
@@ -7,11 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.knowledge.KnowledgeBound;
+import org.tamaracktrack.core.knowledge.Moment;
 import org.tamaracktrack.daemon.relay.MemoryLog;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.relay.RelayLimits;
@@ -24,6 +27,9 @@
 class KeyedFollowerTest {
     private static final TopicPart PART = new TopicPart("keyed", 0);
 
+    /** A failure that comes this late is the end of a wait, not the word of another host. */
+    private static final long TIMED_OUT_MILLIS = 300;
+
     /** Takes 0.8 s of the link. */
     private static final String LARGE_RECORD = "large\n" + "x".repeat(100_000);
 
@@ -33,43 +39,59 @@
     private final List<Long> returnedAtMillis = new ArrayList<>();
     private List<String> expectedContact = List.of();
     private final AtomicBoolean punctual = new AtomicBoolean(true);
+    private final AtomicBoolean reaching = new AtomicBoolean(true);
     private RelayPair pair;
+    private KeyedFollower follower;
+
+    /** What this process knows of its own delay. */
+    private final class OwnState implements SelfCheck {
+        @Override
+        public boolean punctualSince(long sinceMillis) {
+            return punctual.get();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> reachesOthers() {
+            return CompletableFuture.completedFuture(reaching.get());
+        }
+    }
 
     @BeforeEach
     void start() throws IOException {
         pair = RelayPair.start(new RelayLimits(1));
         pair.onControl(
                 () ->
-                        KeyedFollower.start(
-                                log,
-                                PART,
-                                pair.control(),
-                                new KeyedFollower.Pace(1_300, 1),
-                                new KeyedFollower.Listener() {
-                                    @Override
-                                    public void onListing(List<KeyedRecord> listed) {
-                                        // Nothing is listed here.
-                                    }
-
-                                    @Override
-                                    public void onRecords(List<KeyedRecord> read) {
-                                        read.forEach(record -> heard.add(record.key()));
-                                    }
-
-                                    @Override
-                                    public void onAway() {
-                                        contact.add("away");
-                                    }
-
-                                    @Override
-                                    public void onBack(long atMillis) {
-                                        contact.add("back");
-                                        returnedAtMillis.add(atMillis);
-                                    }
-                                },
-                                pair.follower(),
-                                new KeyedFollower.Watch(
-                                        KnowledgeBound.of(2_000), since -> punctual.get())));
+                        follower =
+                                KeyedFollower.start(
+                                        log,
+                                        PART,
+                                        pair.control(),
+                                        new KeyedFollower.Pace(1_300, 1),
+                                        new KeyedFollower.Listener() {
+                                            @Override
+                                            public void onListing(List<KeyedRecord> listed) {
+                                                // Nothing is listed here.
+                                            }
+
+                                            @Override
+                                            public void onRecords(List<KeyedRecord> read) {
+                                                read.forEach(record -> heard.add(record.key()));
+                                            }
+
+                                            @Override
+                                            public void onAway() {
+                                                contact.add("away");
+                                            }
+
+                                            @Override
+                                            public void onBack(long atMillis) {
+                                                contact.add("back");
+                                                returnedAtMillis.add(atMillis);
+                                            }
+                                        },
+                                        pair.follower(),
+                                        new KeyedFollower.Watch(
+                                                KnowledgeBound.of(2_000, 3_000), new OwnState())));
         pair.await(log::hasWaitingRead);
     }
 
@@ -222,7 +244,7 @@
     void shouldNoticeTheReturnBeforeAnythingIsWritten() {
         expectedContact = List.of("away", "back");
 
-        pair.onControl(log::failWaits);
+        pair.onControl(log::refuseWaits);
 
         pair.await(() -> contact.equals(expectedContact));
         pair.await(log::hasWaitingRead);
@@ -251,7 +273,7 @@
         hearOfTheHolder();
         pair.onControl(log::endWaits);
         pair.await(log::hasWaitingRead);
-        pair.onControl(log::failWaits);
+        pair.onControl(log::refuseWaits);
         pair.await(() -> contact.contains("away"));
 
         long startedAtMillis = ControlThread.nowMillis();
@@ -278,10 +300,257 @@
         expectedContact = List.of("away", "back");
         pair.onControl(log::failAtOnce);
 
-        pair.onControl(log::failWaits);
+        pair.onControl(log::refuseWaits);
         pair.await(log::hasWaitingRead);
         pair.onControl(log::endWaits);
 
         pair.await(() -> contact.equals(expectedContact));
     }
+
+    /** How long the reads since a number of them were to wait. */
+    private List<Long> waitsSince(int reads) {
+        List<Long> waits = new ArrayList<>();
+        pair.onControl(() -> waits.addAll(log.waits().subList(reads, log.reads())));
+        return waits;
+    }
+
+    private void pass(long millis) {
+        long startedAtMillis = ControlThread.nowMillis();
+        pair.await(() -> ControlThread.nowMillis() > startedAtMillis + millis);
+    }
+
+    private void failWaitsWhile(boolean inTime) {
+        pass(TIMED_OUT_MILLIS);
+        pair.onControl(
+                () -> {
+                    punctual.set(inTime);
+                    log.failWaits();
+                });
+    }
+
+    /** Reads that do not wait hang, and are given up when the future is complete. */
+    private CompletableFuture<Void> hangReads() {
+        CompletableFuture<Void> givenUp = new CompletableFuture<>();
+        pair.onControl(
+                () -> {
+                    log.holdReads(givenUp);
+                    log.failAtOnce();
+                });
+        return givenUp;
+    }
+
+    /** A read beside the one that waits is asked for, and given up after a while. */
+    private void refreshAndTimeOut() {
+        CompletableFuture<Void> givenUp = hangReads();
+        int before = log.reads();
+        follower.refresh();
+        pair.await(() -> log.reads() > before);
+        pass(TIMED_OUT_MILLIS);
+        pair.onControl(() -> givenUp.complete(null));
+    }
+
+    private void assertNeverAway() {
+        pair.onControl(() -> assertThat(contact).isEmpty());
+        assertThat(follower.knowledge().awayAt()).isEqualTo(Moment.never());
+    }
+
+    @Nested
+    class OwnDelay {
+
+        // Guards against old knowledge that is acted on since this process's delay passes for an
+        // outage.
+        @Test
+        void shouldAskAgainWithoutWaitingWhenAReadTimedOutWhileThreadsWereLate() {
+            int before = log.reads();
+
+            failWaitsWhile(false);
+            pair.await(log::hasWaitingRead);
+
+            List<Long> waits = waitsSince(before);
+            assertThat(waits.get(0)).isEqualTo(0);
+            assertThat(waits).contains(1_300L);
+            assertNeverAway();
+        }
+
+        // Guards against an outage that goes unnoticed since it began while threads were late.
+        @Test
+        void shouldTakeALaterReadForAnOutageWhenThreadsAreInTimeAgain() {
+            expectedContact = List.of("away");
+            punctual.set(false);
+            refreshAndTimeOut();
+            assertNeverAway();
+
+            punctual.set(true);
+            refreshAndTimeOut();
+
+            pair.await(() -> contact.equals(expectedContact));
+            assertThat(follower.knowledge().awayAgeMillis(Clocks.now())).isLessThan(60_000);
+        }
+
+        // Guards against a refresh that is late by itself and passes for an outage.
+        @Test
+        void shouldNotTakeARefreshForAnOutageWhenThreadsWereLate() {
+            punctual.set(false);
+
+            refreshAndTimeOut();
+
+            assertNeverAway();
+        }
+    }
+
+    @Nested
+    class FullLink {
+
+        // Guards against old knowledge that is acted on since a full link passes for an outage.
+        @Test
+        void shouldNotTakeARefreshForAnOutageWhenNoOtherHostWasReached() {
+            reaching.set(false);
+
+            refreshAndTimeOut();
+
+            assertNeverAway();
+        }
+
+        // Guards against the same by the read that follows one that timed out.
+        @Test
+        void shouldNotTakeAReadThatDoesNotWaitForAnOutageWhenNoOtherHostWasReached() {
+            reaching.set(false);
+            CompletableFuture<Void> givenUp = hangReads();
+            int before = log.reads();
+
+            failWaitsWhile(true);
+            pair.await(() -> log.waits().subList(before, log.reads()).contains(0L));
+            pass(TIMED_OUT_MILLIS);
+            pair.onControl(() -> givenUp.complete(null));
+            pair.await(log::hasWaitingRead);
+
+            assertNeverAway();
+        }
+
+        // Guards against an outage that goes unnoticed since no read shows it.
+        @Test
+        void shouldTakeARefreshThatTimedOutForAnOutageWhenAnotherHostWasReached() {
+            expectedContact = List.of("away");
+
+            refreshAndTimeOut();
+
+            pair.await(() -> contact.equals(expectedContact));
+        }
+
+        // Guards against a read for which no other host was tried and that passes for an outage.
+        @Test
+        void shouldNotTakeAReadThatWaitsForAnOutageWhenItTimedOut() {
+            int before = log.reads();
+
+            failWaitsWhile(true);
+            pair.await(() -> log.reads() > before && log.hasWaitingRead());
+
+            assertNeverAway();
+        }
+    }
+
+    @Nested
+    class Outdated {
+
+        // Guards against an outage that is seen by a read from before another was answered.
+        @Test
+        void shouldNotTakeARefreshForAnOutageWhenAnotherReadWasAnsweredSince() {
+            CompletableFuture<Void> givenUp = hangReads();
+            int before = log.reads();
+            follower.refresh();
+            pair.await(() -> log.reads() > before);
+            pass(TIMED_OUT_MILLIS);
+
+            pair.onControl(log::endWaits);
+            pair.await(log::hasWaitingRead);
+            pair.onControl(() -> givenUp.complete(null));
+
+            assertNeverAway();
+        }
+    }
+
+    @Nested
+    class Refresh {
+
+        // Guards against knowledge that grows old while a read waits on a silent connection, and
+        // against records that are heard of twice.
+        @Test
+        void shouldReadBesideTheReadThatWaitsAndDeliverEachRecordOnce() {
+            int before = log.reads();
+            long askedMillis = ControlThread.nowMillis();
+            log.add("a");
+
+            follower.refresh();
+            pair.await(() -> heard.equals(List.of("a")));
+
+            assertThat(waitsSince(before).get(0)).isEqualTo(0);
+            assertThat(follower.knowledge().wholeAt().steadyMillis()).isAtLeast(askedMillis);
+            pair.onControl(
+                    () -> {
+                        assertThat(log.hasWaitingRead()).isTrue();
+                        log.endWaits();
+                    });
+            pair.onControl(() -> assertThat(heard).containsExactly("a"));
+        }
+
+        // Guards against a store that is asked again for each request that waits.
+        @Test
+        void shouldAskOnceWhenARefreshIsUnderWay() {
+            CompletableFuture<Void> go = new CompletableFuture<>();
+            int[] before = {0};
+            pair.onControl(
+                    () -> {
+                        log.holdReads(go);
+                        before[0] = log.reads();
+                        follower.refresh();
+                    });
+            pair.await(() -> log.reads() > before[0]);
+            pair.onControl(follower::refresh);
+            pair.onControl(follower::refresh);
+
+            assertThat(waitsSince(before[0])).containsExactly(0L);
+            pair.onControl(() -> go.complete(null));
+            pair.onControl(follower::refresh);
+            pair.await(() -> log.reads() > before[0] + 1);
+        }
+
+        // Guards against an outage that is noticed only when the read that waits has timed out.
+        @Test
+        void shouldTakeAFailedRefreshForAnOutageWhenThreadsWereInTime() {
+            expectedContact = List.of("away");
+            pair.onControl(log::failAtOnce);
+
+            follower.refresh();
+
+            pair.await(() -> contact.equals(expectedContact));
+            pair.onControl(() -> assertThat(log.hasWaitingRead()).isTrue());
+        }
+
+        // Guards against knowledge that is refreshed only when a request finds it too old.
+        @Test
+        void shouldReadByItselfWhenWhatIsKnownGrowsOld() {
+            int before = log.reads();
+            log.add("a");
+
+            pair.await(() -> heard.equals(List.of("a")));
+
+            assertThat(waitsSince(before).get(0)).isEqualTo(0);
+            pair.onControl(() -> assertThat(log.hasWaitingRead()).isTrue());
+        }
+    }
+
+    @Nested
+    class QuietRelay {
+
+        // Guards against a read that waits for records when what is known is old already.
+        @Test
+        void shouldNotWaitInTheFirstReadAfterTheHolderFellSilent() {
+            follow();
+            int before = log.reads();
+
+            pair.await(() -> log.waits().subList(before, log.reads()).contains(1_300L));
+
+            assertThat(waitsSince(before).get(0)).isEqualTo(0);
+        }
+    }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LastMomentTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LastMomentTest.java
@@ -90,6 +90,12 @@
             };
         }
 
+        @Override
+        public CompletableFuture<Boolean> answersConnections(
+                InetSocketAddress address, long limitMillis) {
+            return CompletableFuture.completedFuture(true);
+        }
+
         @Override
         public CompletableFuture<Boolean> refusesConnections(
                 InetSocketAddress address, long limitMillis) {
--- a/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/relay/MemoryLog.java
@@ -23,7 +23,7 @@
     private CompletableFuture<Void> readsGo = CompletableFuture.completedFuture(null);
     private boolean losesNextAnswer;
     private boolean failsAtOnce;
-    private int reads;
+    private final List<Long> waits = new ArrayList<>();
 
     private record Waiting(long from, CompletableFuture<TopicAnswer<RecordBatch>> answer) {}
 
@@ -32,7 +32,12 @@
     }
 
     public int reads() {
-        return reads;
+        return waits.size();
+    }
+
+    /** How long each read was to wait, in the order in which they were asked. */
+    public List<Long> waits() {
+        return waits;
     }
 
     public boolean hasWaitingRead() {
@@ -82,6 +87,14 @@
         lost.forEach(read -> read.answer().complete(new TopicAnswer.Unknown<>("timed out")));
     }
 
+    /** The reads that wait are told that the log is away. */
+    public void refuseWaits() {
+        List<Waiting> refused = List.copyOf(waiting);
+        waiting.clear();
+        refused.forEach(
+                read -> read.answer().complete(new TopicAnswer.Unavailable<>("away", true)));
+    }
+
     private TopicAnswer<RecordBatch> done(long from) {
         return new TopicAnswer.Done<>(batch(from));
     }
@@ -100,9 +113,9 @@
     @Override
     public CompletableFuture<TopicAnswer<RecordBatch>> read(
             TopicPart part, long from, long waitMillis) {
-        reads++;
+        waits.add(waitMillis);
         if (waitMillis == 0 && failsAtOnce) {
-            return CompletableFuture.completedFuture(new TopicAnswer.Unknown<>("timed out"));
+            return readsGo.thenApply(go -> new TopicAnswer.Unknown<>("timed out"));
         }
         if (waitMillis == 0 || from < records.size()) {
             return readsGo.thenApply(go -> done(from));
--- a/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
@@ -213,6 +213,12 @@
         return orders.stream().map(EngineInventory.OrderState::orderId).toList();
     }
 
+    @Override
+    public CompletableFuture<Boolean> answersConnections(
+            InetSocketAddress address, long limitMillis) {
+        return CompletableFuture.completedFuture(true);
+    }
+
     @Override
     public CompletableFuture<Boolean> refusesConnections(
             InetSocketAddress address, long limitMillis) {
--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -47,6 +47,7 @@
     private Optional<XnioExecutor.Key> timer = Optional.empty();
     private HttpFailure failureNow = HttpFailure.NOT_SENT;
     private volatile boolean ended;
+    private boolean kept;
     private boolean wholeSent;
     private long keptMillis;
     private volatile boolean paused;
@@ -82,6 +83,7 @@
     private void connect() {
         Optional<ClientConnection> idle = pool.take(call.address(), call.limits().idleMillis());
         if (idle.isPresent()) {
+            kept = true;
             adopt(idle.get());
             return;
         }
@@ -99,16 +101,36 @@
                     }
                 });
         // The connection attempt has no time limit of its own.
+        limitConnecting(call.limits().connectMillis(), true);
+    }
+
+    private void limitConnecting(long millis, boolean mayLookAgain) {
+        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         firstThread.executeAfter(
                 () -> {
-                    if (connection.isEmpty()) {
+                    if (connection.isPresent()) {
+                        return;
+                    }
+                    if (mayLookAgain && late(System.nanoTime() - dueNanos)) {
+                        limitConnecting(LATE_MILLIS, false);
+                    } else {
                         fail(HttpFailure.NOT_SENT);
                     }
                 },
-                call.limits().connectMillis(),
+                millis,
                 TimeUnit.MILLISECONDS);
     }
 
+    // One that was kept before may be closed by its server at any moment; given back now it would
+    // count as young.
+    private void giveBackUnused(ClientConnection opened) {
+        if (kept) {
+            IoUtils.safeClose(opened);
+        } else {
+            pool.giveBack(call.address(), opened);
+        }
+    }
+
     private void adopt(ClientConnection opened) {
         thread = opened.getIoThread();
         if (Thread.currentThread() == thread) {
@@ -128,7 +150,7 @@
         // an order would act on memory that a successor has given away, and a request that its
         // caller was told had not run would run.
         if (!maySend.getAsBoolean()) {
-            pool.giveBack(call.address(), opened);
+            giveBackUnused(opened);
             fail(HttpFailure.NOT_SENT);
             return;
         }
@@ -152,13 +174,17 @@
     // A thread that was held up comes to its timers before its sockets. Given up at once, an answer
     // that has long been here would count as none, and the server as away.
     private void timeIsUp(long lateNanos) {
-        if (TimeUnit.NANOSECONDS.toMillis(lateNanos) > LATE_MILLIS) {
+        if (late(lateNanos)) {
             limit(LATE_MILLIS, evenLater -> fail(HttpFailure.TIMED_OUT));
         } else {
             fail(HttpFailure.TIMED_OUT);
         }
     }
 
+    private static boolean late(long lateNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(lateNanos) > LATE_MILLIS;
+    }
+
     private ClientRequest request() {
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -76,6 +76,15 @@
      */
     CompletableFuture<Boolean> refusesConnections(InetSocketAddress address, long limitMillis);
 
+    /**
+     * Tries to open a connection. One that opens is kept for later calls.
+     *
+     * @param address the server
+     * @param limitMillis how long to wait for an answer
+     * @return true when the server's host answered in time, whether anybody listens there or not
+     */
+    CompletableFuture<Boolean> answersConnections(InetSocketAddress address, long limitMillis);
+
     /** Closes every connection and stops the threads. */
     @Override
     void close();
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -104,22 +104,41 @@
     @Override
     public CompletableFuture<Boolean> refusesConnections(
             InetSocketAddress address, long limitMillis) {
-        CompletableFuture<Boolean> refused = new CompletableFuture<>();
+        return tried(address, limitMillis).thenApply(Connecting.REFUSED::equals);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> answersConnections(
+            InetSocketAddress address, long limitMillis) {
+        return tried(address, limitMillis).thenApply(end -> end != Connecting.UNANSWERED);
+    }
+
+    private enum Connecting {
+        OPENED,
+        REFUSED,
+        UNANSWERED
+    }
+
+    private CompletableFuture<Connecting> tried(InetSocketAddress address, long limitMillis) {
+        CompletableFuture<Connecting> end = new CompletableFuture<>();
         pool.open(
                 address,
                 new ClientCallback<>() {
                     @Override
                     public void completed(ClientConnection opened) {
                         pool.giveBack(address, opened);
-                        refused.complete(false);
+                        end.complete(Connecting.OPENED);
                     }
 
                     @Override
                     public void failed(IOException failure) {
-                        refused.complete(failure instanceof ConnectException);
+                        end.complete(
+                                failure instanceof ConnectException
+                                        ? Connecting.REFUSED
+                                        : Connecting.UNANSWERED);
                     }
                 });
-        return refused.completeOnTimeout(false, limitMillis, TimeUnit.MILLISECONDS);
+        return end.completeOnTimeout(Connecting.UNANSWERED, limitMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
@@ -120,6 +120,12 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public CompletableFuture<Boolean> answersConnections(
+                InetSocketAddress address, long limitMillis) {
+            return CompletableFuture.completedFuture(true);
+        }
+
         @Override
         public CompletableFuture<Boolean> refusesConnections(
                 InetSocketAddress address, long limitMillis) {
