Let no unreadable address end a follower, and few connections tell of a full link

Such an entry is unreadable now, and an address that can't be tried tells nothing.

The connections of that look are closed again instead of kept: unproven ones would be taken before proven ones. A read under way that does not wait is not doubled. The holder's pause after records ends in time for those that rely on it (1,300 ms without a word before, by arithmetic). That the store is away is asked for again before it lapses. A paid repeat may wait at the gate like a first attempt, and a held request counts once. A kept connection that was not used is closed also when the call has ended.

--- a/core/src/main/java/org/tamaracktrack/core/knowledge/KnowledgeBound.java
+++ b/core/src/main/java/org/tamaracktrack/core/knowledge/KnowledgeBound.java
@@ -71,6 +71,7 @@
      */
     public boolean refreshes(Knowledge knowledge, Moment now) {
         return knowledge.ageMillis(now) > refreshAgeMillis
-                && knowledge.awayAgeMillis(now) > refreshAgeMillis;
+                && knowledge.awayAgeMillis(now)
+                        > Math.min(refreshAgeMillis, mostAwayAgeMillis - 2 * READ_MILLIS);
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -132,15 +132,8 @@
     // Asked again before each attempt: the target that has just ended may have been the last one
     // that this request is allowed.
     private void dispatch() {
-        if (refusedAsHeld()) {
-            return;
-        }
-        if (tried.isEmpty()) {
+        if (!refusedAsHeld()) {
             services.gate().whenOpen(this::chooseAndSend, this::refuseAsOutdated);
-        } else if (services.gate().closed()) {
-            refuseAsOutdated();
-        } else {
-            chooseAndSend();
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -73,8 +73,10 @@
     // Routed by an old configuration a request may be refused for good, or run where it no longer
     // belongs.
     private void hold(HttpServerExchange exchange) {
-        exchange.putAttachment(ARRIVED_MILLIS, services.nowMillis());
-        count(exchange);
+        if (exchange.getAttachment(ARRIVED_MILLIS) == null) {
+            exchange.putAttachment(ARRIVED_MILLIS, services.nowMillis());
+            count(exchange);
+        }
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () ->
@@ -104,7 +106,9 @@
             Refusals.answer(exchange, ErrorCode.BODY_TOO_LARGE);
             return;
         }
-        count(exchange);
+        if (exchange.getAttachment(ARRIVED_MILLIS) == null) {
+            count(exchange);
+        }
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(mostBytes);
         receiver.receiveFullBytes(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayServices.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -71,7 +72,12 @@
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
-        this.linkCheck = new LinkCheck(http, () -> view.fleet(), ControlThread::nowMillis);
+        this.linkCheck =
+                new LinkCheck(
+                        http,
+                        () -> view.fleet(),
+                        ControlThread::nowMillis,
+                        new SplittableRandom(random.nextLong()));
     }
 
     HttpCaller http() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/KeyedFollower.java
@@ -50,7 +50,7 @@
     private final List<KeyedRecord> listing = new ArrayList<>();
     private long next = NOT_LISTED;
     private long listedAt;
-    private ReadAsked asked = ReadAsked.unchecked();
+    private ReadAsked asked = ReadAsked.none();
     private Moment firstPageAsked = asked.moment();
     private boolean relayFellQuiet;
     private boolean busy;
@@ -213,7 +213,7 @@
     }
 
     private void refreshIfOld() {
-        if (watch.bound().refreshes(knowledge(), Clocks.now())) {
+        if (!asked.promptAndYoung() && watch.bound().refreshes(knowledge(), Clocks.now())) {
             refresh();
         }
     }
@@ -233,11 +233,13 @@
                                 control.post(
                                         () -> {
                                             refreshing.set(false);
+                                            askedNow.end();
                                             ifNow(planned, () -> refreshed(answer, askedNow));
                                         }));
     }
 
-    // Another host is tried at the same moment: what a full link has lost of the read may come late
+    // Another host is tried at the same moment: what a full link has lost of the read may come
+    // late,
     // when the link has long been free again.
     private ReadAsked ask() {
         return ReadAsked.checkedBy(watch.self());
@@ -304,6 +306,7 @@
     }
 
     private void page(TopicAnswer<NewestPage> answer, boolean first) {
+        asked.end();
         if (!(answer instanceof TopicAnswer.Done<NewestPage> done)) {
             retry(answer, this::list);
             return;
@@ -348,7 +351,7 @@
         }
         busy = true;
         long waitMillis = waitMillis();
-        asked = waitMillis == 0 ? ask() : ReadAsked.unchecked();
+        asked = waitMillis == 0 ? ask() : ReadAsked.waiting(waitMillis);
         long planned = generation;
         topics.read(part, next, waitMillis)
                 .thenAccept(
@@ -392,6 +395,7 @@
 
     private void records(TopicAnswer<RecordBatch> answer, long waitedMillis) {
         busy = false;
+        asked.end();
         if (answer instanceof TopicAnswer.Expired<RecordBatch> expired) {
             LOG.info(
                     "event=records-expired part="
@@ -415,10 +419,15 @@
         if (nothingNew || moreIsThere) {
             follow();
         } else {
-            pause(Math.max(1, pace.gapMillis()));
+            pause(Math.max(1, relay.holding() ? holderGapMillis() : pace.gapMillis()));
         }
     }
 
+    // The pause ends in time for the other daemons, which rely on what the holder reads.
+    private long holderGapMillis() {
+        return Math.min(pace.gapMillis(), holderWaitMillis());
+    }
+
     /** Takes in what was read, and passes it on. */
     private void take(RecordBatch batch, Moment at, String source) {
         relay.publish(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/LinkCheck.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/LinkCheck.java
@@ -3,11 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
+import org.jboss.logging.Logger;
 import org.tamaracktrack.core.fleet.Fleet;
 import org.tamaracktrack.core.fleet.TargetAddress;
 import org.tamaracktrack.core.fleet.TargetEntry;
@@ -18,6 +18,8 @@
  * use by any thread.
  */
 final class LinkCheck {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.knowledge");
+
     /** Hosts within a region answer in milliseconds. */
     private static final long ANSWER_MILLIS = 250;
 
@@ -27,21 +29,29 @@
     /** A request that was sent this long ago and is answered shows the link as it is now. */
     private static final long RECENT_MILLIS = 150;
 
-    /** Checks that are asked for together are one. */
+    /**
+     * Checks are one within this time: targets take a bounded number of connections, from hundreds
+     * of daemons together. An older check says nothing of a link that has filled since.
+     */
     private static final long SHARED_MILLIS = 100;
 
     private final HttpCaller http;
     private final Supplier<Fleet> fleet;
     private final LongSupplier nowMillis;
-    private final AtomicInteger turn = new AtomicInteger();
+    private final RandomGenerator random;
     private volatile long promptFromMillis = Long.MIN_VALUE / 2;
     private CompletableFuture<Boolean> latest = CompletableFuture.completedFuture(true);
     private long latestAtMillis = Long.MIN_VALUE / 2;
 
-    LinkCheck(HttpCaller http, Supplier<Fleet> fleet, LongSupplier nowMillis) {
+    LinkCheck(
+            HttpCaller http,
+            Supplier<Fleet> fleet,
+            LongSupplier nowMillis,
+            RandomGenerator random) {
         this.http = http;
         this.fleet = fleet;
         this.nowMillis = nowMillis;
+        this.random = random;
     }
 
     /** A target answered a request; when it did so at once the link was not full. */
@@ -52,7 +62,7 @@
     }
 
     /**
-     * Tries some targets by turns, unless one has answered a request at once of late.
+     * Tries some targets, unless one has answered a request at once of late.
      *
      * @return true when one answers in time, or none is known
      */
@@ -62,32 +72,27 @@
         }
         if (nowMillis.getAsLong() - latestAtMillis > SHARED_MILLIS) {
             latestAtMillis = nowMillis.getAsLong();
-            latest = any(tried());
+            latest = any(fleet.get().all().map(TargetEntry::address).collect(Collectors.toList()));
         }
         return latest;
     }
 
-    private List<CompletableFuture<Boolean>> tried() {
-        List<InetSocketAddress> addresses =
-                fleet.get()
-                        .all()
-                        .map(TargetEntry::address)
-                        .map(LinkCheck::address)
-                        .collect(Collectors.toList());
-        int first = turn.getAndAdd(TARGETS);
-        return IntStream.range(0, Math.min(TARGETS, addresses.size()))
-                .map(index -> Math.floorMod(first + index, addresses.size()))
-                .mapToObj(index -> http.answersConnections(addresses.get(index), ANSWER_MILLIS))
-                .collect(Collectors.toList());
-    }
-
-    private static InetSocketAddress address(TargetAddress address) {
-        return new InetSocketAddress(address.ip(), address.port());
-    }
-
-    private static CompletableFuture<Boolean> any(List<CompletableFuture<Boolean>> answers) {
-        return answers.stream()
+    private CompletableFuture<Boolean> any(List<TargetAddress> addresses) {
+        return random.ints(Math.min(TARGETS, addresses.size()), 0, Math.max(1, addresses.size()))
+                .mapToObj(addresses::get)
+                .map(this::answers)
                 .reduce((one, other) -> one.thenCombine(other, Boolean::logicalOr))
                 .orElseGet(() -> CompletableFuture.completedFuture(true));
     }
+
+    // A connection that can't even be tried tells nothing, and must not end the read that asks.
+    private CompletableFuture<Boolean> answers(TargetAddress address) {
+        try {
+            InetSocketAddress socket = new InetSocketAddress(address.ip(), address.port());
+            return http.answersConnections(socket, ANSWER_MILLIS);
+        } catch (RuntimeException failure) {
+            LOG.warn("event=link-check-failed target_address=" + address + " cause=" + failure);
+            return CompletableFuture.completedFuture(false);
+        }
+    }
 }
--- a/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/Exchange.java
@@ -142,13 +142,12 @@
 
     private void send(ClientConnection opened) {
         if (ended) {
-            pool.giveBack(call.address(), opened);
+            giveBackUnused(opened);
             return;
         }
         // A process may be frozen between the decision to call and this moment. Sent after its
-        // time,
-        // an order would act on memory that a successor has given away, and a request that its
-        // caller was told had not run would run.
+        // time, an order would act on memory that a successor has given away, and a request that
+        // its caller was told had not run would run.
         if (!maySend.getAsBoolean()) {
             giveBackUnused(opened);
             fail(HttpFailure.NOT_SENT);
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -60,7 +60,7 @@
      * @param maySend asked right before the first byte is sent; on false nothing is sent and the
      *     listener hears {@code NOT_SENT}. Asked again before each further part of a body that
      *     can't be sent at once; on false the connection is reset and the listener hears {@code
-     *     NO_ANSWER}
+     *     NO_ANSWER}, or {@code ANSWER_CUT} once an answer has begun
      * @param listener hears of the answer
      * @return the call under way
      */
@@ -77,7 +77,7 @@
     CompletableFuture<Boolean> refusesConnections(InetSocketAddress address, long limitMillis);
 
     /**
-     * Tries to open a connection. One that opens is kept for later calls.
+     * Tries to open a connection, and closes it.
      *
      * @param address the server
      * @param limitMillis how long to wait for an answer
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -13,8 +13,10 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -104,13 +106,15 @@
     @Override
     public CompletableFuture<Boolean> refusesConnections(
             InetSocketAddress address, long limitMillis) {
-        return tried(address, limitMillis).thenApply(Connecting.REFUSED::equals);
+        return tried(address, limitMillis, opened -> pool.giveBack(address, opened))
+                .thenApply(Connecting.REFUSED::equals);
     }
 
     @Override
     public CompletableFuture<Boolean> answersConnections(
             InetSocketAddress address, long limitMillis) {
-        return tried(address, limitMillis).thenApply(end -> end != Connecting.UNANSWERED);
+        return tried(address, limitMillis, IoUtils::safeClose)
+                .thenApply(end -> end != Connecting.UNANSWERED);
     }
 
     private enum Connecting {
@@ -119,14 +123,15 @@
         UNANSWERED
     }
 
-    private CompletableFuture<Connecting> tried(InetSocketAddress address, long limitMillis) {
+    private CompletableFuture<Connecting> tried(
+            InetSocketAddress address, long limitMillis, Consumer<ClientConnection> whenOpened) {
         CompletableFuture<Connecting> end = new CompletableFuture<>();
         pool.open(
                 address,
                 new ClientCallback<>() {
                     @Override
                     public void completed(ClientConnection opened) {
-                        pool.giveBack(address, opened);
+                        whenOpened.accept(opened);
                         end.complete(Connecting.OPENED);
                     }
 
