Authenticate callers by the keys of client accounts

Change: core.account finds the owner of a key by its digest, in a map made once a configuration; core.route.RequestAuthorization decides on arrival, before a target is selected and last before bytes leave, by the configuration in force then. The adapter always sets the account's header and never forwards the key.

Ruled out: a check on arrival only (a request may wait for a copy or go to a second target while its key is removed).

--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts of the serving configuration, and the keys that authenticate their callers. */
+package org.tamaracktrack.core.account;
--- a/core/src/main/java/org/tamaracktrack/core/route/Route.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/Route.java
@@ -17,6 +17,7 @@
  *     stream, in milliseconds
  * @param priority the priority; 0 is the highest
  * @param maximumAttempts the maximum number of targets that a request may be sent to
+ * @param isPublic whether callers need no key
  * @param services the services that requests are distributed to, with their weights
  */
 public record Route(
@@ -29,6 +30,7 @@
         long objectiveMillis,
         int priority,
         int maximumAttempts,
+        boolean isPublic,
         List<WeightedService> services) {
 
     /** Checks the arguments. */
@@ -49,6 +51,18 @@
         return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAMING && resumable;
     }
 
+    /**
+     * Returns whether requests may be sent to a service.
+     *
+     * @param service the service
+     * @return true when the route distributes requests to it
+     */
+    public boolean allows(ServiceId service) {
+        return services.stream()
+                .anyMatch(
+                        candidate -> candidate.service().equals(service) && candidate.weight() > 0);
+    }
+
     /**
      * Selects the service of one request in proportion to the weights.
      *
--- a/core/src/main/java/org/tamaracktrack/core/route/ServingConfiguration.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/ServingConfiguration.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.tamaracktrack.core.account.AccountDirectory;
 import org.tamaracktrack.core.id.ServiceId;
 
 /**
@@ -12,17 +13,20 @@
  * @param routes the routes
  * @param services the services by name
  * @param limits the limits on requests of callers
+ * @param accounts the client accounts
  */
 public record ServingConfiguration(
         long version,
         RouteTable routes,
         Map<ServiceId, ServiceSpecification> services,
-        RequestLimits limits) {
+        RequestLimits limits,
+        AccountDirectory accounts) {
 
     /** Checks the arguments. */
     public ServingConfiguration {
         Objects.requireNonNull(routes, "routes is null");
         Objects.requireNonNull(limits, "limits is null");
+        Objects.requireNonNull(accounts, "accounts is null");
         services = Map.copyOf(services);
     }
 
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/FailurePolicyTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FailurePolicyTest.java
@@ -34,6 +34,7 @@
                 100,
                 0,
                 attempts,
+                false,
                 List.of(new WeightedService(ServiceId.of("service"), 1)));
     }
 
--- a/core/src/test/java/org/tamaracktrack/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/route/RouteTableTest.java
@@ -22,6 +22,7 @@
                 100,
                 0,
                 2,
+                false,
                 services.length == 0
                         ? List.of(new WeightedService(SERVICE, 1))
                         : List.of(services));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FailureResponse.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FailureResponse.java
@@ -37,9 +37,7 @@
      */
     static FailureResponse of(
             ErrorCode code, long retryAfterMillis, long remainingMillis, double draw) {
-        byte[] body =
-                ("{\"error\":\"" + code + "\",\"ran\":\"" + code.ran() + "\"}")
-                        .getBytes(StandardCharsets.UTF_8);
+        byte[] body = body(code);
         return code.retryable()
                 ? new FailureResponse(
                         Map.of(
@@ -51,6 +49,16 @@
                 : new FailureResponse(Map.of(CONTENT_TYPE, JSON), body);
     }
 
+    /** Returns the body of the response for an error. */
+    static byte[] body(ErrorCode code) {
+        String advice =
+                code == ErrorCode.UNAUTHENTICATED
+                        ? ",\"message\":\"send Authorization: Bearer with a valid key\""
+                        : "";
+        return ("{\"error\":\"" + code + "\",\"ran\":\"" + code.ran() + '"' + advice + '}')
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
     // Callers that are refused together and retry together are refused again. Spread out, their
     // retries find the capacity that has become free in the meantime.
     private static String retryAfter(long retryAfterMillis, long remainingMillis, double draw) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
@@ -18,6 +20,7 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
 import org.tamaracktrack.core.stream.EventSplitter;
@@ -43,6 +46,8 @@
     private final GatewayContext context;
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
+    private final RequestAuthorization.Origin origin;
+    private final RequestAuthorization authorization;
     private final Route route;
     private final RequestMetadata metadata;
     private final byte[] body;
@@ -75,7 +80,9 @@
         this.context = context;
         this.exchange = exchange;
         this.connection = connection;
-        this.route = accepted.route();
+        this.origin = accepted.origin();
+        this.authorization = accepted.authorization();
+        this.route = authorization.route().orElseThrow();
         this.metadata = accepted.metadata();
         this.body = accepted.body();
         this.deadline =
@@ -99,7 +106,8 @@
     /**
      * A request whose body has been read.
      *
-     * @param route its route
+     * @param origin what identifies its route and client account
+     * @param authorization its route and client account by the configuration on arrival
      * @param service the service that the route selected
      * @param metadata what its headers state
      * @param body its body
@@ -107,7 +115,8 @@
      * @param configurationVersion the version of the configuration that the route is from
      */
     record AcceptedRequest(
-            Route route,
+            RequestAuthorization.Origin origin,
+            RequestAuthorization authorization,
             ServiceId service,
             RequestMetadata metadata,
             byte[] body,
@@ -144,13 +153,13 @@
     // The quarantine is checked before each attempt: the target that has just ended may have been
     // the last one that this request was allowed.
     private void dispatch() {
-        if (!refuseIfQuarantined()) {
+        if (!refuseIfNotAllowed() && !refuseIfQuarantined()) {
             context.gate().whenOpen(this::selectAndSend, this::refuseAsOutdated);
         }
     }
 
     private void selectAndSend() {
-        if (!done) {
+        if (!done && !refuseIfNotAllowed()) {
             selectTarget().ifPresentOrElse(this::sendUnlessTooLate, this::onNoTarget);
         }
     }
@@ -200,7 +209,12 @@
                         .toTargetHeaders(
                                 headers,
                                 new HeaderProtocol.ForwardingContext(
-                                        entry, remainingMillis, Urgency.of(route), lastEventId()));
+                                        entry,
+                                        remainingMillis,
+                                        Urgency.of(route, accountPriority()),
+                                        lastEventId(),
+                                        authorization.account().map(Account::id),
+                                        context.keysRequired()));
         TargetAttempt.OutgoingRequest outgoingRequest =
                 new TargetAttempt.OutgoingRequest(
                         exchange.getRequestMethod().toString(),
@@ -217,6 +231,10 @@
         next.send(outgoingRequest);
     }
 
+    private OptionalInt accountPriority() {
+        return authorization.account().map(Account::priority).orElse(OptionalInt.empty());
+    }
+
     private Optional<String> lastEventId() {
         return events.lastId().or(metadata::lastEventId);
     }
@@ -240,7 +258,10 @@
 
     /** Selects a target again after the fleet has changed. */
     void retryWaiting() {
-        if (done || context.gate().closeIfStale() || refuseIfQuarantined()) {
+        if (done
+                || context.gate().closeIfStale()
+                || refuseIfNotAllowed()
+                || refuseIfQuarantined()) {
             return;
         }
         Optional<TargetSelector.Selection> selection = selectTarget();
@@ -377,6 +398,11 @@
         response.sendWhole(status, responseHeaders, responseBody);
     }
 
+    @Override
+    public boolean isStillAllowed() {
+        return refusalNow().isEmpty();
+    }
+
     @Override
     public void onSending() {
         registryAgeMillis = context.registryAgeMillis();
@@ -463,6 +489,19 @@
         }
     }
 
+    // A key can be removed, and a route moved, while the request waits.
+    private Optional<ErrorCode> refusalNow() {
+        return context.isInForce(configurationVersion)
+                ? Optional.empty()
+                : context.authorize(origin).refusalAfter(authorization, dispatchRequest.service());
+    }
+
+    private boolean refuseIfNotAllowed() {
+        Optional<ErrorCode> refusal = refusalNow();
+        refusal.ifPresent(code -> refuseOrFail(code, "no_longer_allowed"));
+        return refusal.isPresent();
+    }
+
     private boolean refuseIfQuarantined() {
         boolean quarantined = quarantineState.isQuarantined();
         if (quarantined) {
@@ -489,6 +528,7 @@
         RequestLog.logEnd(
                 new RequestLog.RequestEnd(
                         metadata.attempt(),
+                        authorization.account().map(Account::id),
                         route.name(),
                         dispatchRequest,
                         outcome,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -336,6 +336,15 @@
         context.gate().watch(name, bound, source);
     }
 
+    /**
+     * Sets how recent the configuration must be for keys of client accounts to be accepted.
+     *
+     * @param keyFreshness the requirement
+     */
+    public void requireKeyFreshness(KeyFreshness keyFreshness) {
+        context.keyFreshness(keyFreshness);
+    }
+
     /**
      * Connects to some targets to find out whether this host's link is saturated.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -19,7 +19,10 @@
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.knowledge.DualTimestamp;
 import org.tamaracktrack.core.quarantine.Quarantine;
+import org.tamaracktrack.core.route.RequestAuthorization;
+import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -57,6 +60,7 @@
     private Runnable loadsChangeListener = () -> {};
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
+    private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
 
     GatewayContext(
@@ -201,6 +205,49 @@
         return gate;
     }
 
+    /** Authorizes a request by a configuration. */
+    RequestAuthorization authorize(
+            ServingConfiguration configuration, RequestAuthorization.Origin origin) {
+        return RequestAuthorization.of(configuration, origin, keyFreshness.confirmed(now()));
+    }
+
+    /** Authorizes a request by the configuration in force. */
+    RequestAuthorization authorize(RequestAuthorization.Origin origin) {
+        return authorize(view.configuration().orElseThrow(), origin);
+    }
+
+    /**
+     * Returns whether a version is the one in force, and recent enough for its keys to be accepted.
+     */
+    boolean isInForce(long version) {
+        return view.configuration().filter(current -> current.version() == version).isPresent()
+                && keyFreshness.confirmed(now());
+    }
+
+    /** Returns whether the configuration in force has client accounts. */
+    boolean keysRequired() {
+        return view.configuration()
+                .filter(configuration -> configuration.accounts().keysRequired())
+                .isPresent();
+    }
+
+    /** Sets how recent the configuration must be for keys to be accepted. */
+    void keyFreshness(KeyFreshness newer) {
+        keyFreshness = newer;
+    }
+
+    /** Returns the version and age of the configuration in force, for logs. */
+    String configurationState() {
+        return "configuration="
+                + view.configuration().map(ServingConfiguration::version).orElse(-1L)
+                + " configuration_age_ms="
+                + keyFreshness.ageMillis(now());
+    }
+
+    private DualTimestamp now() {
+        return new DualTimestamp(nowMillis(), dayMillis());
+    }
+
     LinkCheck linkCheck() {
         return linkCheck;
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -5,13 +5,12 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.AttachmentKey;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.connection.CallerConnection;
@@ -56,10 +55,10 @@
             hold(exchange);
             return;
         }
-        Optional<Route> route =
-                configuration.get().routes().find(host(exchange), exchange.getRequestURI());
-        if (route.isEmpty()) {
-            Refusals.send(exchange, ErrorCode.NOT_FOUND);
+        RequestAuthorization.Origin origin = CallerIdentity.origin(exchange);
+        RequestAuthorization authorization = context.authorize(configuration.get(), origin);
+        if (authorization.refusal().isPresent()) {
+            refuse(exchange, authorization.refusal().get());
             return;
         }
         Optional<RequestMetadata> metadata =
@@ -68,7 +67,27 @@
             Refusals.send(exchange, ErrorCode.BAD_REQUEST);
             return;
         }
-        read(exchange, configuration.get(), route.get(), metadata.get());
+        read(exchange, configuration.get(), new Admitted(origin, authorization, metadata.get()));
+    }
+
+    /** A request whose head was read and is allowed by the configuration in force. */
+    private record Admitted(
+            RequestAuthorization.Origin origin,
+            RequestAuthorization authorization,
+            RequestMetadata metadata) {
+        private Route route() {
+            return authorization.route().orElseThrow();
+        }
+    }
+
+    private void refuse(HttpServerExchange exchange, ErrorCode code) {
+        if (code == ErrorCode.OUTDATED) {
+            Refusals.sendOutdated(exchange, context.draw());
+        } else if (code == ErrorCode.UNAUTHENTICATED) {
+            Refusals.sendUnauthenticated(exchange, context.configurationState());
+        } else {
+            Refusals.send(exchange, code);
+        }
     }
 
     // Under an outdated configuration a request may be refused finally, or run on a service that it
@@ -87,18 +106,8 @@
                                         () -> Refusals.sendOutdated(exchange, context.draw())));
     }
 
-    private static String host(HttpServerExchange exchange) {
-        String host =
-                Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST)).orElse("");
-        int port = host.lastIndexOf(':');
-        return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
-    }
-
     private void read(
-            HttpServerExchange exchange,
-            ServingConfiguration configuration,
-            Route route,
-            RequestMetadata metadata) {
+            HttpServerExchange exchange, ServingConfiguration configuration, Admitted admitted) {
         long arrivedMillis =
                 Optional.ofNullable(exchange.getAttachment(ARRIVED_MILLIS))
                         .orElseGet(context::nowMillis);
@@ -120,9 +129,10 @@
                                         forward(
                                                 exchange,
                                                 new ForwardedRequest.AcceptedRequest(
-                                                        route,
-                                                        route.service(context.draw()),
-                                                        metadata,
+                                                        admitted.origin(),
+                                                        admitted.authorization(),
+                                                        admitted.route().service(context.draw()),
+                                                        admitted.metadata(),
                                                         body,
                                                         arrivedMillis,
                                                         configuration.version()))),
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/HeaderProtocol.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/HeaderProtocol.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.ClientAccountId;
 
 /** Maps between the headers of callers and targets and the data that the gateway uses. */
 public interface HeaderProtocol {
@@ -41,7 +42,14 @@
      * @param remainingMillis the caller's remaining time
      * @param urgency 0 to 9, where 0 is the most urgent
      * @param lastEventId the last event that the caller has received
+     * @param account the client account of the caller's key; empty without one
+     * @param keysRequired whether the configuration has client accounts
      */
     record ForwardingContext(
-            TargetEntry target, long remainingMillis, int urgency, Optional<String> lastEventId) {}
+            TargetEntry target,
+            long remainingMillis,
+            int urgency,
+            Optional<String> lastEventId,
+            Optional<ClientAccountId> account,
+            boolean keysRequired) {}
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
@@ -2,7 +2,9 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.account.BearerToken;
 import org.tamaracktrack.core.error.ErrorCode;
 
 /** Sends error responses for requests that are not forwarded. */
@@ -31,6 +33,29 @@
         send(exchange, ErrorCode.OUTDATED, String.valueOf(retryAfterMillis / MILLIS_PER_SECOND));
     }
 
+    /** Refuses a request without a key that the configuration in force knows. */
+    static void sendUnauthenticated(HttpServerExchange exchange, String configurationState) {
+        ErrorCode code = ErrorCode.UNAUTHENTICATED;
+        LOG.info(
+                "event=refused code="
+                        + code
+                        + " status="
+                        + code.status()
+                        + " reason="
+                        + BearerToken.describeRejected(CallerIdentity.authorization(exchange))
+                        + " host="
+                        + exchange.getHostName()
+                        + " path="
+                        + exchange.getRequestURI()
+                        + ' '
+                        + configurationState);
+        exchange.setStatusCode(code.status());
+        exchange.getResponseHeaders().put(Headers.WWW_AUTHENTICATE, "Bearer");
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender()
+                .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
+    }
+
     private static void send(
             HttpServerExchange exchange, ErrorCode code, String retryAfterSeconds) {
         LOG.info(
@@ -47,6 +72,7 @@
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterSeconds);
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender().send("{\"error\":\"" + code + "\"}");
+        exchange.getResponseSender()
+                .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -8,6 +8,7 @@
 import org.tamaracktrack.core.dispatch.FailurePolicy;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
 
@@ -24,6 +25,7 @@
      * The end of a request.
      *
      * @param attempt the attempt id that the caller gave the request
+     * @param account the client account of its key; empty without one
      * @param route its route
      * @param dispatchRequest its service and model
      * @param outcome how it ended
@@ -40,6 +42,7 @@
      */
     record RequestEnd(
             String attempt,
+            Optional<ClientAccountId> account,
             String route,
             DispatchRequest dispatchRequest,
             String outcome,
@@ -57,6 +60,7 @@
         LOG.info(
                 "event=request request="
                         + request.attempt()
+                        + request.account().map(account -> " account=" + account).orElse("")
                         + " route="
                         + request.route()
                         + " service="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestMetadata.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestMetadata.java
@@ -14,6 +14,8 @@
  * @param waitMillis how long the caller waits, if stated
  * @param need the model that the request names
  * @param promptTokens the number of tokens in the prompt
+ * @param totalTokens the number of prompt tokens and the maximum number of output tokens together,
+ *     if stated
  * @param parts the prompt's parts in order
  * @param lastEventId the last event that the caller received from an earlier attempt's stream
  */
@@ -22,6 +24,7 @@
         OptionalLong waitMillis,
         Optional<ModelNeed> need,
         int promptTokens,
+        OptionalLong totalTokens,
         List<PromptPart> parts,
         Optional<String> lastEventId) {
 
@@ -30,6 +33,7 @@
         Objects.requireNonNull(attempt, "attempt is null");
         Objects.requireNonNull(waitMillis, "waitMillis is null");
         Objects.requireNonNull(need, "need is null");
+        Objects.requireNonNull(totalTokens, "totalTokens is null");
         Objects.requireNonNull(lastEventId, "lastEventId is null");
         parts = List.copyOf(parts);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -96,6 +96,12 @@
          */
         void onFailed(AttemptEnd end, Optional<TargetFailure> failure);
 
+        /**
+         * Returns whether the configuration in force still allows the request. Called before bytes
+         * are sent.
+         */
+        boolean isStillAllowed();
+
         /** Called right before the first byte is sent. */
         void onSending();
 
@@ -182,7 +188,10 @@
             return false;
         }
         withheld =
-                sendingBegun ? context.gate().isClosed() : !context.maySendTo(entry.incarnation());
+                !listener.isStillAllowed()
+                        || (sendingBegun
+                                ? context.gate().isClosed()
+                                : !context.maySendTo(entry.incarnation()));
         sendingBegun = true;
         if (!withheld) {
             listener.onSending();
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.account.AccountDirectory;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.fleet.TargetAddress;
@@ -118,6 +119,7 @@
                             OptionalLong.empty(),
                             Optional.empty(),
                             0,
+                            OptionalLong.empty(),
                             List.of(),
                             Optional.empty()));
         }
@@ -175,12 +177,14 @@
                         500,
                         0,
                         2,
+                        false,
                         List.of(new WeightedService(SERVICE, 1)));
         return new ServingConfiguration(
                 1,
                 RouteTable.of(List.of(route)),
                 Map.of(SERVICE, new ServiceSpecification(SERVICE, Optional.empty())),
-                new RequestLimits(10_000));
+                new RequestLimits(10_000),
+                AccountDirectory.empty());
     }
 
     private static FleetSnapshot fleet(boolean leaving) {
