Enforce the quotas of client accounts over all daemons together

Cause: the platform's way had no quota; the product's own way limited each daemon by itself, so an account got its limit once a daemon.

Kept: the coordinator. Each daemon asks the daemon it follows before it admits a request.

The coordinator's authority is the sum of short-lived votes, one share of 1/N from each daemon, so any number of coordinators together stays within the quota; a daemon moves its vote only after the old one has expired. No lease and no store call.

Ruled out: reports of use to all peers (27 x 26 datagrams a change); the lease's holder as the only coordinator (5 s and more without one when it is lost, and none during an outage of the store).

--- a/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
+++ b/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
@@ -18,6 +18,8 @@
     OVERLOADED(429, Ran.NO, true),
     /** The client account is over its cap or rate. */
     ACCOUNT_LIMIT(429, Ran.NO, true),
+    /** No coordinator could decide whether the client account is within its quota. */
+    QUOTA_UNDECIDED(503, Ran.NO, true),
     /** The request can no longer be served within the objectives of its class. */
     CANNOT_MEET_CLASS(503, Ran.NO, true),
     /** No target that can serve the model is reachable. */
--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/quota/KnownDaemons.java
@@ -0,0 +1,70 @@
+package org.tamaracktrack.core.quota;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Collectors;
+import org.tamaracktrack.core.dispatch.Peer;
+
+/**
+ * The daemons on recent lists. Lists come from the holder of the lease; those of a new holder are
+ * incomplete at first, so a daemon stays known for some time after it was last listed.
+ *
+ * <p>Each daemon may entrust the same share of all quotas to a coordinator: one divided by the
+ * number of known daemons. The shares of all daemons therefore add up to at most 1.
+ */
+final class KnownDaemons {
+    /** Bridges an outage of the store, during which there are no lists. */
+    private static final long LIST_VALIDITY_MILLIS = 15_000;
+
+    /** Longer than the validity, so that a daemon without lists stops before others forget it. */
+    private static final long RETENTION_MILLIS = 25_000;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final Map<String, Listed> byAddress = new HashMap<>();
+    private long lastListedMillis = NEVER;
+
+    private record Listed(Peer daemon, long atMillis) {}
+
+    private KnownDaemons() {}
+
+    static KnownDaemons empty() {
+        return new KnownDaemons();
+    }
+
+    /**
+     * Records a list that includes this daemon.
+     *
+     * @param daemons the daemons on the list
+     * @param atMillis when the list was valid, by the monotonic clock, in milliseconds
+     */
+    void record(Collection<Peer> daemons, long atMillis) {
+        Objects.requireNonNull(daemons, "daemons is null");
+        lastListedMillis = Math.max(lastListedMillis, atMillis);
+        daemons.forEach(daemon -> byAddress.put(daemon.address(), new Listed(daemon, atMillis)));
+        byAddress
+                .values()
+                .removeIf(listed -> lastListedMillis - listed.atMillis() > RETENTION_MILLIS);
+    }
+
+    /** Suspends the share after a freeze of the process, during which the clock stood still. */
+    void restartAfterFreeze() {
+        lastListedMillis = NEVER;
+    }
+
+    /** Returns the addresses of the known daemons, the most preferred coordinator first. */
+    List<String> ranking() {
+        return CoordinatorRanking.of(
+                byAddress.values().stream().map(Listed::daemon).collect(Collectors.toList()));
+    }
+
+    /** Returns this daemon's share of all quotas, from 0 to 1. */
+    double share(long nowMillis) {
+        return byAddress.isEmpty() || nowMillis - lastListedMillis > LIST_VALIDITY_MILLIS
+                ? 0
+                : 1.0 / byAddress.size();
+    }
+}
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/PeerSelectionTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/PeerSelectionTest.java
@@ -21,7 +21,7 @@
     }
 
     private static Peer daemon(int index, int dataCentres) {
-        return new Peer(
+        return Peer.of(
                 "daemon-" + index,
                 DataCentreId.of("place-" + index % dataCentres),
                 "10.0.0." + index + ":1");
@@ -57,7 +57,7 @@
     @Test
     void shouldNotSelectOwnPredecessorAtSameAddress() {
         Peer self = daemon(0, 1);
-        Peer predecessor = new Peer("daemon-before", self.dataCentre(), self.address());
+        Peer predecessor = Peer.of("daemon-before", self.dataCentre(), self.address());
 
         assertThat(PeerSelection.peersOf(self, List.of(self, predecessor))).isEmpty();
     }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
@@ -305,7 +305,7 @@
     }
 
     private Peer peer(int index) {
-        return new Peer("daemon-" + index, dataCentre(index), "10.0.0." + index + ":1");
+        return Peer.of("daemon-" + index, dataCentre(index), "10.0.0." + index + ":1");
     }
 
     private DataCentreId dataCentre(int index) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -16,10 +16,12 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.error.Ran;
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
@@ -54,6 +56,7 @@
     private final DispatchRequest dispatchRequest;
     private final RequestDeadline deadline;
     private final long configurationVersion;
+    private final Optional<QuotaMember.Permit> permit;
     private final GatewayResponse response;
     private final HeaderMap headers;
     private final PieceTimes pieces;
@@ -88,6 +91,7 @@
         this.deadline =
                 RequestDeadline.of(route, metadata, accepted.arrivedMillis(), context::nowMillis);
         this.configurationVersion = accepted.configurationVersion();
+        this.permit = accepted.permit();
         this.headers = exchange.getRequestHeaders();
         this.dispatchRequest =
                 new DispatchRequest(
@@ -113,6 +117,7 @@
      * @param body its body
      * @param arrivedMillis when its head was read
      * @param configurationVersion the version of the configuration that the route is from
+     * @param permit what it has taken from the quota of its client account
      */
     record AcceptedRequest(
             RequestAuthorization.Origin origin,
@@ -121,7 +126,8 @@
             RequestMetadata metadata,
             byte[] body,
             long arrivedMillis,
-            long configurationVersion) {}
+            long configurationVersion,
+            Optional<QuotaMember.Permit> permit) {}
 
     static ForwardedRequest start(
             GatewayContext context,
@@ -334,6 +340,9 @@
 
     private void onCallerGone() {
         if (!done) {
+            if (attempt.isEmpty() && history.possibleExecutions() == 0) {
+                permit.ifPresent(context::giveBackQuota);
+            }
             attempt.ifPresent(TargetAttempt::cancel);
             finish("caller_gone", 0);
         }
@@ -512,6 +521,9 @@
 
     private void respondWithFailure(ErrorCode code, String reason) {
         finish(reason, code.status());
+        if (code.ran() == Ran.NO) {
+            permit.ifPresent(context::giveBackQuota);
+        }
         FailureResponse failure =
                 FailureResponse.of(
                         code, retryAfterMillis, deadline.remainingMillis(), context.draw());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.random.RandomGenerator;
 import org.tamaracktrack.core.copies.DemandTracker;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
+import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
@@ -31,6 +32,7 @@
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
+import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.Options;
@@ -305,6 +307,42 @@
         return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
     }
 
+    /**
+     * Starts to enforce the quotas of client accounts together with other daemons.
+     *
+     * @param self this daemon
+     * @param tolerance units of each quota that may be used in addition to its burst
+     * @param datagrams carries the messages, on the traffic thread
+     */
+    public void enforceQuotas(Peer self, double tolerance, Datagrams datagrams) {
+        thread.execute(
+                () ->
+                        context.quotas(
+                                QuotaExchange.start(
+                                        self,
+                                        tolerance,
+                                        context.firstMessageNumber(),
+                                        datagrams,
+                                        context,
+                                        GatewayContext::dayMillis)));
+    }
+
+    /** Enforces quotas without other daemons. */
+    public void enforceQuotasAlone() {
+        thread.execute(context::enforceQuotasAlone);
+    }
+
+    /**
+     * Applies a list of daemons that includes this one. All of them share the quotas and the slack
+     * of the retry budget.
+     *
+     * @param daemons the daemons
+     * @param atMillis when the list was true, by the monotonic clock
+     */
+    public void updateDaemons(Set<Peer> daemons, long atMillis) {
+        context.updateDaemons(daemons, atMillis);
+    }
+
     /**
      * Returns the targets that closed a connection with a response since the previous call. Targets
      * that leave close their connections, others do so occasionally.
@@ -390,17 +428,6 @@
         thread.execute(() -> context.updateRetryBudget(retryBudget));
     }
 
-    /**
-     * Records the number of daemons on a list that includes this one. All of them share the slack
-     * of the retry budget.
-     *
-     * @param daemons the number of daemons on the list
-     * @param atMillis when the list was true, by the monotonic clock
-     */
-    public void recordDaemonCount(int daemons, long atMillis) {
-        context.recordDaemonCount(daemons, atMillis);
-    }
-
     /**
      * Returns how many requests are in progress.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -1,17 +1,22 @@
 package org.tamaracktrack.daemon.gateway;
 
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.LruMap;
+import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.RetryAllowances;
 import org.tamaracktrack.core.dispatch.ReturningCallerDetector;
@@ -21,9 +26,11 @@
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
 import org.tamaracktrack.core.quarantine.Quarantine;
+import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.load.LoadExchange;
+import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.XnioExecutor;
@@ -60,6 +67,7 @@
     private Runnable loadsChangeListener = () -> {};
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
+    private Optional<QuotaExchange> quotas = Optional.empty();
     private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
 
@@ -143,7 +151,7 @@
         return ControlThread.nowMillis();
     }
 
-    private static long dayMillis() {
+    static long dayMillis() {
         return System.currentTimeMillis();
     }
 
@@ -151,17 +159,6 @@
         return retryAllowances.allowance(service, nowMillis(), dayMillis());
     }
 
-    /**
-     * Records the number of daemons on a list that includes this one, and when it was true. Safe
-     * for use by any thread.
-     */
-    void recordDaemonCount(int daemons, long atMillis) {
-        execute(
-                () ->
-                        retryAllowances.recordDaemonCount(
-                                daemons, atMillis, nowMillis(), dayMillis()));
-    }
-
     void updateRetryBudget(FleetRetryBudget newer) {
         retryAllowances.updateBudget(newer);
     }
@@ -231,6 +228,55 @@
                 .isPresent();
     }
 
+    /** Sets the exchange that enforces quotas. */
+    void quotas(QuotaExchange exchange) {
+        quotas = Optional.of(exchange);
+    }
+
+    /** Enforces quotas without other daemons. */
+    void enforceQuotasAlone() {
+        quotas.ifPresent(QuotaExchange::continueAlone);
+    }
+
+    /** Applies a list of daemons that includes this one. Safe for use by any thread. */
+    void updateDaemons(Set<Peer> daemons, long atMillis) {
+        execute(
+                () -> {
+                    quotas.ifPresent(exchange -> exchange.updateDaemons(daemons, atMillis));
+                    retryAllowances.recordDaemonCount(
+                            daemons.size(), atMillis, nowMillis(), dayMillis());
+                });
+    }
+
+    /** Returns a number that messages of earlier runs at the same address have not reached. */
+    long firstMessageNumber() {
+        return random.nextLong() >>> 1;
+    }
+
+    /**
+     * Asks whether the quota of an account has room for a request. An account without a quota has
+     * room at once; without an exchange, an account with a quota has none.
+     */
+    void acquireQuota(
+            Optional<Account> account,
+            long version,
+            OptionalLong statedTokens,
+            Consumer<QuotaMember.Decision> listener) {
+        boolean limited = account.filter(known -> known.quota().isPresent()).isPresent();
+        if (!limited) {
+            listener.accept(QuotaMember.Decision.unlimited());
+        } else if (quotas.isEmpty()) {
+            listener.accept(QuotaMember.Decision.undecided());
+        } else {
+            quotas.get().acquire(account.get(), version, statedTokens, listener);
+        }
+    }
+
+    /** Returns what a request has taken from a quota and did not use. */
+    void giveBackQuota(QuotaMember.Permit permit) {
+        quotas.ifPresent(exchange -> exchange.giveBack(permit));
+    }
+
     /** Sets how recent the configuration must be for keys to be accepted. */
     void keyFreshness(KeyFreshness newer) {
         keyFreshness = newer;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.quota.Admission;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.ServingConfiguration;
@@ -126,19 +127,51 @@
                         exchange.dispatch(
                                 SameThreadExecutor.INSTANCE,
                                 () ->
-                                        forward(
+                                        acquireQuota(
                                                 exchange,
-                                                new ForwardedRequest.AcceptedRequest(
-                                                        admitted.origin(),
-                                                        admitted.authorization(),
-                                                        admitted.route().service(context.draw()),
-                                                        admitted.metadata(),
-                                                        body,
-                                                        arrivedMillis,
-                                                        configuration.version()))),
+                                                admitted,
+                                                configuration.version(),
+                                                body,
+                                                arrivedMillis)),
                 (same, failure) -> Refusals.send(exchange, ErrorCode.BODY_TOO_LARGE));
     }
 
+    private void acquireQuota(
+            HttpServerExchange exchange,
+            Admitted admitted,
+            long version,
+            byte[] body,
+            long arrivedMillis) {
+        context.acquireQuota(
+                admitted.authorization().account(),
+                version,
+                admitted.metadata().totalTokens(),
+                decision -> {
+                    if (decision.admission().outcome() == Admission.Outcome.ADMITTED) {
+                        forward(
+                                exchange,
+                                new ForwardedRequest.AcceptedRequest(
+                                        admitted.origin(),
+                                        admitted.authorization(),
+                                        admitted.route().service(context.draw()),
+                                        admitted.metadata(),
+                                        body,
+                                        arrivedMillis,
+                                        version,
+                                        decision.permit()));
+                    } else {
+                        Refusals.sendQuotaRefusal(
+                                exchange,
+                                new Refusals.QuotaRefusal(
+                                        admitted.metadata(),
+                                        admitted.authorization().account().orElseThrow(),
+                                        version,
+                                        decision.admission()),
+                                context.draw());
+                    }
+                });
+    }
+
     private void countInProgress(HttpServerExchange exchange) {
         inProgress.incrementAndGet();
         exchange.addExchangeCompleteListener(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
@@ -4,8 +4,11 @@
 import io.undertow.util.Headers;
 import java.nio.charset.StandardCharsets;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.account.BearerToken;
+import org.tamaracktrack.core.account.Quota;
 import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.quota.Admission;
 
 /** Sends error responses for requests that are not forwarded. */
 final class Refusals {
@@ -56,6 +59,58 @@
                 .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
     }
 
+    /**
+     * A request without room in the quota of its client account.
+     *
+     * @param metadata what its headers state
+     * @param account the account
+     * @param version the version of the configuration that the quota is from
+     * @param admission the decision
+     */
+    record QuotaRefusal(
+            RequestMetadata metadata, Account account, long version, Admission admission) {
+        private ErrorCode code() {
+            return admission.outcome() == Admission.Outcome.OVER_LIMIT
+                    ? ErrorCode.ACCOUNT_LIMIT
+                    : ErrorCode.QUOTA_UNDECIDED;
+        }
+    }
+
+    /** Refuses a request because its client account is over its quota, or may be. */
+    static void sendQuotaRefusal(HttpServerExchange exchange, QuotaRefusal refusal, double draw) {
+        ErrorCode code = refusal.code();
+        LOG.info(
+                "event=refused code="
+                        + code
+                        + " status="
+                        + code.status()
+                        + " request="
+                        + refusal.metadata().attempt()
+                        + " account="
+                        + refusal.account().id()
+                        + " tokens="
+                        + refusal.metadata().totalTokens().orElse(-1)
+                        + " quota="
+                        + refusal.account().quota().map(Quota::ratePerSecond).orElse(0.0)
+                        + " configuration="
+                        + refusal.version()
+                        + " coordinator="
+                        + refusal.admission().coordinator()
+                        + " decided_after_ms="
+                        + refusal.admission().waitedMillis()
+                        + " retry_after_ms="
+                        + refusal.admission().retryAfterMillis());
+        long retryAfterMillis =
+                Math.max(MIN_RETRY_AFTER_MILLIS, refusal.admission().retryAfterMillis())
+                        + (long) (RETRY_AFTER_SPREAD_MILLIS * draw);
+        exchange.setStatusCode(code.status());
+        exchange.getResponseHeaders()
+                .put(Headers.RETRY_AFTER, String.valueOf(retryAfterMillis / MILLIS_PER_SECOND));
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender()
+                .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
+    }
+
     private static void send(
             HttpServerExchange exchange, ErrorCode code, String retryAfterSeconds) {
         LOG.info(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerDirectory.java
@@ -52,10 +52,10 @@
         /**
          * Called when the list of the holder is confirmed and includes this daemon.
          *
-         * @param daemonCount the number of daemons on the list
+         * @param daemons the daemons on the list
          * @param atMillis the monotonic time of this process at which the list was still valid
          */
-        void onListed(int daemonCount, long atMillis);
+        void onListed(Set<Peer> daemons, long atMillis);
     }
 
     private PeerDirectory(Peer self, TopicPart part, RecordRelay relay, Listener listener) {
@@ -112,7 +112,7 @@
                     .forEach(PeerDirectory.this::select);
             if (completeAtMillis != Message.Records.UNKNOWN_MILLIS) {
                 listed.filter(list -> list.contains(self))
-                        .ifPresent(list -> listener.onListed(list.size(), completeAtMillis));
+                        .ifPresent(list -> listener.onListed(list, completeAtMillis));
             }
         }
 
@@ -144,7 +144,7 @@
             published = known;
             select(known);
         }
-        listener.onListed(known.size(), nowMillis);
+        listener.onListed(known, nowMillis);
     }
 
     private void receiveReport(byte[] bytes) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerRecord.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/PeerRecord.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -13,7 +15,10 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.DataCentreId;
 
-/** Encodes and decodes the set of daemons that exchange loads, by position. */
+/**
+ * Encodes and decodes the set of daemons that exchange loads, by position. The processor shares
+ * come last, where daemons of earlier versions ignore them.
+ */
 final class PeerRecord {
     private PeerRecord() {}
 
@@ -25,6 +30,9 @@
                 packer.packString(peer.dataCentre().value());
                 packer.packString(peer.address());
             }
+            for (Peer peer : peers) {
+                packer.packDouble(peer.processorShare());
+            }
             return packer.toByteArray();
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
@@ -34,18 +42,32 @@
     static Set<Peer> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             int count = unpacker.unpackInt();
-            Set<Peer> peers = new HashSet<>();
+            List<Peer> peers = new ArrayList<>();
             for (int index = 0; index < count; index++) {
                 peers.add(
-                        new Peer(
+                        Peer.of(
                                 unpacker.unpackString(),
                                 DataCentreId.of(unpacker.unpackString()),
                                 unpacker.unpackString()));
             }
-            return peers;
+            return unpacker.hasNext() ? withProcessorShares(peers, unpacker) : Set.copyOf(peers);
         } catch (IOException | MessagePackException unreadable) {
             throw TamaracktrackException.of(
                     ErrorCode.BAD_FRAME, "peer list can't be decoded", unreadable);
         }
     }
+
+    private static Set<Peer> withProcessorShares(List<Peer> peers, MessageUnpacker unpacker)
+            throws IOException {
+        Set<Peer> complete = new HashSet<>();
+        for (Peer peer : peers) {
+            complete.add(
+                    new Peer(
+                            peer.process(),
+                            peer.dataCentre(),
+                            peer.address(),
+                            unpacker.unpackDouble()));
+        }
+        return complete;
+    }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadRecordTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadRecordTest.java
@@ -52,8 +52,8 @@
     void shouldDecodeEncodedPeers() {
         Set<Peer> peers =
                 Set.of(
-                        new Peer("one", DataCentreId.of("home"), "10.0.0.1:1"),
-                        new Peer("two", DataCentreId.of("away"), "10.0.0.2:1"));
+                        Peer.of("one", DataCentreId.of("home"), "10.0.0.1:1"),
+                        Peer.of("two", DataCentreId.of("away"), "10.0.0.2:1"));
 
         assertThat(PeerRecord.decode(PeerRecord.encode(peers))).isEqualTo(peers);
     }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/PeerDirectoryTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/PeerDirectoryTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,8 +17,8 @@
 
 class PeerDirectoryTest {
     private static final TopicPart PART = new TopicPart("duties", 3);
-    private static final Peer HOLDER = new Peer("holder", DataCentreId.of("home"), "10.0.0.1:1");
-    private static final Peer OTHER = new Peer("other", DataCentreId.of("home"), "10.0.0.2:1");
+    private static final Peer HOLDER = Peer.of("holder", DataCentreId.of("home"), "10.0.0.1:1");
+    private static final Peer OTHER = Peer.of("other", DataCentreId.of("home"), "10.0.0.2:1");
 
     private RelayPair pair;
     private final RecordingListener holderListener = new RecordingListener();
@@ -35,8 +36,8 @@
         }
 
         @Override
-        public void onListed(int newCount, long atMillis) {
-            daemonCount = newCount;
+        public void onListed(Set<Peer> daemons, long atMillis) {
+            daemonCount = daemons.size();
             listCount++;
         }
     }
