Count refusals by account, and exchange nothing without quotas

Refusals by code and account (64 accounts have a label of their own), the coordinator's authority as a gauge. Daemons whose configuration has no quota send nothing and schedule nothing.

--- a/core/src/main/java/org/tamaracktrack/core/account/AccountDirectory.java
+++ b/core/src/main/java/org/tamaracktrack/core/account/AccountDirectory.java
@@ -11,10 +11,12 @@
 
     private final boolean keysRequired;
     private final KeyDirectory<Account> byKey;
+    private final boolean quotas;
 
     private AccountDirectory(boolean keysRequired, List<Account> accounts) {
         this.keysRequired = keysRequired;
         this.byKey = KeyDirectory.of(accounts, Account::keys);
+        this.quotas = accounts.stream().anyMatch(account -> account.quota().isPresent());
     }
 
     /**
@@ -47,6 +49,15 @@
         return keysRequired;
     }
 
+    /**
+     * Returns whether any account has a quota.
+     *
+     * @return true when requests of some accounts are limited
+     */
+    public boolean hasQuotas() {
+        return quotas;
+    }
+
     /**
      * Returns the account of a key.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerHandler.java
@@ -3,8 +3,10 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,7 @@
     private final RequestServices services;
     private final AccountRates rates;
     private final CallerLimits limits;
+    private final Authentication authentication = Authentication.of();
     private final AtomicInteger connections = new AtomicInteger();
     private volatile boolean draining;
     private volatile boolean refusingRequests;
@@ -101,7 +104,7 @@
                                                 ErrorCode.NOT_READY, "no configuration yet"))
                         .configuration();
         Configuration.ClientAccount account =
-                Authentication.authenticate(current, http.header("authorization"));
+                authentication.authenticate(current, authorization(exchange));
         if (http.path().equals(CallerPaths.MODELS)) {
             exchange.dispatch();
             channel.listen(new NoOpListener());
@@ -114,6 +117,11 @@
         readBody(exchange, channel, http, current, account);
     }
 
+    private static List<String> authorization(HttpServerExchange exchange) {
+        HeaderValues values = exchange.getRequestHeaders().get(Headers.AUTHORIZATION);
+        return values == null ? List.of() : List.copyOf(values);
+    }
+
     private static CallerHttpRequest readHead(HttpServerExchange exchange) {
         Map<String, String> headers = new HashMap<>();
         for (HeaderValues values : exchange.getRequestHeaders()) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -231,6 +231,16 @@
     /** Sets the exchange that enforces quotas. */
     void quotas(QuotaExchange exchange) {
         quotas = Optional.of(exchange);
+        activateQuotas();
+        metrics.registerQuotaAuthority(exchange::authority);
+    }
+
+    private void activateQuotas() {
+        boolean needed =
+                view.configuration()
+                        .filter(configuration -> configuration.accounts().hasQuotas())
+                        .isPresent();
+        quotas.ifPresent(exchange -> exchange.activate(needed));
     }
 
     /** Enforces quotas without other daemons. */
@@ -351,6 +361,7 @@
         view = newer;
         execute(
                 () -> {
+                    activateQuotas();
                     loads.retainTargets(newer.fleet());
                     waiting.retryAll();
                 });
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -82,6 +82,7 @@
     }
 
     private void refuse(HttpServerExchange exchange, ErrorCode code) {
+        context.metrics().recordRefusal(code, Optional.empty());
         if (code == ErrorCode.OUTDATED) {
             Refusals.sendOutdated(exchange, context.draw());
         } else if (code == ErrorCode.UNAUTHENTICATED) {
@@ -160,18 +161,22 @@
                                         version,
                                         decision.permit()));
                     } else {
-                        Refusals.sendQuotaRefusal(
+                        refuse(
                                 exchange,
                                 new Refusals.QuotaRefusal(
                                         admitted.metadata(),
                                         admitted.authorization().account().orElseThrow(),
                                         version,
-                                        decision.admission()),
-                                context.draw());
+                                        decision.admission()));
                     }
                 });
     }
 
+    private void refuse(HttpServerExchange exchange, Refusals.QuotaRefusal refusal) {
+        context.metrics().recordRefusal(refusal.code(), Optional.of(refusal.account().id()));
+        Refusals.sendQuotaRefusal(exchange, refusal, context.draw());
+    }
+
     private void countInProgress(HttpServerExchange exchange) {
         inProgress.incrementAndGet();
         exchange.addExchangeCompleteListener(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -1,15 +1,22 @@
 package org.tamaracktrack.daemon.gateway;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.DoubleSupplier;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
+import org.tamaracktrack.core.error.ErrorCode;
+import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
 
 /** Counters and histograms of forwarded requests, by route. Owned by the traffic thread. */
@@ -19,7 +26,11 @@
                     .mapToObj(Duration::ofMillis)
                     .toArray(Duration[]::new);
 
+    private static final int MAX_LABELLED_ACCOUNTS = 64;
+    private static final String OTHER_ACCOUNTS = "other";
+
     private final MeterRegistry registry;
+    private final Set<ClientAccountId> labelledAccounts = new HashSet<>();
     private final Map<String, Timer> timers = new HashMap<>();
     private final Map<ServiceId, AtomicInteger> remainingRetries = new HashMap<>();
 
@@ -45,6 +56,32 @@
                 .register(registry);
     }
 
+    /** Counts a request that was refused before it was passed on. */
+    void recordRefusal(ErrorCode code, Optional<ClientAccountId> account) {
+        registry.counter(
+                        "tamaracktrack.gateway.refusals",
+                        "code",
+                        code.name(),
+                        "account",
+                        account.map(this::label).orElse("-"))
+                .increment();
+    }
+
+    // Each value of a label costs memory here and wherever the metrics are stored.
+    private String label(ClientAccountId account) {
+        if (labelledAccounts.size() < MAX_LABELLED_ACCOUNTS) {
+            labelledAccounts.add(account);
+        }
+        return labelledAccounts.contains(account) ? account.value() : OTHER_ACCOUNTS;
+    }
+
+    /** Publishes this daemon's authority over the quotas of client accounts. */
+    void registerQuotaAuthority(DoubleSupplier authority) {
+        Gauge.builder("tamaracktrack.quota.authority", authority::getAsDouble)
+                .description("share of each quota that this daemon admits as the coordinator")
+                .register(registry);
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
@@ -69,7 +69,7 @@
      */
     record QuotaRefusal(
             RequestMetadata metadata, Account account, long version, Admission admission) {
-        private ErrorCode code() {
+        ErrorCode code() {
             return admission.outcome() == Admission.Outcome.OVER_LIMIT
                     ? ErrorCode.ACCOUNT_LIMIT
                     : ErrorCode.QUOTA_UNDECIDED;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
@@ -36,6 +36,8 @@
     private final QuotaMember member;
     private Optional<String> loggedCoordinator = Optional.empty();
     private boolean alone;
+    private boolean active;
+    private boolean tickScheduled;
 
     private QuotaExchange(
             Peer self,
@@ -77,10 +79,23 @@
         QuotaExchange exchange =
                 new QuotaExchange(self, tolerance, firstNumber, datagrams, timer, dayMillis);
         datagrams.onReceived(exchange::receive);
-        exchange.scheduleTick();
         return exchange;
     }
 
+    /**
+     * Starts or stops to follow a coordinator. Without quotas in the configuration, messages would
+     * cost other daemons processor time for nothing.
+     *
+     * @param needed whether the configuration in force has quotas
+     */
+    public void activate(boolean needed) {
+        boolean begins = needed && !active;
+        active = needed;
+        if (begins && !tickScheduled) {
+            scheduleTick();
+        }
+    }
+
     /** Enforces the quotas without other daemons. */
     public void continueAlone() {
         alone = true;
@@ -155,11 +170,15 @@
     }
 
     private void scheduleTick() {
+        tickScheduled = true;
         timer.after(
                 QuotaMember.TICK_MILLIS,
                 () -> {
-                    tick();
-                    scheduleTick();
+                    tickScheduled = false;
+                    if (active) {
+                        tick();
+                        scheduleTick();
+                    }
                 });
     }
 
