Share the connections that a target accepts among the daemons

Cause: each daemon kept up to 64 idle connections to a target and opened more at will; three targets that accept 220 connections faced 27 daemons. Connections over the maximum are reset with requests on them, whose outcome is then unknown: callers of requests that must not run twice get 502.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
@@ -99,10 +99,37 @@
             Collection<TargetId> tried,
             long nowMillis,
             DoubleSupplier draws) {
+        return select(request, fleet, loads, tried, Integer.MAX_VALUE, nowMillis, draws);
+    }
+
+    /**
+     * Selects a target at which this daemon has fewer requests than a maximum.
+     *
+     * @param request the request
+     * @param fleet the targets
+     * @param loads returns the known load of a target
+     * @param tried targets that received this request before, which are not selected again
+     * @param maximumOwnRequests the maximum number of requests of this daemon at one target
+     * @param nowMillis the monotonic time in milliseconds
+     * @param draws supplies a random number from 0 to 1 for each candidate
+     * @return the selection; empty when no target can take the request now
+     */
+    public Optional<Selection> select(
+            DispatchRequest request,
+            FleetSnapshot fleet,
+            Function<TargetIncarnation, TargetLoad> loads,
+            Collection<TargetId> tried,
+            int maximumOwnRequests,
+            long nowMillis,
+            DoubleSupplier draws) {
         Set<TargetId> excluded = Set.copyOf(tried);
         return candidates(request, fleet)
                 .filter(entry -> !excluded.contains(entry.incarnation().target()))
                 .filter(entry -> loads.apply(entry.incarnation()).isReachable(nowMillis))
+                .filter(
+                        entry ->
+                                loads.apply(entry.incarnation()).ownShare().outstanding()
+                                        < maximumOwnRequests)
                 .map(entry -> score(request, entry, loads, nowMillis, draws.getAsDouble()))
                 .min(Comparator.comparingDouble(Selection::cost));
     }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -84,6 +84,29 @@
             assertThat(select(request(shared), List.of())).hasValue("far");
         }
 
+        // Guards against a daemon with many callers that opens more connections to one target than
+        // its share, which the target resets.
+        @Test
+        void shouldSelectAnotherTargetWhenOwnRequestsReachTheMaximum() {
+            load("near").recordSent(10, NOW);
+            load("near").recordSent(10, NOW);
+
+            assertThat(selectBelow(3)).hasValue("near");
+            assertThat(selectBelow(2)).hasValue("far");
+        }
+
+        private Optional<String> selectBelow(int maximumOwnRequests) {
+            return selector.select(
+                            request(),
+                            fleet,
+                            name -> loads.computeIfAbsent(name, any -> new TargetLoad()),
+                            List.of(),
+                            maximumOwnRequests,
+                            NOW,
+                            () -> 0)
+                    .map(choice -> choice.entry().incarnation().target().value());
+        }
+
         // Another daemon sends long prompts to the near engine. This daemon has no information
         // about them, but its streams there stall, and a further prompt would delay all of them.
         @Test
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -183,6 +183,7 @@
                         context.view().fleet(),
                         context.loads()::of,
                         triedTargets,
+                        context.connectionShare(dispatchRequest.service()),
                         context.nowMillis(),
                         context::draw);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
+import org.tamaracktrack.core.dispatch.ConnectionShare;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.LruMap;
 import org.tamaracktrack.core.dispatch.Peer;
@@ -28,6 +29,7 @@
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
+import org.tamaracktrack.core.route.ServiceSpecification;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
@@ -67,6 +69,7 @@
     private Runnable loadsChangeListener = () -> {};
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
+    private int daemonCount;
     private Optional<QuotaExchange> quotas = Optional.empty();
     private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
@@ -248,10 +251,21 @@
         quotas.ifPresent(QuotaExchange::continueAlone);
     }
 
+    /** Returns the number of connections that this daemon may have to each target of a service. */
+    int connectionShare(ServiceId service) {
+        int maximum =
+                view.configuration()
+                        .flatMap(configuration -> configuration.service(service))
+                        .map(ServiceSpecification::maximumConnections)
+                        .orElse(0);
+        return ConnectionShare.of(maximum, daemonCount);
+    }
+
     /** Applies a list of daemons that includes this one. Safe for use by any thread. */
     void updateDaemons(Set<Peer> daemons, long atMillis) {
         execute(
                 () -> {
+                    daemonCount = daemons.size();
                     quotas.ifPresent(exchange -> exchange.updateDaemons(daemons, atMillis));
                     retryAllowances.recordDaemonCount(
                             daemons.size(), atMillis, nowMillis(), dayMillis());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -169,7 +169,8 @@
                         Math.min(CONNECT_TIMEOUT_MILLIS, request.remainingMillis()),
                         request.repeatable()
                                 ? MAX_IDLE_REPEATABLE_MILLIS
-                                : MAX_IDLE_UNREPEATABLE_MILLIS);
+                                : MAX_IDLE_UNREPEATABLE_MILLIS,
+                        context.connectionShare(dispatchRequest.service()));
         HttpCall call =
                 new HttpCall(
                         address,
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -186,7 +186,7 @@
         return new ServingConfiguration(
                 version,
                 RouteTable.of(List.of(route)),
-                Map.of(SERVICE, new ServiceSpecification(SERVICE, Optional.empty())),
+                Map.of(SERVICE, new ServiceSpecification(SERVICE, Optional.empty(), 0)),
                 new RequestLimits(10_000),
                 AccountDirectory.empty());
     }
--- a/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Deque;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -30,6 +32,7 @@
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
     private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, AtomicInteger> open = new ConcurrentHashMap<>();
 
     private record IdleConnection(
             ClientConnection connection, long idleSinceNanos, long keepAliveMillis) {}
@@ -75,9 +78,44 @@
         return Optional.empty();
     }
 
-    void open(InetSocketAddress address, ClientCallback<ClientConnection> callback) {
+    /** Opens a connection; idle ones make room for it if there are too many. */
+    void open(
+            InetSocketAddress address,
+            int maxConnections,
+            ClientCallback<ClientConnection> callback) {
+        AtomicInteger count = open.computeIfAbsent(address, key -> new AtomicInteger());
+        closeIdle(address, count.get() + 1 - maxConnections);
         URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort());
-        client.connect(callback, uri, worker, buffers, OPTIONS);
+        client.connect(counting(count, callback), uri, worker, buffers, OPTIONS);
+    }
+
+    private static ClientCallback<ClientConnection> counting(
+            AtomicInteger count, ClientCallback<ClientConnection> callback) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection opened) {
+                count.incrementAndGet();
+                opened.addCloseListener(closed -> count.decrementAndGet());
+                callback.completed(opened);
+            }
+
+            @Override
+            public void failed(IOException failure) {
+                callback.failed(failure);
+            }
+        };
+    }
+
+    // The connections that were idle for longest are the least likely to be used again.
+    private void closeIdle(InetSocketAddress address, int excess) {
+        Deque<IdleConnection> connections = idle.get(address);
+        for (int count = 0; connections != null && count < excess; count++) {
+            IdleConnection oldest = connections.pollLast();
+            if (oldest == null) {
+                return;
+            }
+            IoUtils.safeClose(oldest.connection());
+        }
     }
 
     void release(InetSocketAddress address, ClientConnection connection) {
@@ -85,9 +123,20 @@
     }
 
     void release(InetSocketAddress address, ClientConnection connection, long keepAliveMillis) {
+        release(address, connection, keepAliveMillis, Integer.MAX_VALUE);
+    }
+
+    void release(
+            InetSocketAddress address,
+            ClientConnection connection,
+            long keepAliveMillis,
+            int maxConnections) {
         Deque<IdleConnection> connections =
                 idle.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
-        if (!connection.isOpen() || connections.size() >= MAXIMUM_IDLE) {
+        AtomicInteger count = open.computeIfAbsent(address, key -> new AtomicInteger());
+        if (!connection.isOpen()
+                || connections.size() >= MAXIMUM_IDLE
+                || count.get() > maxConnections) {
             IoUtils.safeClose(connection);
             return;
         }
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
@@ -95,6 +95,7 @@
         }
         pool.open(
                 call.address(),
+                call.limits().maxConnections(),
                 new ClientCallback<>() {
                     @Override
                     public void completed(ClientConnection opened) {
@@ -326,7 +327,7 @@
     // it is reused only if the request was sent completely.
     private void releaseAfterResponse(ClientConnection finished) {
         if (requestSent && keepAliveMillis > 0) {
-            pool.release(call.address(), finished, keepAliveMillis);
+            pool.release(call.address(), finished, keepAliveMillis, call.limits().maxConnections());
         } else {
             IoUtils.safeClose(finished);
         }
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -129,6 +129,7 @@
         CompletableFuture<ConnectOutcome> outcome = new CompletableFuture<>();
         pool.open(
                 address,
+                Integer.MAX_VALUE,
                 new ClientCallback<>() {
                     @Override
                     public void completed(ClientConnection opened) {
--- a/link/src/test/java/org/tamaracktrack/link/http/UndertowHttpCallerTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/http/UndertowHttpCallerTest.java
@@ -39,6 +39,7 @@
                 Undertow.builder()
                         .addHttpListener(0, "127.0.0.1")
                         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 2L * LARGE_BODY_BYTES)
+                        .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
                         .setHandler(
                                 exchange ->
                                         exchange.getRequestReceiver()
@@ -110,6 +111,46 @@
                 .isEqualTo(LARGE_BODY_BYTES);
     }
 
+    @Nested
+    class Connections {
+
+        private HttpCall call(int maxConnections) {
+            return new HttpCall(
+                    address(),
+                    "POST",
+                    "/",
+                    Map.of(),
+                    new byte[] {1},
+                    new CallLimits(TIMEOUT_MILLIS, TIMEOUT_MILLIS, 0, maxConnections));
+        }
+
+        private int openConnections() {
+            return server.getListenerInfo().get(0).getConnectorStatistics() == null
+                    ? -1
+                    : (int)
+                            server.getListenerInfo()
+                                    .get(0)
+                                    .getConnectorStatistics()
+                                    .getActiveConnections();
+        }
+
+        // Guards against idle connections of many daemons that use up the connections which a
+        // target
+        // accepts. Connections are never young enough to be reused here.
+        @Test
+        void shouldCloseIdleConnectionsAboveTheMaximum() throws Exception {
+            for (int number = 0; number < 12; number++) {
+                assertThat(caller.call(call(3)).status()).isEqualTo(201);
+            }
+
+            long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+            while (openConnections() > 3 && System.nanoTime() < deadline) {
+                Thread.onSpinWait();
+            }
+            assertThat(openConnections()).isAtMost(3);
+        }
+    }
+
     @Nested
     class Failures {
 
