Serve a part of the quotas while a daemon has no list yet

Cause: when all daemons restart together none has a list of daemons, and every request of an account with a quota was undecided until the lease was taken, lists came and a second had passed. Change: a daemon without a complete list votes a 64th, for itself until its first list.

--- a/core/src/main/java/org/tamaracktrack/core/quota/CoordinatorChoice.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/CoordinatorChoice.java
@@ -31,7 +31,7 @@
 
     private final String self;
     private final Map<String, Contact> contacts = new HashMap<>();
-    private List<String> ranking = List.of();
+    private List<String> ranking;
     private Optional<String> coordinator = Optional.empty();
     private long lastVoteMillis = NEVER;
 
@@ -53,6 +53,7 @@
 
     private CoordinatorChoice(String self) {
         this.self = self;
+        this.ranking = List.of(self);
     }
 
     static CoordinatorChoice of(String self) {
--- a/core/src/main/java/org/tamaracktrack/core/quota/KnownDaemons.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/KnownDaemons.java
@@ -29,6 +29,12 @@
     /** The lists of a holder that has just started are complete within this time. */
     private static final long SETTLING_MILLIS = 1_000;
 
+    /**
+     * Assumed by a daemon that has started, until its lists are complete, so that it can serve some
+     * requests when all daemons restart together.
+     */
+    private static final int UNKNOWN_DAEMONS = 64;
+
     /** Counts of others are repeated several times a second while they are true. */
     private static final long TOLD_VALIDITY_MILLIS = 2_000;
 
@@ -92,8 +98,10 @@
 
     /** Returns this daemon's share of all quotas, from 0 to 1. */
     double share(long nowMillis) {
-        boolean settled = !byAddress.isEmpty() && nowMillis - firstListedMillis >= SETTLING_MILLIS;
-        return settled && nowMillis - lastListedMillis <= LIST_VALIDITY_MILLIS
+        if (byAddress.isEmpty() || nowMillis - firstListedMillis < SETTLING_MILLIS) {
+            return 1.0 / UNKNOWN_DAEMONS;
+        }
+        return nowMillis - lastListedMillis <= LIST_VALIDITY_MILLIS
                 ? 1.0 / Math.max(count(), toldCount(nowMillis))
                 : 0;
     }
--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
@@ -112,7 +112,7 @@
     }
 
     /**
-     * Returns a member that knows no other daemon and follows no coordinator.
+     * Returns a member that knows no other daemon and follows itself.
      *
      * @param self the address of this daemon
      * @param tolerance units of each quota that may be used in addition to its burst
