Take a daemon's full share into account 0.3 s after its first list

Ruled out: undecided requests while single daemons restart or the store turns daemons away (none in the 36 s before).

--- a/core/src/main/java/org/tamaracktrack/core/quota/KnownDaemons.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/KnownDaemons.java
@@ -26,8 +26,8 @@
     /** Longer than the validity, so that a daemon without lists stops before others forget it. */
     private static final long RETENTION_MILLIS = 25_000;
 
-    /** The lists of a holder that has just started are complete within this time. */
-    private static final long SETTLING_MILLIS = 1_000;
+    /** The first lists of a holder that has just started lack most daemons. */
+    private static final long SETTLING_MILLIS = 300;
 
     /**
      * Assumed by a daemon that has started, until its lists are complete, so that it can serve some
