Drop a request whose caller leaves while its quota is decided

A question may take 1.5 s while coordinators change; a caller that left meanwhile would have had its request run for nothing. The units are returned. Not shown by a test of its own: the wait lasts only while a coordinator starts.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -7,6 +7,7 @@
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.SameThreadExecutor;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -143,12 +144,17 @@
             long version,
             byte[] body,
             long arrivedMillis) {
+        AtomicBoolean callerGone = new AtomicBoolean();
+        CallerConnection.of(exchange, connections).onClosed(() -> callerGone.set(true));
+        CallerConnection.detectDisconnect(exchange);
         context.acquireQuota(
                 admitted.authorization().account(),
                 version,
                 admitted.metadata().totalTokens(),
                 decision -> {
-                    if (decision.admission().outcome() == Admission.Outcome.ADMITTED) {
+                    if (callerGone.get()) {
+                        decision.permit().ifPresent(context::giveBackQuota);
+                    } else if (decision.admission().outcome() == Admission.Outcome.ADMITTED) {
                         forward(
                                 exchange,
                                 new ForwardedRequest.AcceptedRequest(
