--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaBucket.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaBucket.java
@@ -110,8 +110,4 @@
                                                 * MILLIS_PER_SECOND
                                                 / (limit.ratePerSecond() * authority)));
     }
-
-    double level() {
-        return level;
-    }
 }
--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaLedger.java
@@ -1,7 +1,6 @@
 package org.tamaracktrack.core.quota;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -39,18 +38,18 @@
     private final Map<ClientAccountId, QuotaBucket> buckets = LruMap.of(MAX_ACCOUNTS);
     private final Map<Question, Settled> answers = LruMap.of(MAX_ANSWERS);
 
-    private record Vote(double share, long atMillis) {}
-
-    private record Question(String sender, long number) {}
-
-    private record Settled(QuotaMessage.Answer answer, ClientAccountId account, long cost) {}
-
     private final double tolerance;
     private double authority;
     private double earnedMillis;
     private long majoritySinceMillis = NEVER;
     private long earnedUntilMillis;
 
+    private record Vote(double share, long atMillis) {}
+
+    private record Question(String sender, long number) {}
+
+    private record Settled(QuotaMessage.Answer answer, ClientAccountId account, long cost) {}
+
     private QuotaLedger(double tolerance) {
         this.tolerance = tolerance;
     }
@@ -167,8 +166,7 @@
     }
 
     // With little authority the room is a fraction of the quota, and a new coordinator starts
-    // without
-    // room, so the account may be within its quota.
+    // without room, so the account may be within its quota.
     private Admission.Outcome refusal(long nowMillis) {
         return nowMillis - majoritySinceMillis >= START_MILLIS
                 ? Admission.Outcome.OVER_LIMIT
@@ -213,15 +211,4 @@
         buckets.clear();
         answers.clear();
     }
-
-    /**
-     * Returns the room of each quota, for reports.
-     *
-     * @return the units by client account
-     */
-    public Map<ClientAccountId, Double> levels() {
-        Map<ClientAccountId, Double> levels = new LinkedHashMap<>();
-        buckets.forEach((account, bucket) -> levels.put(account, bucket.level()));
-        return levels;
-    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
@@ -114,26 +114,21 @@
     /**
      * Asks whether the quota of an account has room for a request.
      *
-     * @param account the account
+     * @param account the account, which has a quota
      * @param version the version of the configuration that the account is from
      * @param statedTokens the tokens that the request states
      * @param listener receives the decision, possibly before this method returns
-     * @return false when the account has no quota; the listener is not called then
      */
-    public boolean acquire(
+    public void acquire(
             Account account,
             long version,
             OptionalLong statedTokens,
             Consumer<QuotaMember.Decision> listener) {
-        if (account.quota().isEmpty()) {
-            return false;
-        }
-        Quota quota = account.quota().get();
+        Quota quota = account.quota().orElseThrow();
         QuotaLimit limit =
                 new QuotaLimit(account.id(), version, quota.ratePerSecond(), quota.burst());
         detectFreeze();
         member.acquire(limit, quota.cost(statedTokens), timer.nowMillis(), listener);
-        return true;
     }
 
     /**
