Keep the quota's ticks going when a request fails in one

A tick runs the listeners of questions that were given up; a failure there ended the ticks, and with them every decision of that daemon. Found by reading; the next tick is scheduled before.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
@@ -55,8 +55,8 @@
     }
 
     /**
-     * Starts to take part in the quotas. Requests of accounts with a quota are undecided until the
-     * first list of daemons.
+     * Starts to take part in the quotas. Until the first list of daemons only a small part of each
+     * quota is available.
      *
      * @param self this daemon
      * @param tolerance units of each quota that may be used in addition to its burst
@@ -171,8 +171,9 @@
                 () -> {
                     tickScheduled = false;
                     if (active) {
-                        tick();
+                        // Scheduled first, so that a request that fails doesn't end the ticks.
                         scheduleTick();
+                        tick();
                     }
                 });
     }
