Send refusals in one place, and watch only callers whose quota is decided

Three methods of Refusals ended in the same four lines; they call one. Disconnects were watched before the quota for every request, also where no quota is asked; the forwarded request watches anyway.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.quota.Admission;
 import org.tamaracktrack.core.route.RequestAuthorization;
@@ -80,6 +81,10 @@
         private Route route() {
             return authorization.route().orElseThrow();
         }
+
+        private boolean hasQuota() {
+            return authorization.account().flatMap(Account::quota).isPresent();
+        }
     }
 
     private void refuse(HttpServerExchange exchange, ErrorCode code) {
@@ -145,8 +150,10 @@
             byte[] body,
             long arrivedMillis) {
         AtomicBoolean callerGone = new AtomicBoolean();
-        CallerConnection.of(exchange, connections).onClosed(() -> callerGone.set(true));
-        CallerConnection.detectDisconnect(exchange);
+        if (admitted.hasQuota()) {
+            CallerConnection.of(exchange, connections).onClosed(() -> callerGone.set(true));
+            CallerConnection.detectDisconnect(exchange);
+        }
         context.acquireQuota(
                 admitted.authorization().account(),
                 version,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Refusals.java
@@ -52,11 +52,8 @@
                         + exchange.getRequestURI()
                         + ' '
                         + configurationState);
-        exchange.setStatusCode(code.status());
         exchange.getResponseHeaders().put(Headers.WWW_AUTHENTICATE, "Bearer");
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender()
-                .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
+        respond(exchange, code);
     }
 
     /**
@@ -103,12 +100,9 @@
         long retryAfterMillis =
                 Math.max(MIN_RETRY_AFTER_MILLIS, refusal.admission().retryAfterMillis())
                         + (long) (RETRY_AFTER_SPREAD_MILLIS * draw);
-        exchange.setStatusCode(code.status());
         exchange.getResponseHeaders()
                 .put(Headers.RETRY_AFTER, String.valueOf(retryAfterMillis / MILLIS_PER_SECOND));
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender()
-                .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
+        respond(exchange, code);
     }
 
     private static void send(
@@ -122,10 +116,14 @@
                         + exchange.getHostName()
                         + " path="
                         + exchange.getRequestURI());
-        exchange.setStatusCode(code.status());
         if (code.retryable()) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterSeconds);
         }
+        respond(exchange, code);
+    }
+
+    private static void respond(HttpServerExchange exchange, ErrorCode code) {
+        exchange.setStatusCode(code.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         exchange.getResponseSender()
                 .send(new String(FailureResponse.body(code), StandardCharsets.UTF_8));
