Log the software version of targets and the streams that callers take up

Logs could not tell whether streams that hold events of two software versions went on within one answer, over a caller's tries, or at a target that changed its version between choice and send: the registry's decoder dropped the version, and the header that names the attempt of the first event was not read.

Added, without a change of any decision: version in event=target and event=attempt-ended, versions, resumes and after_event in event=request, and the counter tamaracktrack_gateway_streams_continued_total by same or other version.

--- a/core/src/main/java/org/tamaracktrack/core/fleet/TargetEntry.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/TargetEntry.java
@@ -10,12 +10,14 @@
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 
 /**
  * Holds the latest registry entry of a target.
  *
  * @param incarnation the target and its incarnation
  * @param service the service that it belongs to
+ * @param version the version of its software
  * @param address the address at which it accepts requests
  * @param dataCentre the data centre of the target
  * @param slots the number of requests that it runs at the same time
@@ -28,6 +30,7 @@
 public record TargetEntry(
         TargetIncarnation incarnation,
         ServiceId service,
+        SoftwareVersion version,
         TargetAddress address,
         DataCentreId dataCentre,
         int slots,
@@ -41,6 +44,7 @@
     public TargetEntry {
         Objects.requireNonNull(incarnation, "incarnation is null");
         Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(version, "version is null");
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
         models = Map.copyOf(models);
@@ -58,6 +62,7 @@
         return new TargetEntry(
                 incarnation,
                 service,
+                version,
                 address,
                 dataCentre,
                 slots,
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
@@ -21,6 +21,7 @@
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ModelId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 
 /**
@@ -325,6 +326,7 @@
         return new TargetEntry(
                 new TargetIncarnation(TargetId.of("engine-" + index), 0),
                 TargetEntries.ENGINES,
+                SoftwareVersion.of("v1"),
                 new TargetAddress("10.0.0.1", 80),
                 dataCentre(index),
                 parameters.slots(),
--- a/core/src/test/java/org/tamaracktrack/core/fleet/TargetEntries.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/TargetEntries.java
@@ -8,6 +8,7 @@
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 
 /** Creates registry entries for tests. */
@@ -32,6 +33,7 @@
         return new TargetEntry(
                 new TargetIncarnation(TargetId.of(name), started),
                 ENGINES,
+                SoftwareVersion.of("v1"),
                 new TargetAddress("10.0.0.1", 80),
                 dataCentre,
                 64,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -154,6 +154,8 @@
                 + entry.incarnation()
                 + " service="
                 + entry.service()
+                + " version="
+                + entry.version()
                 + " address="
                 + entry.address()
                 + " leaving="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
@@ -20,6 +21,7 @@
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
@@ -62,13 +64,14 @@
     private final PieceTimes pieces;
     private final RequestQuarantineState quarantineState;
     private final boolean callerReturned;
-    private final List<TargetId> triedTargets = new ArrayList<>();
+    private final List<TargetEntry> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
     private Optional<TargetAttempt> attempt = Optional.empty();
     private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
     private Optional<XnioExecutor.Key> deadlineTimer = Optional.empty();
     private long retryAfterMillis;
     private int streamStatus;
+    private Optional<SoftwareVersion> streamVersion = Optional.empty();
     private Map<String, String> streamHeaders = Map.of();
     private FailurePolicy.History history = FailurePolicy.History.none();
     private long registryAgeMillis = -1;
@@ -182,16 +185,22 @@
                         dispatchRequest,
                         context.view().fleet(),
                         context.loads()::of,
-                        triedTargets,
+                        triedTargets(),
                         context.connectionShare(dispatchRequest.service()),
                         context.nowMillis(),
                         context::draw);
     }
 
+    private List<TargetId> triedTargets() {
+        return tried.stream()
+                .map(entry -> entry.incarnation().target())
+                .collect(Collectors.toList());
+    }
+
     // A request whose first event would come after its caller has left only delays other requests.
     // Refused at once, the caller can retry while it still has time.
     private void sendUnlessTooLate(TargetSelector.Selection selection) {
-        boolean firstAttempt = triedTargets.isEmpty() && dispatchRequest.need().isPresent();
+        boolean firstAttempt = tried.isEmpty() && dispatchRequest.need().isPresent();
         if (firstAttempt
                 && selection.firstPieceMillis()
                         > deadline.firstPieceTimeoutMillis() * waitRatio()) {
@@ -209,7 +218,12 @@
     }
 
     private void send(TargetEntry entry) {
-        triedTargets.add(entry.incarnation().target());
+        tried.add(entry);
+        streamVersion.ifPresent(
+                began ->
+                        context.metrics()
+                                .recordContinuation(
+                                        dispatchRequest.service(), began.equals(entry.version())));
         long remainingMillis = deadline.remainingMillis();
         Map<String, String> targetHeaders =
                 context.protocol()
@@ -249,7 +263,7 @@
     private void onNoTarget() {
         long timeoutMillis = deadline.firstPieceTimeoutMillis();
         OptionalLong loadMillis =
-                triedTargets.isEmpty()
+                tried.isEmpty()
                         ? ExpectedLoadTime.estimateMillis(dispatchRequest, context.view())
                         : OptionalLong.empty();
         if (loadMillis.isEmpty() || loadMillis.getAsLong() > timeoutMillis || context.leaving()) {
@@ -380,6 +394,7 @@
 
     private void beginStream() {
         if (!response.hasBegun()) {
+            streamVersion = attempt.map(begun -> begun.entry().version());
             response.begin(streamStatus, streamHeaders);
         }
     }
@@ -441,7 +456,7 @@
         events.discardPartialEvent();
         history = history.after(end).withAnswerStarted(response.hasBegun());
         if (end == AttemptEnd.WITHHELD) {
-            target.map(entry -> entry.incarnation().target()).ifPresent(triedTargets::remove);
+            target.ifPresent(tried::remove);
         }
         RetryAllowance allowance = context.retryAllowance(dispatchRequest.service());
         FailurePolicy.Decision decision =
@@ -549,7 +564,13 @@
                         dispatchRequest,
                         outcome,
                         status,
-                        triedTargets,
+                        triedTargets(),
+                        tried.stream().map(TargetEntry::version).collect(Collectors.toList()),
+                        metadata.lastEventId()
+                                .map(
+                                        eventId ->
+                                                new RequestLog.Resumption(
+                                                        metadata.resumedAttempt(), eventId)),
                         history.refusals(),
                         pieces.firstMillis(),
                         pieces.longestGapMillis(),
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -86,6 +86,21 @@
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
 
+    /**
+     * Counts a stream that goes on at another target within one response.
+     *
+     * @param sameVersion whether that target runs the software version that began the stream
+     */
+    void recordContinuation(ServiceId service, boolean sameVersion) {
+        registry.counter(
+                        "tamaracktrack.gateway.streams.continued",
+                        "service",
+                        service.value(),
+                        "version",
+                        sameVersion ? "same" : "other")
+                .increment();
+    }
+
     /**
      * Counts a retry decision and sets the number of retries that this daemon could still send to
      * the service.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -9,6 +9,7 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ClientAccountId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
 
@@ -31,6 +32,8 @@
      * @param outcome how it ended
      * @param status the status that the caller got; 0 for none
      * @param triedTargets the targets that it was sent to
+     * @param versions the software versions of these targets
+     * @param resumption the stream that the caller takes up again; empty for a new one
      * @param refusals the number of targets that refused it as not run
      * @param firstMillis the time to the first piece of the response; -1 for none
      * @param longestGapMillis the longest pause between two pieces
@@ -48,6 +51,8 @@
             String outcome,
             int status,
             List<TargetId> triedTargets,
+            List<SoftwareVersion> versions,
+            Optional<Resumption> resumption,
             int refusals,
             long firstMillis,
             long longestGapMillis,
@@ -56,6 +61,19 @@
             long configuration,
             long registryAgeMillis) {}
 
+    /**
+     * What a caller states about the stream that it takes up again.
+     *
+     * @param attempt the attempt that brought its first event; empty when the caller names none
+     * @param lastEventId the last event that the caller has received
+     */
+    record Resumption(Optional<String> attempt, String lastEventId) {
+        @Override
+        public String toString() {
+            return " resumes=" + attempt.orElse("-") + " after_event=" + lastEventId;
+        }
+    }
+
     static void logEnd(RequestEnd request) {
         LOG.info(
                 "event=request request="
@@ -72,6 +90,9 @@
                         + request.status()
                         + " targets="
                         + request.triedTargets()
+                        + " versions="
+                        + request.versions()
+                        + request.resumption().map(Resumption::toString).orElse("")
                         + " refusals="
                         + request.refusals()
                         + " first_ms="
@@ -117,6 +138,8 @@
                         + ended.fingerprint().map(known -> " fingerprint=" + known).orElse("")
                         + " target="
                         + ended.target().map(entry -> entry.incarnation().toString()).orElse("-")
+                        + " version="
+                        + ended.target().map(entry -> entry.version().toString()).orElse("-")
                         + " end="
                         + ended.end()
                         + " after_ms="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestMetadata.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestMetadata.java
@@ -18,6 +18,8 @@
  *     if stated
  * @param parts the prompt's parts in order
  * @param lastEventId the last event that the caller received from an earlier attempt's stream
+ * @param resumedAttempt the attempt that brought the first event of the stream that the request
+ *     continues, if stated
  */
 public record RequestMetadata(
         String attempt,
@@ -26,7 +28,8 @@
         int promptTokens,
         OptionalLong totalTokens,
         List<PromptPart> parts,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<String> resumedAttempt) {
 
     /** Checks the arguments. */
     public RequestMetadata {
@@ -35,6 +38,7 @@
         Objects.requireNonNull(need, "need is null");
         Objects.requireNonNull(totalTokens, "totalTokens is null");
         Objects.requireNonNull(lastEventId, "lastEventId is null");
+        Objects.requireNonNull(resumedAttempt, "resumedAttempt is null");
         parts = List.copyOf(parts);
     }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/copies/HoldingsExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/copies/HoldingsExchangeTest.java
@@ -19,6 +19,7 @@
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ModelId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.daemon.relay.RelayPair;
 import org.tamaracktrack.link.topic.TopicPart;
@@ -49,6 +50,7 @@
                 new TargetEntry(
                         ENGINE,
                         ServiceId.of("engines"),
+                        SoftwareVersion.of("v1"),
                         new TargetAddress("127.0.0.1", 1),
                         DataCentreId.of("home"),
                         8,
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -33,6 +33,7 @@
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.route.RequestLimits;
 import org.tamaracktrack.core.route.Route;
@@ -121,6 +122,7 @@
                             0,
                             OptionalLong.empty(),
                             List.of(),
+                            Optional.empty(),
                             Optional.empty()));
         }
 
@@ -208,6 +210,7 @@
         return new TargetEntry(
                 new TargetIncarnation(TargetId.of(name), 0),
                 SERVICE,
+                SoftwareVersion.of("v1"),
                 new TargetAddress("127.0.0.1", 9),
                 HOME,
                 8,
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LinkCheckTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LinkCheckTest.java
@@ -17,6 +17,7 @@
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.link.http.HttpCall;
 import org.tamaracktrack.link.http.HttpCaller;
@@ -67,6 +68,7 @@
         return new TargetEntry(
                 new TargetIncarnation(TargetId.of("r" + port), 0),
                 ServiceId.of("plain"),
+                SoftwareVersion.of("v1"),
                 new TargetAddress("127.0.0.1", port),
                 DataCentreId.of("home"),
                 8,
