--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -343,6 +343,15 @@
         context.updateDaemons(daemons, atMillis);
     }
 
+    /**
+     * Returns the number of daemons on the last list. Safe for use by any thread.
+     *
+     * @return the number, including this daemon; 0 before the first list
+     */
+    public int daemonCount() {
+        return context.daemonCount();
+    }
+
     /**
      * Returns the targets that closed a connection with a response since the previous call. Targets
      * that leave close their connections, others do so occasionally.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -69,7 +69,7 @@
     private Runnable loadsChangeListener = () -> {};
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
-    private int daemonCount;
+    private volatile int daemonCount;
     private Optional<QuotaExchange> quotas = Optional.empty();
     private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
@@ -272,6 +272,10 @@
                 });
     }
 
+    int daemonCount() {
+        return daemonCount;
+    }
+
     /** Returns a number that messages of earlier runs at the same address have not reached. */
     long firstMessageNumber() {
         return random.nextLong() >>> 1;
