Continue a stream only at the software version that began it

Cause: after a target's end the selection of the next one asks for the service and the model only. Nothing knew the version of a target's software, so streams went on at whichever target was cheapest.

Now the version of the target whose first whole event is passed on becomes part of what the request asks for, in TargetSelector.candidates, which every selection uses: also that after a silent target, and that of waiting requests. A continued stream doesn't wait for a load, since placement may choose a target of another version.

Before an event was passed on any version may still run the request.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
@@ -148,10 +148,12 @@
      *
      * @param request the request
      * @param fleet the targets
-     * @return the candidates, without targets that are leaving
+     * @return the candidates, without targets that are leaving or run a software version that does
+     *     not fit to the stream
      */
     public static Stream<TargetEntry> candidates(DispatchRequest request, FleetSnapshot fleet) {
         return fleet.ready(request.service())
+                .filter(request::fitsVersionOf)
                 .filter(entry -> request.need().map(entry::holds).orElse(true));
     }
 
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
@@ -148,7 +148,7 @@
 
         void dispatch(ModelId model, int promptTokens, int answerTokens, long nowMillis) {
             DispatchRequest request =
-                    new DispatchRequest(
+                    DispatchRequest.of(
                             TargetEntries.ENGINES,
                             Optional.of(TargetEntries.need(model.value())),
                             promptTokens,
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -11,6 +11,7 @@
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.fleet.TargetEntries;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 
 class TargetSelectorTest {
@@ -30,7 +31,7 @@
     }
 
     private static DispatchRequest request(PromptPart... parts) {
-        return new DispatchRequest(
+        return DispatchRequest.of(
                 TargetEntries.ENGINES,
                 Optional.of(TargetEntries.need("model")),
                 1_460,
@@ -63,6 +64,36 @@
         }
     }
 
+    @Nested
+    class SoftwareVersions {
+        private final FleetSnapshot versions =
+                TargetEntries.fleet(
+                        TargetEntries.engineAt("v1", "old", TargetEntries.AWAY, "model"),
+                        TargetEntries.engineAt("v2", "new", TargetEntries.HOME, "model"));
+
+        private Optional<String> selectFor(DispatchRequest request) {
+            return selector.select(
+                            request, versions, name -> new TargetLoad(), List.of(), NOW, () -> 0)
+                    .map(selection -> selection.entry().version().value());
+        }
+
+        @Test
+        void shouldSelectAnyVersionWhenStreamIsNew() {
+            assertThat(selectFor(request())).hasValue("v2");
+        }
+
+        // Guards against a stream that joins what two software versions wrote.
+        @Test
+        void shouldSelectOnlyVersionThatBeganWhenStreamContinues() {
+            assertThat(selectFor(request().continuing(SoftwareVersion.of("v1")))).hasValue("v1");
+        }
+
+        @Test
+        void shouldSelectNothingWhenVersionThatBeganIsGone() {
+            assertThat(selectFor(request().continuing(SoftwareVersion.of("v0")))).isEmpty();
+        }
+    }
+
     @Nested
     class LoadedTargets {
 
--- a/core/src/test/java/org/tamaracktrack/core/fleet/TargetEntries.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/TargetEntries.java
@@ -30,10 +30,26 @@
             boolean leaving,
             DataCentreId dataCentre,
             String... models) {
+        return entry(name, started, revision, leaving, dataCentre, "v1", models);
+    }
+
+    public static TargetEntry engineAt(
+            String version, String name, DataCentreId dataCentre, String... models) {
+        return entry(name, 0, 1, false, dataCentre, version, models);
+    }
+
+    private static TargetEntry entry(
+            String name,
+            long started,
+            long revision,
+            boolean leaving,
+            DataCentreId dataCentre,
+            String version,
+            String[] models) {
         return new TargetEntry(
                 new TargetIncarnation(TargetId.of(name), started),
                 ENGINES,
-                SoftwareVersion.of("v1"),
+                SoftwareVersion.of(version),
                 new TargetAddress("10.0.0.1", 80),
                 dataCentre,
                 64,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ExpectedLoadTime.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ExpectedLoadTime.java
@@ -27,10 +27,17 @@
     private static OptionalLong estimateMillis(
             DispatchRequest request, ModelNeed need, EngineSpecification engine, GatewayView view) {
         boolean modelReady =
-                view.fleet().ready(request.service()).anyMatch(entry -> entry.holds(need.model()));
-        // Only the adapter is missing, which loads within a fraction of a second.
-        return modelReady
-                ? OptionalLong.of(ADAPTER_LOAD_MILLIS)
+                view.fleet()
+                        .ready(request.service())
+                        .filter(request::fitsVersionOf)
+                        .anyMatch(entry -> entry.holds(need.model()));
+        if (modelReady) {
+            // Only the adapter is missing, which loads within a fraction of a second.
+            return OptionalLong.of(ADAPTER_LOAD_MILLIS);
+        }
+        // Placement does not regard software versions, so the model may be loaded at another one.
+        return request.version().isPresent()
+                ? OptionalLong.empty()
                 : ModelLoadTime.estimateMillis(
                         need.model(), request.service(), engine, view.fleet());
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -55,7 +55,6 @@
     private final Route route;
     private final RequestMetadata metadata;
     private final byte[] body;
-    private final DispatchRequest dispatchRequest;
     private final RequestDeadline deadline;
     private final long configurationVersion;
     private final Optional<QuotaMember.Permit> permit;
@@ -71,7 +70,7 @@
     private Optional<XnioExecutor.Key> deadlineTimer = Optional.empty();
     private long retryAfterMillis;
     private int streamStatus;
-    private Optional<SoftwareVersion> streamVersion = Optional.empty();
+    private DispatchRequest dispatchRequest;
     private Map<String, String> streamHeaders = Map.of();
     private FailurePolicy.History history = FailurePolicy.History.none();
     private long registryAgeMillis = -1;
@@ -97,7 +96,7 @@
         this.permit = accepted.permit();
         this.headers = exchange.getRequestHeaders();
         this.dispatchRequest =
-                new DispatchRequest(
+                DispatchRequest.of(
                         accepted.service(),
                         metadata.need(),
                         metadata.promptTokens(),
@@ -219,11 +218,11 @@
 
     private void send(TargetEntry entry) {
         tried.add(entry);
-        streamVersion.ifPresent(
-                began ->
-                        context.metrics()
-                                .recordContinuation(
-                                        dispatchRequest.service(), began.equals(entry.version())));
+        if (response.hasBegun()) {
+            context.metrics()
+                    .recordContinuation(
+                            dispatchRequest.service(), dispatchRequest.fitsVersionOf(entry));
+        }
         long remainingMillis = deadline.remainingMillis();
         Map<String, String> targetHeaders =
                 context.protocol()
@@ -394,11 +393,15 @@
 
     private void beginStream() {
         if (!response.hasBegun()) {
-            streamVersion = attempt.map(begun -> begun.entry().version());
+            attempt.map(begun -> begun.entry().version()).ifPresent(this::continueOnlyAt);
             response.begin(streamStatus, streamHeaders);
         }
     }
 
+    private void continueOnlyAt(SoftwareVersion began) {
+        dispatchRequest = dispatchRequest.continuing(began);
+    }
+
     @Override
     public void onStreamEnd() {
         if (done) {
