Check the software version of a target again before bytes are sent

A caller's stream could still be continued at another version: a target may start again under its own name with other software while the connection to it is opened. Targets that never started before have no start time in the registry, so the run of the target can look the same.

Cause: the last check before bytes leave compares the run of the target, not its version. Test: shouldNotSendTheRequestWhenTheTargetChangesItsVersion fails without the comparison.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -22,7 +22,7 @@
 import org.tamaracktrack.core.dispatch.RetryAllowances;
 import org.tamaracktrack.core.dispatch.ReturningCallerDetector;
 import org.tamaracktrack.core.dispatch.TargetSelector;
-import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
@@ -327,14 +327,15 @@
     }
 
     /**
-     * Returns whether a request may be sent to a target now. The target may have started to leave
-     * since it was selected.
+     * Returns whether a request may be sent to a target now. Since it was selected, the target may
+     * have started to leave, or started again, possibly with other software.
      */
-    boolean maySendTo(TargetIncarnation target) {
+    boolean maySendTo(TargetEntry selected) {
         return !gate.isClosed()
                 && view.fleet()
-                        .entry(target.target())
-                        .filter(entry -> entry.incarnation().equals(target))
+                        .entry(selected.incarnation().target())
+                        .filter(entry -> entry.incarnation().equals(selected.incarnation()))
+                        .filter(entry -> entry.version().equals(selected.version()))
                         .filter(entry -> !entry.leaving())
                         .isPresent();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -190,9 +190,7 @@
         }
         withheld =
                 !listener.isStillAllowed()
-                        || (sendingBegun
-                                ? context.gate().isClosed()
-                                : !context.maySendTo(entry.incarnation()));
+                        || (sendingBegun ? context.gate().isClosed() : !context.maySendTo(entry));
         sendingBegun = true;
         if (!withheld) {
             listener.onSending();
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -207,10 +207,14 @@
     }
 
     private static TargetEntry entry(String name, boolean leaving) {
+        return entry(name, leaving, "v1");
+    }
+
+    private static TargetEntry entry(String name, boolean leaving, String version) {
         return new TargetEntry(
                 new TargetIncarnation(TargetId.of(name), 0),
                 SERVICE,
-                SoftwareVersion.of("v1"),
+                SoftwareVersion.of(version),
                 new TargetAddress("127.0.0.1", 9),
                 HOME,
                 8,
@@ -255,6 +259,20 @@
         }
     }
 
+    // Guards against a stream that continues at another software version because its target started
+    // again with that version, under its own name, while the connection was opened.
+    @Test
+    void shouldNotSendTheRequestWhenTheTargetChangesItsVersion() throws Exception {
+        try (Socket caller = lookup()) {
+            PendingCall call = nextCall();
+
+            TargetEntry updated = entry("r1", false, "v2");
+            gateway.updateFleet(FleetSnapshot.of(Map.of(updated.incarnation().target(), updated)));
+
+            assertThat(call.maySend().getAsBoolean()).isFalse();
+        }
+    }
+
     private static String status(Socket socket) throws IOException {
         socket.setSoTimeout((int) Duration.ofSeconds(10).toMillis());
         return new String(socket.getInputStream().readNBytes(12), StandardCharsets.UTF_8);
