Find where a stream began when its caller takes it up again

Callers whose daemon died, or whose stream was broken off, took it up at any daemon and got events of another software version, or, had we refused all of these, none at all.

Cause: what a stream consists of was known only to the answer in progress. The caller names the attempt that brought its first event, not the version, and the header was not read.

Now a daemon that forwards a first event records attempt, service and version and sends them to three other daemons, chosen by rendezvous hashing over the list of daemons, in different data centres as far as possible. A daemon at which a stream is taken up looks at its own records and asks the five most likely keepers (answers in a few ms, given up after 300 ms). An unknown origin is never guessed: 503, not run, STREAM_VERSION_UNKNOWN. So a lost or late message costs one refusal at most, and can't join two versions. While a service has had one version only, nothing is sent and nothing refused; when a second one appears, the origins of recent streams are sent to their keepers, and again to keepers that start anew. A daemon whose registry is stale does not derive a version by itself.

Weighed: asking all daemons (nothing known once the beginner is dead), records in the store (a call for each stream, priced, and none during an outage), a version derived from the attempt's id (binds the choice of targets, and moves as versions come and go).

Not mended: a daemon that starts takes the versions that it lists for all that have served.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/DispatchRequest.java
@@ -7,6 +7,7 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
+import org.tamaracktrack.core.stream.StreamOrigin;
 
 /**
  * The properties of a request by which a target is selected.
@@ -50,11 +51,12 @@
     /**
      * Returns the request to continue a stream.
      *
-     * @param began the software version that began it
-     * @return this request, for targets of that version only
+     * @param origin where it began
+     * @return this request, for targets of that service and version only
      */
-    public DispatchRequest continuing(SoftwareVersion began) {
-        return new DispatchRequest(service, need, promptTokens, parts, Optional.of(began));
+    public DispatchRequest continuing(StreamOrigin origin) {
+        return new DispatchRequest(
+                origin.service(), need, promptTokens, parts, Optional.of(origin.version()));
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
+++ b/core/src/main/java/org/tamaracktrack/core/error/ErrorCode.java
@@ -24,6 +24,8 @@
     CANNOT_MEET_CLASS(503, Ran.NO, true),
     /** No target that can serve the model is reachable. */
     NO_TARGET(503, Ran.NO, true),
+    /** The request takes up a stream whose software version is unknown, so it runs nowhere. */
+    STREAM_VERSION_UNKNOWN(503, Ran.NO, true),
     /** Several targets ended while they ran the request, so it is sent to no target. */
     QUARANTINED(503, Ran.NO, false),
     /** The target has no copy of the model and can't load one in time. */
--- a/core/src/main/java/org/tamaracktrack/core/route/RouteTable.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/RouteTable.java
@@ -12,9 +12,11 @@
  */
 public final class RouteTable {
     private final Map<String, List<Route>> byHost;
+    private final long longestTimeoutMillis;
 
-    private RouteTable(Map<String, List<Route>> byHost) {
+    private RouteTable(Map<String, List<Route>> byHost, long longestTimeoutMillis) {
         this.byHost = byHost;
+        this.longestTimeoutMillis = longestTimeoutMillis;
     }
 
     /**
@@ -29,7 +31,17 @@
         return new RouteTable(
                 routes.stream()
                         .sorted(longestFirst)
-                        .collect(Collectors.groupingBy(Route::host, Collectors.toList())));
+                        .collect(Collectors.groupingBy(Route::host, Collectors.toList())),
+                routes.stream().mapToLong(Route::timeoutMillis).max().orElse(0));
+    }
+
+    /**
+     * Returns the longest timeout of all routes.
+     *
+     * @return the timeout in milliseconds; 0 without routes
+     */
+    public long longestTimeoutMillis() {
+        return longestTimeoutMillis;
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -13,6 +13,7 @@
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.stream.StreamOrigin;
 
 class TargetSelectorTest {
     private static final long NOW = 10_000;
@@ -71,6 +72,12 @@
                         TargetEntries.engineAt("v1", "old", TargetEntries.AWAY, "model"),
                         TargetEntries.engineAt("v2", "new", TargetEntries.HOME, "model"));
 
+        private DispatchRequest continuing(String version) {
+            return request()
+                    .continuing(
+                            new StreamOrigin(TargetEntries.ENGINES, SoftwareVersion.of(version)));
+        }
+
         private Optional<String> selectFor(DispatchRequest request) {
             return selector.select(
                             request, versions, name -> new TargetLoad(), List.of(), NOW, () -> 0)
@@ -85,12 +92,12 @@
         // Guards against a stream that joins what two software versions wrote.
         @Test
         void shouldSelectOnlyVersionThatBeganWhenStreamContinues() {
-            assertThat(selectFor(request().continuing(SoftwareVersion.of("v1")))).hasValue("v1");
+            assertThat(selectFor(continuing("v1"))).hasValue("v1");
         }
 
         @Test
         void shouldSelectNothingWhenVersionThatBeganIsGone() {
-            assertThat(selectFor(request().continuing(SoftwareVersion.of("v0")))).isEmpty();
+            assertThat(selectFor(continuing("v0"))).isEmpty();
         }
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -21,13 +21,14 @@
 import org.tamaracktrack.core.fleet.ModelNeed;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
-import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
 import org.tamaracktrack.core.stream.EventSplitter;
+import org.tamaracktrack.core.stream.OriginFinding;
+import org.tamaracktrack.core.stream.StreamOrigin;
 import org.tamaracktrack.daemon.connection.CallerConnection;
 import org.xnio.XnioExecutor;
 
@@ -151,6 +152,35 @@
         deadlineTimer =
                 Optional.of(context.timer(deadline.untilDeadlineMillis(), this::onDeadline));
         SilentTargetMonitor.start(context, () -> attempt, () -> done, this::onTargetSilent);
+        if (takesUpStream()) {
+            context.findOrigin(
+                    metadata.resumedAttempt(), dispatchRequest.service(), this::continueFrom);
+        } else {
+            dispatch();
+        }
+    }
+
+    private boolean takesUpStream() {
+        return route.kind() == RouteKind.STREAMING
+                && (metadata.resumedAttempt().isPresent() || metadata.lastEventId().isPresent());
+    }
+
+    // The service of a route with several services is drawn anew for each attempt of a caller, so
+    // the one that began the stream may be another.
+    private void continueFrom(OriginFinding finding) {
+        if (done) {
+            return;
+        }
+        context.metrics().recordResumption(dispatchRequest.service(), finding.source());
+        RequestLog.logResumption(
+                metadata.attempt(), metadata.resumedAttempt(), dispatchRequest.service(), finding);
+        Optional<StreamOrigin> usable =
+                finding.origin().filter(origin -> route.allows(origin.service()));
+        if (usable.isEmpty()) {
+            refuseOrFail(ErrorCode.STREAM_VERSION_UNKNOWN, "version_unknown");
+            return;
+        }
+        dispatchRequest = dispatchRequest.continuing(usable.get());
         dispatch();
     }
 
@@ -393,13 +423,17 @@
 
     private void beginStream() {
         if (!response.hasBegun()) {
-            attempt.map(begun -> begun.entry().version()).ifPresent(this::continueOnlyAt);
+            attempt.map(TargetAttempt::entry).ifPresent(this::continueOnlyAt);
             response.begin(streamStatus, streamHeaders);
         }
     }
 
-    private void continueOnlyAt(SoftwareVersion began) {
-        dispatchRequest = dispatchRequest.continuing(began);
+    private void continueOnlyAt(TargetEntry begun) {
+        StreamOrigin origin = new StreamOrigin(begun.service(), begun.version());
+        dispatchRequest = dispatchRequest.continuing(origin);
+        if (route.repeatable()) {
+            context.recordBegun(metadata.resumedAttempt().orElse(metadata.attempt()), origin);
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -34,6 +34,7 @@
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.daemon.stream.OriginExchange;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
@@ -327,6 +328,20 @@
                                         GatewayContext::dayMillis)));
     }
 
+    /**
+     * Starts to remember, together with other daemons, at which software version streams began.
+     *
+     * @param self the address of this daemon
+     * @param datagrams carries the messages, on the traffic thread
+     */
+    public void exchangeOrigins(String self, Datagrams datagrams) {
+        thread.execute(
+                () ->
+                        context.origins(
+                                OriginExchange.start(
+                                        self, context.firstMessageNumber(), datagrams, context)));
+    }
+
     /** Enforces quotas without other daemons. */
     public void enforceQuotasAlone() {
         thread.execute(context::enforceQuotasAlone);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -26,14 +26,18 @@
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
+import org.tamaracktrack.core.knowledge.StalenessState;
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.ServiceSpecification;
 import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.core.stream.OriginFinding;
+import org.tamaracktrack.core.stream.StreamOrigin;
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
+import org.tamaracktrack.daemon.stream.OriginExchange;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -71,6 +75,7 @@
     private volatile GatewayView view = GatewayView.empty();
     private volatile int daemonCount;
     private Optional<QuotaExchange> quotas = Optional.empty();
+    private Optional<OriginExchange> origins = Optional.empty();
     private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
 
@@ -267,6 +272,7 @@
                 () -> {
                     daemonCount = daemons.size();
                     quotas.ifPresent(exchange -> exchange.updateDaemons(daemons, atMillis));
+                    origins.ifPresent(exchange -> exchange.updateDaemons(daemons));
                     retryAllowances.recordDaemonCount(
                             daemons.size(), atMillis, nowMillis(), dayMillis());
                 });
@@ -305,6 +311,35 @@
         quotas.ifPresent(exchange -> exchange.giveBack(permit));
     }
 
+    /** Sets the exchange by which daemons remember where streams began. */
+    void origins(OriginExchange exchange) {
+        origins = Optional.of(exchange);
+        updateOrigins(view);
+    }
+
+    private void updateOrigins(GatewayView newer) {
+        long longestTimeoutMillis =
+                newer.configuration()
+                        .map(configuration -> configuration.routes().longestTimeoutMillis())
+                        .orElse(0L);
+        origins.ifPresent(exchange -> exchange.update(newer.fleet(), longestTimeoutMillis));
+    }
+
+    /** Records where a stream began, before its first event is forwarded. */
+    void recordBegun(String attempt, StreamOrigin origin) {
+        origins.ifPresent(exchange -> exchange.recordBegun(attempt, origin));
+    }
+
+    /** Searches where a stream began that a caller takes up at a service. */
+    void findOrigin(Optional<String> attempt, ServiceId service, Consumer<OriginFinding> listener) {
+        updateOrigins(view);
+        origins.ifPresentOrElse(
+                exchange ->
+                        exchange.find(
+                                attempt, service, gate.state() == StalenessState.FRESH, listener),
+                () -> listener.accept(OriginFinding.unknown(0)));
+    }
+
     /** Sets how recent the configuration must be for keys to be accepted. */
     void keyFreshness(KeyFreshness newer) {
         keyFreshness = newer;
@@ -381,6 +416,7 @@
         execute(
                 () -> {
                     activateQuotas();
+                    updateOrigins(newer);
                     loads.retainTargets(newer.fleet());
                     waiting.retryAll();
                 });
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -18,6 +18,7 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.stream.OriginFinding;
 
 /** Counters and histograms of forwarded requests, by route. Owned by the traffic thread. */
 final class GatewayMetrics {
@@ -101,6 +102,17 @@
                 .increment();
     }
 
+    /** Counts a stream that a caller takes up, by how its software version is known. */
+    void recordResumption(ServiceId service, OriginFinding.Source source) {
+        registry.counter(
+                        "tamaracktrack.gateway.streams.resumed",
+                        "service",
+                        service.value(),
+                        "known",
+                        source.name())
+                .increment();
+    }
+
     /**
      * Counts a retry decision and sets the number of retries that this daemon could still send to
      * the service.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -9,9 +9,12 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ClientAccountId;
+import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
+import org.tamaracktrack.core.stream.OriginFinding;
+import org.tamaracktrack.core.stream.StreamOrigin;
 
 /** Logs the ends of requests and of failed attempts. */
 final class RequestLog {
@@ -109,6 +112,29 @@
                         + request.registryAgeMillis());
     }
 
+    /** Logs how the origin of a stream is known that a caller takes up. */
+    static void logResumption(
+            String attempt,
+            Optional<String> resumedAttempt,
+            ServiceId service,
+            OriginFinding finding) {
+        LOG.info(
+                "event=stream-resumed request="
+                        + attempt
+                        + " resumes="
+                        + resumedAttempt.orElse("-")
+                        + " service="
+                        + finding.origin().map(StreamOrigin::service).orElse(service)
+                        + " version="
+                        + finding.origin().map(origin -> origin.version().toString()).orElse("-")
+                        + " known="
+                        + finding.source()
+                        + " known_for_ms="
+                        + finding.ageMillis()
+                        + " searched_ms="
+                        + finding.searchedMillis());
+    }
+
     /**
      * A failed attempt at a target, and the decision that followed.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/DatagramKinds.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/DatagramKinds.java
@@ -5,16 +5,18 @@
 import java.util.function.BiConsumer;
 
 /**
- * Shares one socket between the messages about load and those about quotas. Both are MessagePack;
- * the first value of the former is a string, that of the latter a short array.
+ * Shares one socket between the messages about load, about quotas and about streams. All are
+ * MessagePack; the first value is a string, a short array or a small integer, respectively.
  */
 public final class DatagramKinds {
     private static final int SHORT_ARRAY_MASK = 0xf0;
     private static final int SHORT_ARRAY = 0x90;
+    private static final int SMALL_INTEGER_MASK = 0x80;
 
     private final Datagrams socket;
     private BiConsumer<InetSocketAddress, byte[]> loadReceiver = (from, message) -> {};
     private BiConsumer<InetSocketAddress, byte[]> quotaReceiver = (from, message) -> {};
+    private BiConsumer<InetSocketAddress, byte[]> streamReceiver = (from, message) -> {};
 
     private DatagramKinds(Datagrams socket) {
         this.socket = socket;
@@ -61,6 +63,20 @@
         };
     }
 
+    /**
+     * Returns the messages about streams.
+     *
+     * @return sends and receives them
+     */
+    public Datagrams streams() {
+        return new Kind() {
+            @Override
+            public void onReceived(BiConsumer<InetSocketAddress, byte[]> receiver) {
+                streamReceiver = receiver;
+            }
+        };
+    }
+
     private abstract class Kind implements Datagrams {
         @Override
         public void send(InetSocketAddress address, byte[] message) {
@@ -69,7 +85,15 @@
     }
 
     private void receive(InetSocketAddress from, byte[] message) {
-        boolean quota = message.length > 0 && (message[0] & SHORT_ARRAY_MASK) == SHORT_ARRAY;
-        (quota ? quotaReceiver : loadReceiver).accept(from, message);
+        if (message.length > 0) {
+            receiver(message[0]).accept(from, message);
+        }
+    }
+
+    private BiConsumer<InetSocketAddress, byte[]> receiver(byte first) {
+        if ((first & SMALL_INTEGER_MASK) == 0) {
+            return streamReceiver;
+        }
+        return (first & SHORT_ARRAY_MASK) == SHORT_ARRAY ? quotaReceiver : loadReceiver;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between daemons about the software versions at which streams began. */
+package org.tamaracktrack.daemon.stream;
