Keep in the store which software versions have served

A caller's stream could go on at another version after all daemons had ended: one that starts lists the targets of the moment, and where these run one version only it took that for the version of every stream. The stream's own may have lost its last target meanwhile.

Cause: the registry's listing was taken for its history. A daemon reads these records once after its start; until then it derives nothing from the listed targets.

On a service that always had one version nothing changes after a restart of all: the record says so.

--- a/core/src/main/java/org/tamaracktrack/core/stream/OriginMember.java
+++ b/core/src/main/java/org/tamaracktrack/core/stream/OriginMember.java
@@ -61,6 +61,7 @@
     private long retentionMillis = MIN_RETENTION_MILLIS;
     private long nextNumber;
     private long expiredMillis = Long.MIN_VALUE / 2;
+    private boolean earlierVersionsKnown;
 
     /** Sends messages to other daemons. */
     public interface Transport {
@@ -154,7 +155,29 @@
     }
 
     private boolean hasSeveralVersions(ServiceId service) {
-        return history.versions(service).size() > 1;
+        return onlyVersion(service).isEmpty();
+    }
+
+    // The listed targets of a daemon that has just started do not show which versions served
+    // before.
+    private Optional<SoftwareVersion> onlyVersion(ServiceId service) {
+        return earlierVersionsKnown ? history.only(service) : Optional.empty();
+    }
+
+    /**
+     * Applies the versions that served before the start of this daemon. Until then no origin is
+     * derived from the known targets.
+     *
+     * @param versions the versions by service
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordEarlierVersions(
+            Map<ServiceId, Set<SoftwareVersion>> versions, long nowMillis) {
+        versions.forEach(
+                (service, served) ->
+                        served.forEach(version -> history.observe(service, version, nowMillis)));
+        earlierVersionsKnown = true;
+        announceServicesWithSecondVersion();
     }
 
     /**
@@ -178,7 +201,7 @@
                         .collect(Collectors.toSet());
         singleVersionServices.clear();
         history.services().stream()
-                .filter(service -> history.only(service).isPresent())
+                .filter(service -> onlyVersion(service).isPresent())
                 .forEach(singleVersionServices::add);
         if (!changed.isEmpty()) {
             sendNotices(
@@ -277,7 +300,7 @@
     }
 
     private Optional<StreamOrigin> onlyOrigin(ServiceId service) {
-        return history.only(service).map(version -> new StreamOrigin(service, version));
+        return onlyVersion(service).map(version -> new StreamOrigin(service, version));
     }
 
     private void ask(
@@ -325,7 +348,7 @@
                     new OriginMessage.Answer(
                             question.number(),
                             register.find(question.attempt()).map(OriginRegister.Record::origin),
-                            history.only(question.service())));
+                            onlyVersion(question.service())));
         } else if (message instanceof OriginMessage.Answer answer) {
             handleAnswer(from, answer, nowMillis);
         }
--- a/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulation.java
@@ -66,6 +66,7 @@
                             random.nextInt(1_000_000),
                             (to, message) -> deliver(address, to, message));
             member.updateFleet(fleet, nowMillis);
+            member.recordEarlierVersions(Map.of(), nowMillis);
             tick(run);
         }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.undertow.util.StatusCodes;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -26,6 +27,8 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.knowledge.StalenessBound;
 import org.tamaracktrack.core.quarantine.Quarantine;
@@ -342,6 +345,25 @@
                                         self, context.firstMessageNumber(), datagrams, context)));
     }
 
+    /**
+     * Applies the software versions that served before the start of this daemon. Safe for use by
+     * any thread.
+     *
+     * @param versions the versions by service
+     */
+    public void recordEarlierVersions(Map<ServiceId, Set<SoftwareVersion>> versions) {
+        context.recordEarlierVersions(versions);
+    }
+
+    /**
+     * Returns the recent software versions of each service. Safe for use by any thread.
+     *
+     * @return the versions by service
+     */
+    public Map<ServiceId, Set<SoftwareVersion>> recentVersions() {
+        return context.recentVersions();
+    }
+
     /** Enforces quotas without other daemons. */
     public void enforceQuotasAlone() {
         thread.execute(context::enforceQuotasAlone);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -24,6 +24,7 @@
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
 import org.tamaracktrack.core.knowledge.StalenessState;
@@ -75,7 +76,7 @@
     private volatile GatewayView view = GatewayView.empty();
     private volatile int daemonCount;
     private Optional<QuotaExchange> quotas = Optional.empty();
-    private Optional<OriginExchange> origins = Optional.empty();
+    private volatile Optional<OriginExchange> origins = Optional.empty();
     private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
 
@@ -325,6 +326,16 @@
         origins.ifPresent(exchange -> exchange.update(newer.fleet(), longestTimeoutMillis));
     }
 
+    /** Applies the versions that served before the start of this daemon. */
+    void recordEarlierVersions(Map<ServiceId, Set<SoftwareVersion>> versions) {
+        execute(() -> origins.ifPresent(exchange -> exchange.recordEarlierVersions(versions)));
+    }
+
+    /** Returns the recent software versions of each service. Safe for use by any thread. */
+    Map<ServiceId, Set<SoftwareVersion>> recentVersions() {
+        return origins.map(OriginExchange::recentVersions).orElse(Map.of());
+    }
+
     /** Records where a stream began, before its first event is forwarded. */
     void recordBegun(String attempt, StreamOrigin origin) {
         origins.ifPresent(exchange -> exchange.recordBegun(attempt, origin));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/stream/OriginExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/stream/OriginExchange.java
@@ -2,14 +2,17 @@
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.OriginMember;
 import org.tamaracktrack.core.stream.OriginMessage;
@@ -27,6 +30,7 @@
 
     private final LoadExchange.Timer timer;
     private final OriginMember member;
+    private volatile Map<ServiceId, Set<SoftwareVersion>> recentVersions = Map.of();
     private boolean ticking;
 
     private OriginExchange(
@@ -79,6 +83,26 @@
         member.updateLongestTimeout(longestTimeoutMillis);
         member.updateFleet(fleet, timer.nowMillis());
         member.tick(timer.nowMillis());
+        recentVersions = member.recentVersions();
+    }
+
+    /**
+     * Applies the software versions that served before the start of this daemon.
+     *
+     * @param versions the versions by service
+     */
+    public void recordEarlierVersions(Map<ServiceId, Set<SoftwareVersion>> versions) {
+        member.recordEarlierVersions(versions, timer.nowMillis());
+        recentVersions = member.recentVersions();
+    }
+
+    /**
+     * Returns the recent software versions of each service. Safe for use by any thread.
+     *
+     * @return the versions by service, as of the last change of the known targets
+     */
+    public Map<ServiceId, Set<SoftwareVersion>> recentVersions() {
+        return recentVersions;
     }
 
     /**
