--- a/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulation.java
@@ -151,9 +151,23 @@
                                 () -> daemon.updateFleet(fleet)));
     }
 
+    /**
+     * Lets one daemon hear of targets of one version only, as if it were cut off from the store.
+     */
+    void registerAt(int number, String version) {
+        daemons.get(number)
+                .updateFleet(
+                        TargetEntries.fleet(
+                                TargetEntries.engineAt(
+                                        version, "e-" + version, TargetEntries.HOME, "m")));
+    }
+
     /** Begins a stream at a random daemon and returns that daemon's number. */
     int begin(String attempt, String version) {
-        int number = randomAlive();
+        return begin(attempt, version, randomAlive());
+    }
+
+    int begin(String attempt, String version, int number) {
         StreamOrigin origin = new StreamOrigin(TargetEntries.ENGINES, SoftwareVersion.of(version));
         truth.put(attempt, origin);
         daemons.get(number).member.recordBegun(attempt, origin, nowMillis);
--- a/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulationTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulationTest.java
@@ -176,6 +176,23 @@
             assertThat(simulation.known).isEqualTo(1);
         }
 
+        // Guards against a stream that goes on at the only version which a daemon knows that is cut
+        // off from the store, although another daemon began it at a newer one.
+        @Test
+        void shouldAskOthersWhenRegistryIsStale() {
+            OriginSimulation simulation = new OriginSimulation(12, 2, 0, 5);
+            simulation.registerAt(0, "v1");
+            simulation.registerAt(1, "v2");
+            simulation.advance(SECOND);
+            simulation.begin("a1", "v2", 1);
+
+            simulation.resume("a1", false, 0);
+            simulation.advance(SECOND);
+
+            assertThat(simulation.wrong).isEqualTo(0);
+            assertThat(simulation.known).isEqualTo(1);
+        }
+
         // Guards against a guess of a daemon that is cut off from the store while another one has
         // begun streams at a version that it does not know.
         @Test
