--- a/core/src/test/java/org/tamaracktrack/core/stream/OriginMemberTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/stream/OriginMemberTest.java
@@ -94,7 +94,9 @@
             updateFleet(NOW, "v1", "v2");
             updateFleet(NOW + 1_000, "v1");
 
-            assertThat(find("a1", NOW + 1_000 + LONGEST_TIMEOUT).origin()).isEmpty();
+            long soon = NOW + 1_000 + LONGEST_TIMEOUT;
+            member.tick(soon);
+            assertThat(find("a1", soon).origin()).isEmpty();
 
             long later = NOW + 1_000 + 10 * LONGEST_TIMEOUT;
             member.tick(later);
--- a/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulationTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/stream/OriginSimulationTest.java
@@ -198,7 +198,9 @@
         @Test
         void shouldNotDeriveOriginWhenRegistryIsStaleAndAnotherDaemonKnowsTwoVersions() {
             OriginSimulation simulation = new OriginSimulation(11, 2, 0, 5);
-            simulation.register(0, "v1", "v2");
+            simulation.registerAt(0, "v1");
+            simulation.registerAt(1, "v1");
+            simulation.registerAt(1, "v2");
             simulation.advance(SECOND);
 
             simulation.resume("unknown", false, 0);
