Send the request of the deadline test on the traffic thread

The test sends its request from its own thread and has 150 ms for it until the deadline; where that thread runs later, nothing was sent in time and the daemon rightly answers 'not run'.

The stand-in now sends on the traffic thread, as an open connection does, so the request has been sent before the deadline can pass; what the test requires is the same.

--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -61,6 +61,9 @@
     private DefaultByteBufferPool buffers;
     private Gateway gateway;
 
+    /** Whether calls find an open connection, so that they are sent on the traffic thread. */
+    private volatile boolean sendsAtOnce;
+
     /** A call that waits for its connection. */
     private record PendingCall(HttpCall call, BooleanSupplier maySend, HttpListener listener) {}
 
@@ -73,6 +76,9 @@
 
         @Override
         public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
+            if (sendsAtOnce) {
+                assertThat(maySend.getAsBoolean()).isTrue();
+            }
             pendingCalls.add(new PendingCall(call, maySend, listener));
             return new HttpStream() {
                 @Override
@@ -293,9 +299,10 @@
 
     @Test
     void shouldAnswerOutcomeUnknownWhenTheDeadlinePassesAfterTheRequestWasSent() throws Exception {
+        sendsAtOnce = true;
         gateway.configure(configuration(2, 150));
         try (Socket caller = lookup()) {
-            assertThat(nextCall().maySend().getAsBoolean()).isTrue();
+            nextCall();
 
             assertThat(status(caller)).isEqualTo("HTTP/1.1 504");
         }
