Log how far a broken answer had come and the shared parts of its prompt

Timeline and hypotheses of the incident could not tell what the requests at ended targets have in common. attempt-ended now names the shared parts of the prompt (all but the last) and how far the answer had come: NONE, STARTED (head only), WRITING, ESTABLISHED. No decision changes.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -22,6 +22,7 @@
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.AnswerProgress;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
@@ -489,6 +490,7 @@
         }
         long nowMillis = context.nowMillis();
         Optional<TargetEntry> target = attempt.map(TargetAttempt::entry);
+        AnswerProgress progress = attempt.map(TargetAttempt::progress).orElse(AnswerProgress.NONE);
         attempt = Optional.empty();
         events.discardPartialEvent();
         history = history.after(end).withAnswerStarted(response.hasBegun());
@@ -509,6 +511,8 @@
                         quarantineState.fingerprint(),
                         target,
                         end,
+                        progress,
+                        metadata.sharedParts(),
                         deadline.elapsedMillis(),
                         deadline.remainingMillis(),
                         decision,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -2,16 +2,19 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
+import org.tamaracktrack.core.dispatch.PromptPart;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.AnswerProgress;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.StreamOrigin;
@@ -23,6 +26,8 @@
     /** Numbers are logged with one decimal place. */
     private static final double TENTHS = 10;
 
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private RequestLog() {}
 
     /**
@@ -142,6 +147,8 @@
      * @param fingerprint the fingerprint of the request; empty when it was not computed
      * @param target the target
      * @param end how the attempt ended
+     * @param progress how far the answer had come
+     * @param parts the parts of its prompt that other requests may share
      * @param elapsedMillis the time since the request arrived
      * @param remainingMillis the time until its deadline
      * @param decision what follows, and from which budget a retry is paid
@@ -152,6 +159,8 @@
             Optional<RequestFingerprint> fingerprint,
             Optional<TargetEntry> target,
             AttemptEnd end,
+            AnswerProgress progress,
+            List<PromptPart> parts,
             long elapsedMillis,
             long remainingMillis,
             FailurePolicy.Decision decision,
@@ -168,6 +177,13 @@
                         + ended.target().map(entry -> entry.version().toString()).orElse("-")
                         + " end="
                         + ended.end()
+                        + " answer="
+                        + ended.progress()
+                        + " parts="
+                        + ended.parts().stream()
+                                .limit(MAX_LOGGED_PARTS)
+                                .map(PromptPart::contentId)
+                                .collect(Collectors.joining(","))
                         + " after_ms="
                         + ended.elapsedMillis()
                         + " left_ms="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestMetadata.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestMetadata.java
@@ -41,4 +41,14 @@
         Objects.requireNonNull(resumedAttempt, "resumedAttempt is null");
         parts = List.copyOf(parts);
     }
+
+    /**
+     * Returns the parts of the prompt that other requests may share: all but the last, which
+     * belongs to the request or its session.
+     *
+     * @return the parts
+     */
+    public List<PromptPart> sharedParts() {
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -5,11 +5,13 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
 import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.quarantine.AnswerProgress;
 import org.tamaracktrack.link.http.CallLimits;
 import org.tamaracktrack.link.http.HttpCall;
 import org.tamaracktrack.link.http.HttpFailure;
@@ -60,7 +62,7 @@
     private long startedMillis;
     private int pendingPromptTokens;
     private long lastContactMillis;
-    private boolean eventReceived;
+    private OptionalLong firstPieceMillis = OptionalLong.empty();
     private boolean withheld;
     private boolean sendingBegun;
 
@@ -207,6 +209,16 @@
         return entry;
     }
 
+    /** Returns how far the answer has come. */
+    AnswerProgress progress() {
+        if (mode == Mode.NO_HEAD) {
+            return AnswerProgress.NONE;
+        }
+        return firstPieceMillis.isPresent()
+                ? AnswerProgress.since(context.nowMillis() - firstPieceMillis.getAsLong())
+                : AnswerProgress.STARTED;
+    }
+
     void pause() {
         stream.ifPresent(HttpStream::pause);
     }
@@ -263,11 +275,13 @@
     }
 
     private void recordStreamEvent() {
-        if (mode == Mode.STREAMING && eventReceived) {
-            long nowMillis = context.nowMillis();
+        long nowMillis = context.nowMillis();
+        if (mode == Mode.STREAMING && firstPieceMillis.isPresent()) {
             load.recordStreamEvent(nowMillis - lastContactMillis, nowMillis);
         }
-        eventReceived = true;
+        if (firstPieceMillis.isEmpty()) {
+            firstPieceMillis = OptionalLong.of(nowMillis);
+        }
     }
 
     private void recordContact() {
