Take a stream that ends with its connection before its first event for cut off

Callers got an empty success (200, no event) when a target whose answer has neither a length nor chunks ended between the head and the first event; the request's suspicion was cleared by it. Cause: the end of such a connection was always the end of the answer. A generation has at least one event, so none is lost by this; a stream that ends inside an event now also counts as a broken connection of its target.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -443,6 +443,8 @@
             return;
         }
         if (events.hasPartialEvent()) {
+            attempt.filter(TargetAttempt::endsWithConnection)
+                    .ifPresent(cut -> onConnectionBroken(true));
             onAttemptEnded(AttemptEnd.CUT, Optional.empty());
             return;
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -45,6 +45,11 @@
     private static final int FIRST_FAILURE_STATUS = 500;
     private static final int MISDIRECTED_STATUS = 421;
 
+    /** Names of headers in lower case. */
+    private static final String CONTENT_LENGTH = "content-length";
+
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
+
     private final GatewayContext context;
     private final TargetEntry entry;
     private final DispatchRequest dispatchRequest;
@@ -209,6 +214,11 @@
         return entry;
     }
 
+    /** Returns whether only the end of the connection shows the end of the answer. */
+    boolean endsWithConnection() {
+        return !headers.containsKey(CONTENT_LENGTH) && !headers.containsKey(TRANSFER_ENCODING);
+    }
+
     /** Returns how far the answer has come. */
     AnswerProgress progress() {
         if (mode == Mode.NO_HEAD) {
@@ -351,6 +361,11 @@
 
     @Override
     public void onEnd() {
+        if (endsWithConnection() && mode == Mode.STREAMING && firstPieceMillis.isEmpty()) {
+            // A target that crashes before the first event ends the connection just like this.
+            onFailure(HttpFailure.ANSWER_CUT);
+            return;
+        }
         if (!end()) {
             return;
         }
