--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
@@ -140,6 +140,17 @@
         return new Decision(decide(end, history, payment), payment);
     }
 
+    /**
+     * Decides how a request ends after a failed attempt that is not followed by another.
+     *
+     * @param end how the last attempt ended
+     * @param history the attempts so far, including the last one
+     * @return how the request ends
+     */
+    public static Decision giveUp(AttemptEnd end, History history) {
+        return new Decision(decide(end, history, Payment.NONE), Payment.NONE);
+    }
+
     private static Payment payForRetry(AttemptEnd end, RetryAllowance allowance, long nowMillis) {
         if (end == AttemptEnd.NOT_SENT || end == AttemptEnd.WITHHELD) {
             return Payment.FREE;
--- a/core/src/main/java/org/tamaracktrack/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/Quarantine.java
@@ -1,27 +1,30 @@
 package org.tamaracktrack.core.quarantine;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
- * A snapshot of the requests during which targets ended. Immutable.
+ * A snapshot of the suspects. Immutable.
  *
- * @param suspects requests during which at least one target ended
- * @param held the suspects that are not sent to any target
+ * @param suspects requests and parts of prompts during which at least one target ended
+ * @param held the suspects that are sent to no target, and why
  */
-public record Quarantine(Set<RequestFingerprint> suspects, Set<RequestFingerprint> held) {
-    private static final Quarantine EMPTY = new Quarantine(Set.of(), Set.of());
+public record Quarantine(Set<Suspect> suspects, Map<Suspect, Hold> held) {
+    private static final Quarantine EMPTY = new Quarantine(Set.of(), Map.of());
 
-    /** Copies the sets. */
+    /** Copies the collections. */
     public Quarantine {
         Objects.requireNonNull(suspects, "suspects is null");
         Objects.requireNonNull(held, "held is null");
         suspects = Set.copyOf(suspects);
-        held = Set.copyOf(held);
+        held = Map.copyOf(held);
     }
 
     /**
-     * Returns a quarantine without requests.
+     * Returns a quarantine without suspects.
      *
      * @return the quarantine
      */
@@ -37,4 +40,41 @@
     public boolean isEmpty() {
         return suspects.isEmpty();
     }
+
+    /**
+     * Returns whether a suspect is sent to no target.
+     *
+     * @param suspect the request or part
+     * @return true when it is held
+     */
+    public boolean isHeld(Suspect suspect) {
+        return held.containsKey(suspect);
+    }
+
+    /**
+     * Returns this quarantine with other trials.
+     *
+     * @param trial returns which request with a held suspect may be sent
+     * @return the quarantine; the same object when nothing changes
+     */
+    public Quarantine withTrials(Function<Suspect, Hold.Trial> trial) {
+        Map<Suspect, Hold> changed =
+                held.entrySet().stream()
+                        .collect(
+                                Collectors.toMap(
+                                        Map.Entry::getKey,
+                                        hold ->
+                                                hold.getValue()
+                                                        .withTrial(trial.apply(hold.getKey()))));
+        return changed.equals(held) ? this : new Quarantine(suspects, changed);
+    }
+
+    /**
+     * Returns this quarantine without trials.
+     *
+     * @return the quarantine; the same object when it has none
+     */
+    public Quarantine withoutTrials() {
+        return withTrials(suspect -> Hold.Trial.NONE);
+    }
 }
--- a/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/QuarantineRegister.java
@@ -4,47 +4,40 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 
 /**
- * Counts the targets that ended during each request and determines which requests are quarantined.
- * Confined to the control thread. Times are in time of day, since they remain valid after a restart
- * of the process.
+ * Counts the targets that ended during each request, and during requests with each part of a
+ * prompt, and determines which of these suspects are held. Confined to the control thread. Times
+ * are in time of day, since they remain valid after a restart of the process.
  *
- * <p>When a target ends, every request in progress there becomes a suspect. Only a request that
- * causes its targets to end is in progress repeatedly; the others are answered by another target,
- * which clears them.
+ * <p>When a target ends, every request in progress there becomes a suspect, and so do the parts of
+ * its prompt that no target has answered recently. Only what causes targets to end is there
+ * repeatedly; the others are answered by another target, which clears them.
  */
 public final class QuarantineRegister {
-    /**
-     * Number of ended targets after which a request is held. Targets at which the request may only
-     * have waited count as well: the head of an answer can be lost with the connection, and a
-     * request that waits at three targets that end, without an answer in between, has used up its
-     * attempts.
-     */
-    private static final int ENDS_BEFORE_HOLD = 3;
-
-    /** Time after the last end of a target for which a request that is not held stays a suspect. */
+    /** Time after the last end of a target for which one that is not held stays a suspect. */
     private static final long SUSPECT_RETENTION_MILLIS = 10 * 60_000;
 
-    /**
-     * Time after the last end of a target for which a request stays held, before it is tried again.
-     */
+    /** Time after the last end of a target for which a suspect stays held. */
     private static final long HOLD_MILLIS = 24 * 60 * 60_000;
 
-    /** Upper bound of recorded requests, beyond which the oldest suspects are removed first. */
-    private static final int MAX_REQUESTS = 10_000;
+    /** Upper bound of recorded suspects, beyond which the oldest suspects are removed first. */
+    private static final int MAX_SUSPECTS = 10_000;
+
+    /** A request that is tried contains fewer held parts than this. */
+    private static final int MAX_EXPLANATIONS = 8;
 
-    private final Map<RequestFingerprint, Map<TargetIncarnation, ObservedEnd>> endsByRequest =
+    private final Map<Suspect, Map<TargetIncarnation, ObservedEnd>> endsBySuspect =
             new LinkedHashMap<>();
     private Quarantine quarantine = Quarantine.empty();
+    private Set<Suspect> explainedTogether = Set.of();
     private boolean changed;
 
-    private record ObservedEnd(boolean ran, long atMillis) {}
-
     private QuarantineRegister() {}
 
     /**
@@ -57,16 +50,16 @@
     }
 
     /**
-     * Records that a target ended during a request. An end that is reported again, by another
-     * daemon or from the store, counts once.
+     * Records that a target ended while a suspect was there. An end that is reported again, by
+     * another daemon or from the store, counts once.
      *
-     * @param end the request and the target
+     * @param end the suspect and the target
      * @param atMillis when the target ended, in milliseconds of the time of day
-     * @return true when the end, or that the target ran the request, was not recorded before
+     * @return true when the end, or that the target ran the suspect, was not recorded before
      */
     public boolean add(TargetEnd end, long atMillis) {
         Map<TargetIncarnation, ObservedEnd> targets =
-                endsByRequest.computeIfAbsent(end.request(), request -> new LinkedHashMap<>());
+                endsBySuspect.computeIfAbsent(end.suspect(), suspect -> new LinkedHashMap<>());
         ObservedEnd known = targets.get(end.target());
         if (known != null && (known.ran() || !end.ran())) {
             return false;
@@ -79,120 +72,171 @@
     /**
      * Removes an end, which no longer counts.
      *
-     * @param request the request
+     * @param suspect the request or part
      * @param target the target
      */
-    public void remove(RequestFingerprint request, TargetIncarnation target) {
-        Map<TargetIncarnation, ObservedEnd> targets = endsByRequest.get(request);
+    public void remove(Suspect suspect, TargetIncarnation target) {
+        Map<TargetIncarnation, ObservedEnd> targets = endsBySuspect.get(suspect);
         if (targets == null || targets.remove(target) == null) {
             return;
         }
         if (targets.isEmpty()) {
-            endsByRequest.remove(request);
+            endsBySuspect.remove(suspect);
         }
         changed = true;
     }
 
     /**
-     * Removes all ends of a request that a target has answered, which shows that it does not cause
+     * Removes all ends of a suspect that a target has answered, which shows that it does not cause
      * targets to end.
      *
-     * @param request the request
+     * @param suspect the request or part
      * @return the removed ends
      */
-    public List<TargetEnd> removeAll(RequestFingerprint request) {
-        Map<TargetIncarnation, ObservedEnd> targets = endsByRequest.remove(request);
+    public List<TargetEnd> removeAll(Suspect suspect) {
+        Map<TargetIncarnation, ObservedEnd> targets = endsBySuspect.remove(suspect);
         if (targets == null) {
             return List.of();
         }
         changed = true;
-        return toTargetEnds(request, targets).collect(Collectors.toList());
+        return toTargetEnds(suspect, targets).collect(Collectors.toList());
     }
 
     /**
-     * Removes expired requests, and the oldest suspects when there are too many.
+     * Removes expired suspects, and the oldest suspects when there are too many.
      *
      * @param nowMillis the time of day in milliseconds
      * @return the removed ends
      */
     public List<TargetEnd> expire(long nowMillis) {
-        List<RequestFingerprint> expired =
+        List<Suspect> expired =
                 Stream.concat(
-                                endsByRequest.keySet().stream()
+                                endsBySuspect.keySet().stream()
                                         .filter(
-                                                request ->
-                                                        lastEndMillis(request)
+                                                suspect ->
+                                                        lastEndMillis(suspect)
                                                                 < expiryThresholdMillis(
-                                                                        request, nowMillis)),
-                                endsByRequest.keySet().stream()
+                                                                        suspect, nowMillis)),
+                                endsBySuspect.keySet().stream()
                                         .sorted(
                                                 Comparator.comparing(this::isHeld)
                                                         .thenComparing(this::lastEndMillis))
-                                        .limit(Math.max(0, endsByRequest.size() - MAX_REQUESTS)))
+                                        .limit(Math.max(0, endsBySuspect.size() - MAX_SUSPECTS)))
                         .distinct()
                         .collect(Collectors.toList());
         return expired.stream()
-                .flatMap(request -> removeAll(request).stream())
+                .flatMap(suspect -> removeAll(suspect).stream())
                 .collect(Collectors.toList());
     }
 
-    private long expiryThresholdMillis(RequestFingerprint request, long nowMillis) {
-        return nowMillis - (isHeld(request) ? HOLD_MILLIS : SUSPECT_RETENTION_MILLIS);
+    private long expiryThresholdMillis(Suspect suspect, long nowMillis) {
+        return nowMillis - (isHeld(suspect) ? HOLD_MILLIS : SUSPECT_RETENTION_MILLIS);
     }
 
-    private long lastEndMillis(RequestFingerprint request) {
-        return endsByRequest.get(request).values().stream()
+    private long lastEndMillis(Suspect suspect) {
+        return endsBySuspect.get(suspect).values().stream()
                 .mapToLong(ObservedEnd::atMillis)
                 .max()
                 .orElse(0);
     }
 
-    private boolean isHeld(RequestFingerprint request) {
-        return endsByRequest.get(request).size() >= ENDS_BEFORE_HOLD;
+    private boolean isHeld(Suspect suspect) {
+        return suspect.holdPolicy().holds(endsBySuspect.get(suspect).values());
     }
 
     private static Stream<TargetEnd> toTargetEnds(
-            RequestFingerprint request, Map<TargetIncarnation, ObservedEnd> targets) {
+            Suspect suspect, Map<TargetIncarnation, ObservedEnd> targets) {
         return targets.entrySet().stream()
-                .map(target -> new TargetEnd(request, target.getKey(), target.getValue().ran()));
+                .map(target -> new TargetEnd(suspect, target.getKey(), target.getValue().ran()));
     }
 
     /**
      * Returns whether an end is recorded.
      *
-     * @param end the request and the target
+     * @param end the suspect and the target
      * @return true when it is recorded
      */
     public boolean contains(TargetEnd end) {
-        return endsByRequest.getOrDefault(end.request(), Map.of()).containsKey(end.target());
-    }
-
-    /**
-     * Returns the number of targets that ended during a request.
-     *
-     * @param request the request
-     * @return the number of targets
-     */
-    public int endCount(RequestFingerprint request) {
-        Objects.requireNonNull(request, "request is null");
-        return endsByRequest.getOrDefault(request, Map.of()).size();
+        return endsBySuspect.getOrDefault(end.suspect(), Map.of()).containsKey(end.target());
     }
 
     /**
-     * Returns the current suspects and held requests.
+     * Returns the current suspects and which of them are held.
      *
-     * @return the quarantine
+     * @param nowMillis the time of day in milliseconds
+     * @return the quarantine; the same object as before when nothing changed
      */
-    public Quarantine quarantine() {
+    public Quarantine quarantine(long nowMillis) {
         if (changed) {
             changed = false;
+            Set<Suspect> held =
+                    endsBySuspect.keySet().stream()
+                            .filter(this::isHeld)
+                            .collect(Collectors.toSet());
+            explainedTogether =
+                    held.stream()
+                            .filter(suspect -> isExplainedTogether(suspect, held))
+                            .collect(Collectors.toSet());
             quarantine =
                     new Quarantine(
-                            endsByRequest.keySet(),
-                            endsByRequest.keySet().stream()
-                                    .filter(this::isHeld)
-                                    .collect(Collectors.toSet()));
+                            endsBySuspect.keySet(),
+                            held.stream()
+                                    .collect(
+                                            Collectors.toMap(
+                                                    suspect -> suspect,
+                                                    suspect -> hold(suspect, held))));
         }
+        quarantine = quarantine.withTrials(suspect -> trial(suspect, nowMillis));
         return quarantine;
     }
+
+    private Hold.Trial trial(Suspect suspect, long nowMillis) {
+        OptionalLong dueMillis =
+                suspect.holdPolicy().trialDueMillis(endsBySuspect.get(suspect).values());
+        if (dueMillis.isPresent() && nowMillis >= dueMillis.getAsLong()) {
+            return Hold.Trial.ANY;
+        }
+        return explainedTogether.contains(suspect) ? Hold.Trial.ALONE : Hold.Trial.NONE;
+    }
+
+    private Hold hold(Suspect suspect, Set<Suspect> held) {
+        Map<TargetIncarnation, ObservedEnd> ends = endsBySuspect.get(suspect);
+        int runningEnds = (int) ends.values().stream().filter(ObservedEnd::ran).count();
+        Set<Suspect> explainedBy =
+                suspect instanceof PartFingerprint
+                        ? held.stream()
+                                .filter(other -> explains(other, suspect))
+                                .limit(MAX_EXPLANATIONS)
+                                .collect(Collectors.toSet())
+                        : Set.of();
+        return new Hold(
+                ends.size(), runningEnds, lastEndMillis(suspect), explainedBy, Hold.Trial.NONE);
+    }
+
+    /** Returns whether a suspect would not be held without the targets at which another was. */
+    private boolean explains(Suspect other, Suspect suspect) {
+        if (other.equals(suspect) || !(other instanceof PartFingerprint)) {
+            return false;
+        }
+        Map<TargetIncarnation, ObservedEnd> ends = endsBySuspect.get(suspect);
+        Map<TargetIncarnation, ObservedEnd> otherEnds = endsBySuspect.get(other);
+        Map<TargetIncarnation, ObservedEnd> unexplained = new LinkedHashMap<>(ends);
+        unexplained.keySet().removeAll(otherEnds.keySet());
+        return otherEnds.size() >= ends.size() && !suspect.holdPolicy().holds(unexplained.values());
+    }
+
+    /** Returns whether some other held part was at each target that was running a suspect. */
+    private boolean isExplainedTogether(Suspect suspect, Set<Suspect> held) {
+        Set<TargetIncarnation> explained =
+                held.stream()
+                        .filter(other -> other instanceof PartFingerprint)
+                        .filter(other -> !other.equals(suspect))
+                        .flatMap(other -> endsBySuspect.get(other).keySet().stream())
+                        .collect(Collectors.toSet());
+        return suspect instanceof PartFingerprint
+                && endsBySuspect.get(suspect).entrySet().stream()
+                        .filter(end -> end.getValue().ran())
+                        .map(Map.Entry::getKey)
+                        .allMatch(explained::contains);
+    }
 }
--- a/core/src/main/java/org/tamaracktrack/core/quarantine/TargetEnd.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/TargetEnd.java
@@ -4,18 +4,18 @@
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 
 /**
- * The end of a target while a request was in progress there.
+ * The end of a target while a suspect was there.
  *
- * @param request the request
+ * @param suspect the request, or a part of its prompt
  * @param target the target and its incarnation
- * @param ran whether the target is known to have run the request; otherwise the request may only
- *     have waited there
+ * @param ran for a request, whether the target is known to have run it; for a part, whether the
+ *     target was beginning to answer a prompt with it. Otherwise it may only have waited there
  */
-public record TargetEnd(RequestFingerprint request, TargetIncarnation target, boolean ran) {
+public record TargetEnd(Suspect suspect, TargetIncarnation target, boolean ran) {
 
     /** Checks the arguments. */
     public TargetEnd {
-        Objects.requireNonNull(request, "request is null");
+        Objects.requireNonNull(suspect, "suspect is null");
         Objects.requireNonNull(target, "target is null");
     }
 }
--- a/core/src/main/java/org/tamaracktrack/core/quarantine/package-info.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Quarantine of requests that repeatedly cause targets to end. */
+/** Quarantine of requests, and of parts of prompts, that repeatedly cause targets to end. */
 package org.tamaracktrack.core.quarantine;
--- a/core/src/test/java/org/tamaracktrack/core/quarantine/QuarantineRegisterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/quarantine/QuarantineRegisterTest.java
@@ -8,12 +8,15 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.dispatch.PromptPart;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
 
 class QuarantineRegisterTest {
@@ -31,7 +34,7 @@
     }
 
     private boolean isHeld(RequestFingerprint request) {
-        return register.quarantine().held().contains(request);
+        return register.quarantine(0).isHeld(request);
     }
 
     private void addEnds(int targets, boolean ran) {
@@ -96,7 +99,7 @@
 
             assertThat(register.removeAll(CRASHING_REQUEST)).hasSize(2);
 
-            assertThat(register.quarantine().isEmpty()).isTrue();
+            assertThat(register.quarantine(0).isEmpty()).isTrue();
         }
 
         @Test
@@ -127,6 +130,74 @@
         }
     }
 
+    @Nested
+    class Parts {
+        private static final long SECOND_MILLIS = 1_000;
+
+        private final Suspect first = part("first");
+        private final Suspect deadly = part("deadly");
+        private final Suspect otherDeadly = part("other");
+
+        private Suspect part(String id) {
+            return PartFingerprint.of(ServiceId.of("engines"), new PromptPart(id, 40));
+        }
+
+        private void endTarget(int number, Suspect... parts) {
+            Stream.of(parts)
+                    .forEach(
+                            part ->
+                                    register.add(
+                                            new TargetEnd(
+                                                    part,
+                                                    new TargetIncarnation(
+                                                            TargetId.of("t" + number), 7),
+                                                    true),
+                                            number * SECOND_MILLIS));
+        }
+
+        private Hold hold(Suspect part, long nowMillis) {
+            return register.quarantine(nowMillis).held().get(part);
+        }
+
+        @Test
+        void shouldExplainPartByAnotherThatWasAtTheSameTargets() {
+            endTarget(0, first, deadly);
+            endTarget(1, first, deadly);
+
+            assertThat(hold(first, 0).explainedBy()).containsExactly(deadly);
+        }
+
+        // Guards against a deadly part that is tried again because others were beside it sometimes.
+        @Test
+        void shouldNotExplainPartByAnotherThatWasAtFewerTargets() {
+            endTarget(0, first, deadly);
+            endTarget(1, first, deadly);
+            endTarget(2, deadly);
+
+            assertThat(hold(deadly, 0).explainedBy()).isEmpty();
+            assertThat(hold(deadly, 0).trial()).isEqualTo(Hold.Trial.NONE);
+        }
+
+        // Guards against a sound part that stays held because two deadly parts were beside it.
+        @Test
+        void shouldExplainPartByTwoOthersTogether() {
+            IntStream.of(0, 1).forEach(number -> endTarget(number, first, deadly));
+            IntStream.of(2, 3).forEach(number -> endTarget(number, first, otherDeadly));
+
+            assertThat(hold(first, 0).explainedBy()).isEmpty();
+            assertThat(hold(first, 0).trial()).isEqualTo(Hold.Trial.ALONE);
+        }
+
+        @Test
+        void shouldAllowTrialWhenLastEndIsLongAgo() {
+            endTarget(0, deadly);
+            endTarget(1, deadly);
+
+            assertThat(hold(deadly, 30 * SECOND_MILLIS).trial()).isEqualTo(Hold.Trial.NONE);
+            assertThat(hold(deadly, 31 * SECOND_MILLIS).trial()).isEqualTo(Hold.Trial.ANY);
+        }
+    }
+
     /** A request that causes targets to end, among many concurrent requests. */
     @Group
     @Nested
@@ -158,8 +229,8 @@
                 endTarget(random.nextInt(TARGETS), run, random);
             }
 
-            assertThat(neighbourRegister.quarantine().held()).contains(CRASHING_REQUEST);
-            assertThat(neighbourRegister.quarantine().held().size() - 1)
+            assertThat(neighbourRegister.quarantine(0).held()).containsKey(CRASHING_REQUEST);
+            assertThat(neighbourRegister.quarantine(0).held().size() - 1)
                     .isAtMost(interruptedRequests / REQUESTS_PER_WRONG_HOLD);
         }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -23,6 +23,7 @@
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quarantine.AnswerProgress;
+import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
@@ -107,7 +108,8 @@
                 context.returningCallerDetector(route.name())
                         .observe(metadata.waitMillis().orElse(route.timeoutMillis()));
         this.pieces = PieceTimes.since(accepted.arrivedMillis());
-        this.quarantineState = RequestQuarantineState.of(context, exchange, body);
+        this.quarantineState =
+                RequestQuarantineState.of(context, exchange, body, metadata.sharedParts());
         this.response = GatewayResponse.of(exchange, context::leaving, this);
     }
 
@@ -147,7 +149,7 @@
         connection.onClosed(this::onCallerGone);
         CallerConnection.detectDisconnect(exchange);
         context.retryAllowance(dispatchRequest.service()).recordRequest(deadline.arrivedMillis());
-        if (!callerReturned && !quarantineState.isQuarantined()) {
+        if (!callerReturned && quarantineState.holdingSuspect(service()).isEmpty()) {
             metadata.need().ifPresent(need -> context.demand().record(need, route));
         }
         deadlineTimer =
@@ -189,6 +191,10 @@
         return dispatchRequest.need();
     }
 
+    private ServiceId service() {
+        return dispatchRequest.service();
+    }
+
     // The quarantine is checked before each attempt: the target that has just ended may have been
     // the last one that this request was allowed.
     private void dispatch() {
@@ -344,15 +350,7 @@
     // A repeatable request is sent to another target. Any other is abandoned only when the registry
     // has dropped the target as well.
     private void onTargetSilent(TargetAttempt silentAttempt) {
-        boolean gone =
-                context.view()
-                        .fleet()
-                        .entry(silentAttempt.entry().incarnation().target())
-                        .filter(
-                                entry ->
-                                        entry.incarnation()
-                                                .equals(silentAttempt.entry().incarnation()))
-                        .isEmpty();
+        boolean gone = !context.isKnown(silentAttempt.entry().incarnation());
         boolean mayGoElsewhere =
                 route.repeatable()
                         && history.possibleExecutions() + 1 < route.maximumAttempts()
@@ -417,6 +415,7 @@
         }
         if (wholeEvents.length > 0) {
             pieces.recordPiece(context.nowMillis());
+            attempt.ifPresent(TargetAttempt::recordPiece);
             beginStream();
             response.write(ByteBuffer.wrap(wholeEvents));
         }
@@ -449,7 +448,7 @@
             return;
         }
         beginStream();
-        quarantineState.recordAnswer();
+        attempt.ifPresent(this::recordAnswer);
         finish("served", streamStatus);
         response.end();
     }
@@ -461,14 +460,27 @@
             return;
         }
         pieces.recordPiece(context.nowMillis());
-        quarantineState.recordAnswer();
+        attempt.ifPresent(this::recordAnswer);
         finish(status < FIRST_NON_SUCCESS ? "served" : "target_status", status);
         response.sendWhole(status, responseHeaders, responseBody);
     }
 
+    // An answer that ends with its connection may have been cut by the end of its target.
+    private void recordAnswer(TargetAttempt answered) {
+        if (!answered.endsWithConnection() || answered.progress() == AnswerProgress.ESTABLISHED) {
+            quarantineState.recordAnswer();
+            onEstablished();
+        }
+    }
+
+    @Override
+    public void onEstablished() {
+        quarantineState.recordEstablished(service());
+    }
+
     @Override
     public boolean isStillAllowed() {
-        return refusalNow().isEmpty();
+        return refusalNow().isEmpty() && quarantineState.holdingSuspect(service()).isEmpty();
     }
 
     @Override
@@ -478,7 +490,10 @@
 
     @Override
     public void onConnectionBroken(boolean ran) {
-        attempt.ifPresent(broken -> quarantineState.recordBrokenConnection(broken.entry(), ran));
+        attempt.ifPresent(
+                broken ->
+                        quarantineState.recordBrokenConnection(
+                                broken.entry(), ran, broken.progress()));
     }
 
     @Override
@@ -499,10 +514,17 @@
         if (end == AttemptEnd.WITHHELD) {
             target.ifPresent(tried::remove);
         }
-        RetryAllowance allowance = context.retryAllowance(dispatchRequest.service());
+        RetryAllowance allowance = context.retryAllowance(service());
         FailurePolicy.Decision decision =
-                FailurePolicy.decide(
-                        route, end, history, deadline.remainingMillis(), allowance, nowMillis);
+                mayHaveEndedTarget(end, progress)
+                        ? FailurePolicy.giveUp(end, history)
+                        : FailurePolicy.decide(
+                                route,
+                                end,
+                                history,
+                                deadline.remainingMillis(),
+                                allowance,
+                                nowMillis);
         RetryAllowance.State allowanceState = allowance.state(nowMillis);
         context.metrics()
                 .recordRetryDecision(
@@ -522,6 +544,14 @@
         apply(decision.next(), end, failure);
     }
 
+    // A target that ends because of a request does so when it begins to answer. Such a request is
+    // not sent to the next target as well, unless other answers show that its prompt is harmless.
+    private boolean mayHaveEndedTarget(AttemptEnd end, AnswerProgress progress) {
+        return end == AttemptEnd.CUT
+                && progress == AnswerProgress.STARTED
+                && quarantineState.hasUnprovenPart(service());
+    }
+
     private void apply(
             FailurePolicy.Next next,
             AttemptEnd end,
@@ -574,11 +604,14 @@
     }
 
     private boolean refuseIfQuarantined() {
-        boolean quarantined = quarantineState.isQuarantined();
-        if (quarantined) {
-            refuseOrFail(ErrorCode.QUARANTINED, "quarantined");
-        }
-        return quarantined;
+        Optional<Suspect> holding = quarantineState.holdingSuspectUnlessTrial(service());
+        holding.ifPresent(
+                suspect -> {
+                    context.metrics().recordQuarantined(suspect);
+                    quarantineState.logRefusal(metadata.attempt(), suspect);
+                    refuseOrFail(ErrorCode.QUARANTINED, "quarantined");
+                });
+        return holding.isPresent();
     }
 
     private void respondWithFailure(ErrorCode code, String reason) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -23,12 +23,17 @@
 import org.tamaracktrack.core.dispatch.ReturningCallerDetector;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
 import org.tamaracktrack.core.knowledge.StalenessState;
+import org.tamaracktrack.core.quarantine.PartFingerprint;
+import org.tamaracktrack.core.quarantine.ProvenParts;
 import org.tamaracktrack.core.quarantine.Quarantine;
+import org.tamaracktrack.core.quarantine.Suspect;
+import org.tamaracktrack.core.quarantine.Trials;
 import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.ServiceSpecification;
@@ -67,6 +72,8 @@
     private final Map<String, ReturningCallerDetector> returningCallers =
             LruMap.of(MAX_TRACKED_ROUTES);
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
+    private final ProvenParts provenParts = ProvenParts.empty();
+    private final Trials trials = Trials.none();
     private final TargetEndDetector targetEndDetector = new TargetEndDetector(this);
     private final StalenessGate gate =
             new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
@@ -195,12 +202,35 @@
         return quarantine;
     }
 
-    /**
-     * Replaces the record of the requests under which targets have ended. Safe for use by any
-     * thread.
-     */
+    /** Replaces the suspects under which targets have ended. Safe for use by any thread. */
     void quarantine(Quarantine newer) {
+        Quarantine previous = quarantine;
         quarantine = newer;
+        execute(
+                () -> {
+                    newer.suspects().stream()
+                            .filter(suspect -> !previous.suspects().contains(suspect))
+                            .filter(this::isProven)
+                            .forEach(targetEndDetector::recordAnswer);
+                    if (!newer.held().keySet().equals(previous.held().keySet())) {
+                        waiting.retryAll();
+                    }
+                });
+    }
+
+    /** Records that a target has answered a prompt with a part. */
+    void recordProven(PartFingerprint part) {
+        provenParts.record(part, nowMillis());
+    }
+
+    /** Returns whether a target has recently answered a prompt with a part. */
+    boolean isProven(Suspect suspect) {
+        return provenParts.contains(suspect, nowMillis());
+    }
+
+    /** Returns whether a request with some held suspects may be sent as a trial. */
+    boolean tryAcquireTrial(Quarantine current, Set<Suspect> heldSuspects) {
+        return trials.tryAcquire(current, heldSuspects, nowMillis());
     }
 
     TargetEndDetector targetEndDetector() {
@@ -372,6 +402,14 @@
         return linkCheck;
     }
 
+    /** Returns whether the registry has this run of a target. */
+    boolean isKnown(TargetIncarnation incarnation) {
+        return view.fleet()
+                .entry(incarnation.target())
+                .filter(entry -> entry.incarnation().equals(incarnation))
+                .isPresent();
+    }
+
     /**
      * Returns whether a request may be sent to a target now. Since it was selected, the target may
      * have started to leave, or started again, possibly with other software.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -18,6 +18,8 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.quarantine.PartFingerprint;
+import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.stream.OriginFinding;
 
 /** Counters and histograms of forwarded requests, by route. Owned by the traffic thread. */
@@ -83,6 +85,15 @@
                 .register(registry);
     }
 
+    /** Counts a request that is refused because targets ended under it or a part of its prompt. */
+    void recordQuarantined(Suspect suspect) {
+        registry.counter(
+                        "tamaracktrack.gateway.quarantined",
+                        "because",
+                        suspect instanceof PartFingerprint ? "part" : "request")
+                .increment();
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -15,7 +15,9 @@
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.quarantine.AnswerProgress;
+import org.tamaracktrack.core.quarantine.Hold;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
+import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.StreamOrigin;
 
@@ -202,6 +204,38 @@
                         + roundDownToTenths(ended.allowance().slack()));
     }
 
+    /**
+     * Logs that a request is refused because of a suspect.
+     *
+     * @param attempt the attempt id that the caller gave the request
+     * @param suspect the request or the part of its prompt
+     * @param part the part's id; empty when the request itself is the suspect
+     * @param hold why the suspect is held; empty when it was released just now
+     * @param dayMillis the time of day in milliseconds
+     */
+    static void logQuarantined(
+            String attempt,
+            Suspect suspect,
+            Optional<String> part,
+            Optional<Hold> hold,
+            long dayMillis) {
+        LOG.info(
+                "event=request-held request="
+                        + attempt
+                        + " fingerprint="
+                        + suspect
+                        + part.map(id -> " part=" + id).orElse("")
+                        + hold.map(
+                                        known ->
+                                                " targets_ended="
+                                                        + known.ends()
+                                                        + " running="
+                                                        + known.runningEnds()
+                                                        + " last_end_ms_ago="
+                                                        + (dayMillis - known.lastEndMillis()))
+                                .orElse(""));
+    }
+
     private static double roundDownToTenths(double figure) {
         return Math.floor(figure * TENTHS) / TENTHS;
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestQuarantineState.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestQuarantineState.java
@@ -1,32 +1,56 @@
 package org.tamaracktrack.daemon.gateway;
 
 import io.undertow.server.HttpServerExchange;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.tamaracktrack.core.dispatch.PromptPart;
 import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.quarantine.AnswerProgress;
+import org.tamaracktrack.core.quarantine.PartFingerprint;
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
+import org.tamaracktrack.core.quarantine.Suspect;
+import org.tamaracktrack.core.quarantine.TargetEnd;
 
 /**
- * Checks one request against the quarantine, and reports broken connections and answers of the
- * request. Its fingerprint is computed only once a target has ended under some request. Used on the
+ * Checks one request and the shared parts of its prompt against the quarantine, and reports its
+ * broken connections and answers. Fingerprints are computed only when they are needed. Used on the
  * traffic thread.
  */
 final class RequestQuarantineState {
     private final GatewayContext context;
     private final HttpServerExchange exchange;
     private final byte[] body;
+    private final List<PromptPart> sharedParts;
+    private final Set<Suspect> trials = new HashSet<>();
     private Optional<RequestFingerprint> fingerprint = Optional.empty();
+    private Optional<ServiceParts> parts = Optional.empty();
+
+    /** The service may change when a stream continues, and the fingerprints with it. */
+    private record ServiceParts(ServiceId service, List<PartFingerprint> fingerprints) {}
 
     private RequestQuarantineState(
-            GatewayContext context, HttpServerExchange exchange, byte[] body) {
+            GatewayContext context,
+            HttpServerExchange exchange,
+            byte[] body,
+            List<PromptPart> sharedParts) {
         this.context = context;
         this.exchange = exchange;
         this.body = body;
+        this.sharedParts = sharedParts;
     }
 
     static RequestQuarantineState of(
-            GatewayContext context, HttpServerExchange exchange, byte[] body) {
-        return new RequestQuarantineState(context, exchange, body);
+            GatewayContext context,
+            HttpServerExchange exchange,
+            byte[] body,
+            List<PromptPart> sharedParts) {
+        return new RequestQuarantineState(context, exchange, body, sharedParts);
     }
 
     private RequestFingerprint computeFingerprint() {
@@ -42,27 +66,121 @@
         return fingerprint.get();
     }
 
+    private List<PartFingerprint> computeParts(ServiceId service) {
+        if (parts.filter(known -> known.service().equals(service)).isEmpty()) {
+            parts =
+                    Optional.of(
+                            new ServiceParts(service, PartFingerprint.ofAll(service, sharedParts)));
+        }
+        return parts.get().fingerprints();
+    }
+
+    private Stream<Suspect> suspects(ServiceId service) {
+        return Stream.concat(Stream.of(computeFingerprint()), computeParts(service).stream());
+    }
+
     /** Returns the fingerprint if it has been computed. */
     Optional<RequestFingerprint> fingerprint() {
         return fingerprint;
     }
 
-    /** Returns whether the request must not be sent to any target. */
-    boolean isQuarantined() {
+    private Set<Suspect> heldSuspects(Quarantine quarantine, ServiceId service) {
+        return quarantine.held().isEmpty()
+                ? Set.of()
+                : suspects(service).filter(quarantine::isHeld).collect(Collectors.toSet());
+    }
+
+    /** Returns the suspect because of which the request must not be sent to any target, if any. */
+    Optional<Suspect> holdingSuspect(ServiceId service) {
+        return heldSuspects(context.quarantine(), service).stream()
+                .filter(suspect -> !trials.contains(suspect))
+                .findFirst();
+    }
+
+    /** As above; a request that is granted as a trial may be sent from now on. */
+    Optional<Suspect> holdingSuspectUnlessTrial(ServiceId service) {
+        Optional<Suspect> holding = holdingSuspect(service);
+        if (holding.isEmpty()) {
+            return holding;
+        }
         Quarantine quarantine = context.quarantine();
-        return !quarantine.held().isEmpty() && quarantine.held().contains(computeFingerprint());
+        Set<Suspect> heldSuspects = heldSuspects(quarantine, service);
+        if (!context.tryAcquireTrial(quarantine, heldSuspects)) {
+            return holding;
+        }
+        trials.addAll(heldSuspects);
+        return Optional.empty();
+    }
+
+    /** Returns whether no target has recently answered a prompt with one of the shared parts. */
+    boolean hasUnprovenPart(ServiceId service) {
+        return computeParts(service).stream().anyMatch(part -> !context.isProven(part));
+    }
+
+    /**
+     * Records that the connection to a target broke while the target had the request.
+     *
+     * @param target the target
+     * @param ran whether the target is known to have run the request
+     * @param progress how far its answer had come
+     */
+    void recordBrokenConnection(TargetEntry target, boolean ran, AnswerProgress progress) {
+        boolean beginning = ran && progress != AnswerProgress.WRITING;
+        Stream<TargetEnd> partEnds =
+                progress == AnswerProgress.ESTABLISHED
+                        ? Stream.empty()
+                        : computeParts(target.service()).stream()
+                                .map(part -> end(part, target, beginning));
+        context.targetEndDetector()
+                .recordBrokenConnection(
+                        target,
+                        Stream.concat(Stream.of(end(computeFingerprint(), target, ran)), partEnds)
+                                .collect(Collectors.toList()));
     }
 
-    /** Records that the connection to a target broke while the target had the request. */
-    void recordBrokenConnection(TargetEntry target, boolean ran) {
-        context.targetEndDetector().recordBrokenConnection(target, computeFingerprint(), ran);
+    private static TargetEnd end(Suspect suspect, TargetEntry target, boolean ran) {
+        return new TargetEnd(suspect, target.incarnation(), ran);
     }
 
     /** Records that a target answered the request. */
     void recordAnswer() {
         Quarantine quarantine = context.quarantine();
-        if (!quarantine.isEmpty() && quarantine.suspects().contains(computeFingerprint())) {
-            context.targetEndDetector().recordCompleteAnswer(computeFingerprint());
+        if (!quarantine.isEmpty()) {
+            clearIfSuspect(quarantine, computeFingerprint());
+        }
+    }
+
+    /** Records that a target went on after it had begun to answer the request. */
+    void recordEstablished(ServiceId service) {
+        computeParts(service).forEach(context::recordProven);
+        Quarantine quarantine = context.quarantine();
+        if (!quarantine.isEmpty()) {
+            computeParts(service).forEach(part -> clearIfSuspect(quarantine, part));
         }
     }
+
+    private void clearIfSuspect(Quarantine quarantine, Suspect suspect) {
+        if (quarantine.suspects().contains(suspect)) {
+            context.targetEndDetector().recordAnswer(suspect);
+        }
+    }
+
+    /** Logs which suspect the request is refused for, and on what evidence. */
+    void logRefusal(String attempt, Suspect suspect) {
+        RequestLog.logQuarantined(
+                attempt,
+                suspect,
+                sharedParts.stream()
+                        .filter(part -> matches(suspect, part))
+                        .map(PromptPart::contentId)
+                        .findFirst(),
+                Optional.ofNullable(context.quarantine().held().get(suspect)),
+                GatewayContext.dayMillis());
+    }
+
+    private boolean matches(Suspect suspect, PromptPart part) {
+        return parts.map(ServiceParts::service)
+                .filter(service -> PartFingerprint.of(service, part).equals(suspect))
+                .isPresent();
+    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -67,7 +67,9 @@
     private long startedMillis;
     private int pendingPromptTokens;
     private long lastContactMillis;
+    private boolean bytesReceived;
     private OptionalLong firstPieceMillis = OptionalLong.empty();
+    private boolean established;
     private boolean withheld;
     private boolean sendingBegun;
 
@@ -112,6 +114,9 @@
         /** Called right before the first byte is sent. */
         void onSending();
 
+        /** Called when the target goes on writing the answer some time after it began. */
+        void onEstablished();
+
         /**
          * Called when the connection to the target has broken; {@code onFailed} follows.
          *
@@ -286,11 +291,20 @@
 
     private void recordStreamEvent() {
         long nowMillis = context.nowMillis();
-        if (mode == Mode.STREAMING && firstPieceMillis.isPresent()) {
+        if (mode == Mode.STREAMING && bytesReceived) {
             load.recordStreamEvent(nowMillis - lastContactMillis, nowMillis);
         }
+        bytesReceived = true;
+    }
+
+    /** Records that a whole event, or a part of an answer that is not a stream, was received. */
+    void recordPiece() {
+        long nowMillis = context.nowMillis();
         if (firstPieceMillis.isEmpty()) {
             firstPieceMillis = OptionalLong.of(nowMillis);
+        } else if (!established && progress() == AnswerProgress.ESTABLISHED) {
+            established = true;
+            listener.onEstablished();
         }
     }
 
@@ -353,6 +367,7 @@
             listener.onBytes(ByteBuffer.wrap(bytes));
             return;
         }
+        recordPiece();
         bufferedBody.writeBytes(bytes);
         if (bufferedBody.size() > MAX_BUFFERED_BYTES) {
             failAndClose(AttemptEnd.CUT);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quarantine/EndRecord.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quarantine/EndRecord.java
@@ -9,20 +9,21 @@
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.TargetId;
-import org.tamaracktrack.core.quarantine.RequestFingerprint;
+import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.quarantine.TargetEnd;
 import org.tamaracktrack.link.codec.JsonFields;
 
 /**
- * The stored record of a target that ended during a request. Its key contains both, so that
- * concurrent writes by two daemons do not overwrite each other, and an end that is written twice
- * counts once.
+ * The stored record of a target that ended while a suspect was there. Its key contains both, so
+ * that concurrent writes by two daemons do not overwrite each other, and an end that is written
+ * twice counts once.
  *
- * @param end the request and the target
+ * @param end the suspect and the target
  * @param atMillis the time of day of the end, in milliseconds since the epoch
  */
 record EndRecord(TargetEnd end, long atMillis) {
-    private static final Pattern KEY = Pattern.compile("([0-9a-f]{32})/(.+)@(-?[0-9]{1,18})");
+    private static final Pattern KEY =
+            Pattern.compile("((?:part-)?[0-9a-f]{32})/(.+)@(-?[0-9]{1,18})");
     private static final String RAN = "ran";
     private static final String AT = "at";
 
@@ -31,10 +32,10 @@
     }
 
     static String key(TargetEnd end) {
-        return end.request() + "/" + end.target();
+        return end.suspect().key() + "/" + end.target();
     }
 
-    /** Decodes a key, which does not include whether the target ran the request. */
+    /** Decodes a key, which does not include whether the target ran the suspect. */
     static Optional<TargetEnd> parseKey(String key) {
         Matcher parts = KEY.matcher(key);
         if (!parts.matches()) {
@@ -45,7 +46,7 @@
             long startedAtMillis = Long.parseLong(parts.group(3));
             return Optional.of(
                     new TargetEnd(
-                            new RequestFingerprint(parts.group(1)),
+                            Suspect.parse(parts.group(1)),
                             new TargetIncarnation(target, startedAtMillis),
                             false));
         } catch (TamaracktrackException unreadable) {
@@ -69,7 +70,7 @@
                         at ->
                                 new EndRecord(
                                         new TargetEnd(
-                                                end.request(),
+                                                end.suspect(),
                                                 end.target(),
                                                 JsonFields.flag(fields, RAN)),
                                         at));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quarantine/QuarantineExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quarantine/QuarantineExchange.java
@@ -12,9 +12,11 @@
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.LruMap;
+import org.tamaracktrack.core.quarantine.Hold;
+import org.tamaracktrack.core.quarantine.PartFingerprint;
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.quarantine.QuarantineRegister;
-import org.tamaracktrack.core.quarantine.RequestFingerprint;
+import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.quarantine.TargetEnd;
 import org.tamaracktrack.daemon.gateway.KeyedFollower;
 import org.tamaracktrack.daemon.gateway.TargetEndListener;
@@ -25,7 +27,7 @@
 import org.tamaracktrack.link.topic.TopicPart;
 
 /**
- * Shares between all daemons the requests during which targets ended. No daemon sees all attempts
+ * Shares between all daemons the suspects during which targets ended. No daemon sees all attempts
  * of a request that is repeated, so each writes the ends that it sees to the store, from which
  * daemons that start later read them too. Confined to the control thread, unless stated otherwise.
  */
@@ -36,6 +38,7 @@
     private static final long WRITE_PERIOD_MILLIS = 200;
 
     private static final long EXPIRY_PERIOD_MILLIS = 30_000;
+    private static final long TRIAL_CHECK_PERIOD_MILLIS = 1_000;
 
     /** A record has about 200 bytes, and a call may have several megabytes. */
     private static final int MAXIMUM_RECORDS_PER_CALL = 1_000;
@@ -46,7 +49,7 @@
     private final TopicClient topics;
     private final TopicPart part;
     private final ControlThread control;
-    private final BooleanSupplier mayExpire;
+    private final BooleanSupplier leads;
     private final Consumer<Quarantine> listener;
     private final QuarantineRegister quarantineRegister = QuarantineRegister.empty();
     private final Map<String, Optional<byte[]>> unwritten = new LinkedHashMap<>();
@@ -58,12 +61,12 @@
             TopicClient topics,
             TopicPart part,
             ControlThread control,
-            BooleanSupplier mayExpire,
+            BooleanSupplier leads,
             Consumer<Quarantine> listener) {
         this.topics = topics;
         this.part = part;
         this.control = control;
-        this.mayExpire = mayExpire;
+        this.leads = leads;
         this.listener = listener;
     }
 
@@ -73,7 +76,8 @@
      * @param topics the store
      * @param part the partition of ends, of which the store keeps the newest record of each key
      * @param control the thread that the exchange is confined to
-     * @param mayExpire returns whether this daemon is the one that removes expired ends
+     * @param leads returns whether this daemon is the one that removes expired ends and makes
+     *     trials
      * @param listener receives the quarantine whenever it changes
      * @return the exchange
      */
@@ -81,21 +85,22 @@
             TopicClient topics,
             TopicPart part,
             ControlThread control,
-            BooleanSupplier mayExpire,
+            BooleanSupplier leads,
             Consumer<Quarantine> listener) {
         Objects.requireNonNull(topics, "topics is null");
         Objects.requireNonNull(listener, "listener is null");
         QuarantineExchange exchange =
-                new QuarantineExchange(topics, part, control, mayExpire, listener);
+                new QuarantineExchange(topics, part, control, leads, listener);
         control.every(WRITE_PERIOD_MILLIS, exchange::write);
         control.every(EXPIRY_PERIOD_MILLIS, exchange::expire);
+        control.every(TRIAL_CHECK_PERIOD_MILLIS, exchange::publishIfChanged);
         return exchange;
     }
 
     /**
-     * Returns the requests during which targets ended. Safe for use by any thread.
+     * Returns the suspects during which targets ended. Safe for use by any thread.
      *
-     * @return the suspects and the held requests, which are not sent to any target
+     * @return the suspects, and which of them are not sent to any target
      */
     public Quarantine quarantine() {
         return quarantine;
@@ -109,8 +114,26 @@
 
     /** Safe for use by any thread. */
     @Override
-    public void onRequestAnswered(RequestFingerprint request) {
-        control.post(() -> enqueueRemovals(quarantineRegister.removeAll(request)));
+    public void onAnswered(Suspect suspect) {
+        control.post(() -> clear(suspect));
+    }
+
+    private void clear(Suspect suspect) {
+        List<TargetEnd> ends = quarantineRegister.removeAll(suspect);
+        if (quarantine.isHeld(suspect)) {
+            LOG.info("event=quarantine-lifted suspect=" + suspect.key() + " ends=" + ends.size());
+        }
+        enqueueRemovals(ends);
+    }
+
+    /**
+     * Forgets the ends of targets during some suspects at the operator's word. Safe for use by any
+     * thread.
+     *
+     * @param suspects the requests and parts
+     */
+    public void release(Set<Suspect> suspects) {
+        suspects.forEach(this::onAnswered);
     }
 
     private void recordEnds(List<TargetEnd> ends) {
@@ -144,7 +167,7 @@
     }
 
     private void expire() {
-        if (mayExpire.getAsBoolean()) {
+        if (leads.getAsBoolean()) {
             enqueueRemovals(quarantineRegister.expire(System.currentTimeMillis()));
         }
     }
@@ -200,6 +223,7 @@
 
     private void applyRecord(KeyedRecord record) {
         if (unwritten.containsKey(record.key())) {
+            dropIfWritten(record);
             // The pending write of this daemon is newer.
             return;
         }
@@ -208,27 +232,30 @@
         decoded.ifPresent(end -> quarantineRegister.add(end.end(), end.atMillis()));
         if (record.value().isEmpty()) {
             EndRecord.parseKey(record.key())
-                    .ifPresent(end -> quarantineRegister.remove(end.request(), end.target()));
+                    .ifPresent(end -> quarantineRegister.remove(end.suspect(), end.target()));
         } else if (decoded.isEmpty()) {
             LOG.warn("event=end-unreadable key=" + record.key() + " offset=" + record.offset());
         }
     }
 
+    // All daemons that have answered a part remove its ends at about the same time.
+    private void dropIfWritten(KeyedRecord record) {
+        if (record.value().isEmpty() && unwritten.get(record.key()).isEmpty()) {
+            unwritten.remove(record.key());
+        }
+    }
+
+    // Trials are limited for all daemons together, so only one daemon makes them.
     private void publishIfChanged() {
-        Quarantine newQuarantine = quarantineRegister.quarantine();
+        Quarantine current = quarantineRegister.quarantine(System.currentTimeMillis());
+        Quarantine newQuarantine = leads.getAsBoolean() ? current : current.withoutTrials();
         if (newQuarantine.equals(quarantine)) {
             return;
         }
-        Set<RequestFingerprint> previouslyHeld = quarantine.held();
-        newQuarantine.held().stream()
-                .filter(request -> !previouslyHeld.contains(request))
-                .forEach(
-                        request ->
-                                LOG.warn(
-                                        "event=request-quarantined fingerprint="
-                                                + request
-                                                + " targets_ended="
-                                                + quarantineRegister.endCount(request)));
+        Quarantine previous = quarantine;
+        newQuarantine.held().entrySet().stream()
+                .filter(held -> !previous.isHeld(held.getKey()))
+                .forEach(held -> logHeld(held.getKey(), held.getValue()));
         LOG.info(
                 "event=quarantine suspects="
                         + newQuarantine.suspects().size()
@@ -238,6 +265,18 @@
         listener.accept(newQuarantine);
     }
 
+    private static void logHeld(Suspect suspect, Hold hold) {
+        LOG.warn(
+                "event="
+                        + (suspect instanceof PartFingerprint ? "part" : "request")
+                        + "-quarantined fingerprint="
+                        + suspect
+                        + " targets_ended="
+                        + hold.ends()
+                        + " running="
+                        + hold.runningEnds());
+    }
+
     @Override
     public void onStoreUnavailable() {
         // The quarantine stays in force; new ends are written when the store is available again.
--- a/daemon/src/test/java/org/tamaracktrack/daemon/quarantine/QuarantineExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/quarantine/QuarantineExchangeTest.java
@@ -65,7 +65,7 @@
     void shouldHoldRequestAndWriteItsEnds() {
         exchange.onTargetEnded(ends(3));
 
-        pair.await(() -> published.held().contains(REQUEST));
+        pair.await(() -> published.isHeld(REQUEST));
         pair.await(() -> log.records().size() == 3);
     }
 
@@ -85,7 +85,7 @@
 
         pair.onControl(() -> otherExchange.onListing(writtenRecords()));
 
-        pair.await(() -> otherPublished[0].held().contains(REQUEST));
+        pair.await(() -> otherPublished[0].isHeld(REQUEST));
     }
 
     // Guards against ends that are lost because the store was unavailable.
@@ -104,7 +104,7 @@
         exchange.onTargetEnded(ends(2));
         pair.await(() -> log.records().size() == 2);
 
-        exchange.onRequestAnswered(REQUEST);
+        exchange.onAnswered(REQUEST);
 
         pair.await(() -> log.records().size() == 4);
         assertThat(published.isEmpty()).isTrue();
@@ -119,7 +119,7 @@
         exchange.onTargetEnded(ends(1));
         pair.await(() -> log.records().size() == 1);
 
-        exchange.onRequestAnswered(REQUEST);
+        exchange.onAnswered(REQUEST);
         pair.onControl(() -> release.complete(null));
 
         pair.await(() -> log.records().size() == 2);
