Share the connections to a target by the requests that daemons have there

Cause: each daemon may use an equal part of the connections that a target accepts, whoever has the traffic; the others were refused with no_target. Others' requests are known from their messages and the target's own reports. Idle connections beyond a part that shrinks are closed within 0.5 s.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -278,6 +278,16 @@
         return Math.max(known, reported.running() + reported.waiting() + sinceReport);
     }
 
+    /**
+     * Returns an estimate of the requests of all other daemons at the target.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the number of running and waiting requests
+     */
+    public int othersOutstanding(long nowMillis) {
+        return Math.max(0, outstanding(nowMillis) - ownRequests);
+    }
+
     /**
      * Returns the number of waiting requests in the last report of the target.
      *
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.fleet.TargetEntry;
@@ -99,7 +100,7 @@
             Collection<TargetId> tried,
             long nowMillis,
             DoubleSupplier draws) {
-        return select(request, fleet, loads, tried, Integer.MAX_VALUE, nowMillis, draws);
+        return select(request, fleet, loads, tried, entry -> Integer.MAX_VALUE, nowMillis, draws);
     }
 
     /**
@@ -109,7 +110,7 @@
      * @param fleet the targets
      * @param loads returns the known load of a target
      * @param tried targets that received this request before, which are not selected again
-     * @param maximumOwnRequests the maximum number of requests of this daemon at one target
+     * @param maximumOwnRequests returns the maximum number of requests of this daemon at a target
      * @param nowMillis the monotonic time in milliseconds
      * @param draws supplies a random number from 0 to 1 for each candidate
      * @return the selection; empty when no target can take the request now
@@ -119,7 +120,7 @@
             FleetSnapshot fleet,
             Function<TargetIncarnation, TargetLoad> loads,
             Collection<TargetId> tried,
-            int maximumOwnRequests,
+            ToIntFunction<TargetEntry> maximumOwnRequests,
             long nowMillis,
             DoubleSupplier draws) {
         Set<TargetId> excluded = Set.copyOf(tried);
@@ -129,7 +130,7 @@
                 .filter(
                         entry ->
                                 loads.apply(entry.incarnation()).ownShare().outstanding()
-                                        < maximumOwnRequests)
+                                        < maximumOwnRequests.applyAsInt(entry))
                 .map(entry -> score(request, entry, loads, nowMillis, draws.getAsDouble()))
                 .min(Comparator.comparingDouble(Selection::cost));
     }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -139,7 +139,7 @@
                             fleet,
                             name -> loads.computeIfAbsent(name, any -> new TargetLoad()),
                             List.of(),
-                            maximumOwnRequests,
+                            entry -> maximumOwnRequests,
                             NOW,
                             () -> 0)
                     .map(choice -> choice.entry().incarnation().target().value());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -222,7 +222,7 @@
                         context.view().fleet(),
                         context.loads()::of,
                         triedTargets(),
-                        context.connectionShare(dispatchRequest.service()),
+                        context::connectionShare,
                         context.nowMillis(),
                         context::draw);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -162,6 +162,7 @@
                         .setHandler(root(options.readinessPath(), context, leaving, handler))
                         .build();
         listen(server, options);
+        context.limitConnections();
         return new Gateway(context, handler, server, thread, leaving);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.daemon.gateway;
 
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -21,6 +22,7 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.RetryAllowances;
 import org.tamaracktrack.core.dispatch.ReturningCallerDetector;
+import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
@@ -58,6 +60,8 @@
     /** Configurations add and remove routes; only the most recently used are kept. */
     private static final int MAX_TRACKED_ROUTES = 1_024;
 
+    private static final long CONNECTION_CHECK_MILLIS = 500;
+
     private final HttpCaller http;
     private final XnioIoThread thread;
     private final HeaderProtocol protocol;
@@ -287,14 +291,37 @@
         quotas.ifPresent(QuotaExchange::continueAlone);
     }
 
-    /** Returns the number of connections that this daemon may have to each target of a service. */
-    int connectionShare(ServiceId service) {
+    /** Returns the number of connections that this daemon may have to a target. */
+    int connectionShare(TargetEntry entry) {
         int maximum =
                 view.configuration()
-                        .flatMap(configuration -> configuration.service(service))
+                        .flatMap(configuration -> configuration.service(entry.service()))
                         .map(ServiceSpecification::maximumConnections)
                         .orElse(0);
-        return ConnectionShare.of(maximum, daemonCount);
+        TargetLoad load = loads.of(entry.incarnation());
+        return ConnectionShare.of(
+                maximum,
+                daemonCount,
+                load.ownShare().outstanding(),
+                load.othersOutstanding(nowMillis()));
+    }
+
+    // Idle connections beyond the share of this daemon keep out requests of the others.
+    private void closeExcessConnections() {
+        view.fleet()
+                .all()
+                .forEach(
+                        entry ->
+                                http.limitConnections(
+                                        new InetSocketAddress(
+                                                entry.address().ip(), entry.address().port()),
+                                        connectionShare(entry)));
+        after(CONNECTION_CHECK_MILLIS, this::closeExcessConnections);
+    }
+
+    /** Starts to close idle connections beyond the shares of this daemon. */
+    void limitConnections() {
+        execute(this::closeExcessConnections);
     }
 
     /** Applies a list of daemons that includes this one. Safe for use by any thread. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -182,7 +182,7 @@
                         request.repeatable()
                                 ? MAX_IDLE_REPEATABLE_MILLIS
                                 : MAX_IDLE_UNREPEATABLE_MILLIS,
-                        context.connectionShare(dispatchRequest.service()));
+                        context.connectionShare(entry));
         HttpCall call =
                 new HttpCall(
                         address,
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -110,6 +110,9 @@
             return CompletableFuture.completedFuture(false);
         }
 
+        @Override
+        public void limitConnections(InetSocketAddress address, int maximumConnections) {}
+
         @Override
         public void close() {
             // Nothing is open.
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LinkCheckTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LinkCheckTest.java
@@ -58,6 +58,9 @@
             return answer;
         }
 
+        @Override
+        public void limitConnections(InetSocketAddress address, int maximumConnections) {}
+
         @Override
         public void close() {
             // Nothing is open.
--- a/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/target/FakeHttp.java
@@ -228,6 +228,9 @@
         return CompletableFuture.completedFuture(false);
     }
 
+    @Override
+    public void limitConnections(InetSocketAddress address, int maximumConnections) {}
+
     @Override
     public void close() {
         reachable = false;
--- a/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
@@ -106,6 +106,14 @@
         };
     }
 
+    /** Closes idle connections while there are more connections than a maximum. */
+    void limit(InetSocketAddress address, int maxConnections) {
+        AtomicInteger count = open.get(address);
+        if (count != null) {
+            closeIdle(address, count.get() - maxConnections);
+        }
+    }
+
     // The connections that were idle for longest are the least likely to be used again.
     private void closeIdle(InetSocketAddress address, int excess) {
         Deque<IdleConnection> connections = idle.get(address);
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpCaller.java
@@ -87,6 +87,14 @@
      */
     CompletableFuture<Boolean> answersConnections(InetSocketAddress address, long limitMillis);
 
+    /**
+     * Closes idle connections to a server while there are more connections to it than a maximum.
+     *
+     * @param address the IP address and port of the server
+     * @param maximumConnections the maximum number, idle and in use
+     */
+    void limitConnections(InetSocketAddress address, int maximumConnections);
+
     /** Closes every connection and stops the threads. */
     @Override
     void close();
--- a/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/UndertowHttpCaller.java
@@ -118,6 +118,11 @@
                 .thenApply(outcome -> outcome != ConnectOutcome.UNANSWERED);
     }
 
+    @Override
+    public void limitConnections(InetSocketAddress address, int maximumConnections) {
+        pool.limit(address, maximumConnections);
+    }
+
     private enum ConnectOutcome {
         OPENED,
         REFUSED,
--- a/link/src/test/java/org/tamaracktrack/link/http/UndertowHttpCallerTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/http/UndertowHttpCallerTest.java
@@ -143,11 +143,28 @@
                 assertThat(caller.call(call(3)).status()).isEqualTo(201);
             }
 
+            awaitOpenConnections(3);
+        }
+
+        // Guards against idle connections that keep the requests of other daemons out after the
+        // load has moved to them.
+        @Test
+        void shouldCloseIdleConnectionsWhenMaximumFalls() throws Exception {
+            for (int number = 0; number < 12; number++) {
+                assertThat(caller.call(call(Integer.MAX_VALUE)).status()).isEqualTo(201);
+            }
+
+            caller.limitConnections(address(), 2);
+
+            awaitOpenConnections(2);
+        }
+
+        private void awaitOpenConnections(int maximum) {
             long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-            while (openConnections() > 3 && System.nanoTime() < deadline) {
+            while (openConnections() > maximum && System.nanoTime() < deadline) {
                 Thread.onSpinWait();
             }
-            assertThat(openConnections()).isAtMost(3);
+            assertThat(openConnections()).isAtMost(maximum);
         }
     }
 
--- a/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/log/HttpLogClientTest.java
@@ -136,6 +136,9 @@
             return CompletableFuture.completedFuture(false);
         }
 
+        @Override
+        public void limitConnections(InetSocketAddress address, int maximumConnections) {}
+
         @Override
         public void close() {}
     }
