Close new connections unread at a daemon that is late and crowded

Cause: a daemon accepts whatever comes; its part of the work is decided by the balancer alone. Now a daemon whose traffic thread runs late and that has more than 1.5 times the mean of requests closes a growing share of new connections before anything is read, up to 98 in 100; callers try another daemon at once, and nothing ran. Where all are equally loaded nothing is shed, since no daemon would be better. A single delay counts 0.3 s at most.

The callers' listener is our own around Undertow's HttpOpenListener, since Undertow's builder has no hook before the read.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/PeerLoadShares.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/PeerLoadShares.java
@@ -52,6 +52,20 @@
         return affectedTargets.stream().collect(Collectors.toMap(Function.identity(), this::sum));
     }
 
+    /**
+     * Returns the outstanding requests of all peers at all targets.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the number, without peers that sent no report recently
+     */
+    public int totalOutstanding(long nowMillis) {
+        return reports.values().stream()
+                .filter(report -> nowMillis - report.atMillis() <= EXPIRY_MILLIS)
+                .flatMap(report -> report.shares().values().stream())
+                .mapToInt(LoadShare::outstanding)
+                .sum();
+    }
+
     private LoadShare sum(TargetIncarnation target) {
         return reports.values().stream()
                 .map(report -> report.shares().getOrDefault(target, LoadShare.empty()))
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -33,12 +33,14 @@
 import org.tamaracktrack.core.knowledge.StalenessBound;
 import org.tamaracktrack.core.quarantine.Quarantine;
 import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.daemon.connection.CallersListener;
 import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.stream.OriginExchange;
 import org.tamaracktrack.link.http.HttpCaller;
+import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
@@ -55,6 +57,20 @@
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int BACKLOG = 1_024;
 
+    private static final OptionMap HTTP_OPTIONS =
+            OptionMap.builder()
+                    .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                    .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_TIMEOUT_MILLIS)
+                    .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_TIMEOUT_MILLIS)
+                    .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                    .set(UndertowOptions.DECODE_URL, false)
+                    .set(UndertowOptions.ALLOW_ENCODED_SLASH, true)
+                    .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                    .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.BACKLOG, BACKLOG)
+                    .getMap();
+
     /**
      * New requests are accepted this long into a planned stop: the load balancer needs two failed
      * checks to stop sending.
@@ -63,6 +79,7 @@
 
     private final GatewayContext context;
     private final GatewayHandler handler;
+    private final CallersListener callers;
     private final Undertow server;
     private final XnioIoThread thread;
     private final LeavingState leaving;
@@ -70,11 +87,13 @@
     private Gateway(
             GatewayContext context,
             GatewayHandler handler,
+            CallersListener callers,
             Undertow server,
             XnioIoThread thread,
             LeavingState leaving) {
         this.context = context;
         this.handler = handler;
+        this.callers = callers;
         this.server = server;
         this.thread = thread;
         this.leaving = leaving;
@@ -140,30 +159,28 @@
                         leaving,
                         random);
         GatewayHandler handler = GatewayHandler.of(context, () -> refusesNewRequests(leaving));
+        HttpHandler root = root(options.readinessPath(), context, leaving, handler);
+        CallersListener callers =
+                CallersListener.start(
+                        options.callersAddress(),
+                        worker,
+                        buffers,
+                        HTTP_OPTIONS,
+                        root,
+                        context::shedsConnection);
         Undertow server =
                 Undertow.builder()
                         .setWorker(worker)
                         .setByteBufferPool(buffers)
-                        .addHttpListener(
-                                port(options.callersAddress()), ip(options.callersAddress()))
                         .addHttpListener(
                                 port(options.readinessAddress()), ip(options.readinessAddress()))
-                        .setServerOption(
-                                UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_TIMEOUT_MILLIS)
-                        .setServerOption(
-                                UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_TIMEOUT_MILLIS)
-                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                        .setServerOption(UndertowOptions.DECODE_URL, false)
-                        .setServerOption(UndertowOptions.ALLOW_ENCODED_SLASH, true)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                         .setSocketOption(Options.TCP_NODELAY, true)
-                        .setSocketOption(Options.BACKLOG, BACKLOG)
-                        .setHandler(root(options.readinessPath(), context, leaving, handler))
+                        .setHandler(root)
                         .build();
         listen(server, options);
         context.limitConnections();
-        return new Gateway(context, handler, server, thread, leaving);
+        context.measureDelay();
+        return new Gateway(context, handler, callers, server, thread, leaving);
     }
 
     private static void listen(Undertow server, ServerOptions options) {
@@ -172,10 +189,7 @@
         } catch (RuntimeException failure) {
             throw TamaracktrackException.of(
                     ErrorCode.INVALID_SETTINGS,
-                    "can't listen at "
-                            + options.callersAddress()
-                            + " and "
-                            + options.readinessAddress(),
+                    "can't listen at " + options.readinessAddress(),
                     failure);
         }
     }
@@ -227,7 +241,7 @@
      * @return IP number and port
      */
     public InetSocketAddress callersAddress() {
-        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return callers.address();
     }
 
     /**
@@ -236,7 +250,7 @@
      * @return IP number and port
      */
     public InetSocketAddress readinessAddress() {
-        return (InetSocketAddress) server.getListenerInfo().get(1).getAddress();
+        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
     }
 
     /**
@@ -308,7 +322,7 @@
                                 context.loads()
                                         .of(target)
                                         .recordPeerShare(share, context.nowMillis()));
-        thread.execute(() -> context.onLoadsChanged(exchange::onLoadChanged));
+        thread.execute(() -> context.exchangesLoads(exchange));
         return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
     }
 
@@ -486,6 +500,7 @@
 
     @Override
     public void close() {
+        callers.close();
         server.stop();
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -94,6 +94,11 @@
                 .increment();
     }
 
+    /** Counts a connection of a caller that was closed unread. */
+    void recordShedConnection() {
+        registry.counter("tamaracktrack.gateway.connections.shed").increment();
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetLoads.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetLoads.java
@@ -32,6 +32,11 @@
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
+    /** Returns the number of requests of this daemon at all targets. */
+    int ownOutstanding() {
+        return loads.values().stream().mapToInt(load -> load.ownShare().outstanding()).sum();
+    }
+
     /** Removes targets that are no longer in the fleet. */
     void retainTargets(FleetSnapshot fleet) {
         Set<TargetIncarnation> known =
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadExchange.java
@@ -133,6 +133,26 @@
         onLoadChanged();
     }
 
+    /**
+     * The load of the peers of this daemon.
+     *
+     * @param requests their requests at targets, together
+     * @param peers the number of peers
+     */
+    public record PeerLoad(int requests, int peers) {
+        /** The load without peers. */
+        public static final PeerLoad NONE = new PeerLoad(0, 0);
+    }
+
+    /**
+     * Returns the load of all peers.
+     *
+     * @return the load; a peer that sent no message recently has no requests
+     */
+    public PeerLoad peerLoad() {
+        return new PeerLoad(peerShares.totalOutstanding(timer.nowMillis()), peers.size());
+    }
+
     private boolean sendShares() {
         Map<TargetIncarnation, LoadShare> currentShares = ownShares.get();
         byte[] message = new LoadRecord(process, currentShares).encode();
