Excuse a part by an earlier answer for five seconds only

Found by the soak: a part that some engines had answered shortly before was not counted for 30 s at the ends of others, and 14 targets more ended. So would a part be that new software can't read. An answer now excuses a part only for ends within 5 s after it; any answer later still clears it. Whether a request goes on to the next target still regards 30 s.

--- a/core/src/main/java/org/tamaracktrack/core/quarantine/ProvenParts.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/ProvenParts.java
@@ -10,9 +10,11 @@
  */
 public final class ProvenParts {
     /**
-     * Software that is replaced may fail at a part that was harmless before, so a proof does not
-     * hold for long.
+     * Software that is replaced may fail at a part that was harmless before, so an answer excuses
+     * the part only for ends of targets shortly after it.
      */
+    private static final long EXCUSE_MILLIS = 5_000;
+
     private static final long RETENTION_MILLIS = 30_000;
 
     private static final int MAXIMUM_PARTS = 4_096;
@@ -42,14 +44,30 @@
     }
 
     /**
-     * Returns whether a target has answered a prompt with a part in the last 30 s.
+     * Returns whether a target has answered a prompt with a part so recently that the part is not
+     * suspected of the end of a target now.
+     *
+     * @param suspect the part; a request is never excused
+     * @param nowMillis the monotonic time in milliseconds
+     * @return true when one has, in the last 5 s
+     */
+    public boolean excuses(Suspect suspect, long nowMillis) {
+        return isAnsweredWithin(suspect, EXCUSE_MILLIS, nowMillis);
+    }
+
+    /**
+     * Returns whether a target has recently answered a prompt with a part.
      *
-     * @param suspect the part; a request is never proven
+     * @param part the part
      * @param nowMillis the monotonic time in milliseconds
-     * @return true when it has
+     * @return true when one has, in the last 30 s
      */
-    public boolean contains(Suspect suspect, long nowMillis) {
+    public boolean contains(PartFingerprint part, long nowMillis) {
+        return isAnsweredWithin(part, RETENTION_MILLIS, nowMillis);
+    }
+
+    private boolean isAnsweredWithin(Suspect suspect, long millis, long nowMillis) {
         Long atMillis = suspect instanceof PartFingerprint ? provenAtMillis.get(suspect) : null;
-        return atMillis != null && nowMillis - atMillis <= RETENTION_MILLIS;
+        return atMillis != null && nowMillis - atMillis <= millis;
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/quarantine/PartQuarantineSimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/quarantine/PartQuarantineSimulation.java
@@ -355,7 +355,7 @@
                         .filter(request -> request.daemon == number)
                         .filter(request -> request.progress != AnswerProgress.ESTABLISHED)
                         .flatMap(request -> ends(request, incarnation))
-                        .filter(end -> !daemon.proven.contains(end.suspect(), nowMillis))
+                        .filter(end -> !daemon.proven.excuses(end.suspect(), nowMillis))
                         .collect(Collectors.toList());
         long endedMillis = nowMillis;
         if (!ends.isEmpty() && random.nextDouble() >= setting.lostReports()) {
@@ -381,8 +381,7 @@
                 .filter(
                         part ->
                                 daemons.stream()
-                                        .anyMatch(
-                                                daemon -> daemon.proven.contains(part, nowMillis)))
+                                        .anyMatch(daemon -> daemon.proven.excuses(part, nowMillis)))
                 .forEach(this::clear);
     }
 
--- a/core/src/test/java/org/tamaracktrack/core/quarantine/ProvenPartsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/quarantine/ProvenPartsTest.java
@@ -22,6 +22,15 @@
         assertThat(proven.contains(part("a"), 31_001)).isFalse();
     }
 
+    // Guards against a part that new software can't read and that is excused as the old one could.
+    @Test
+    void shouldExcusePartForFiveSecondsOnly() {
+        proven.record(part("a"), 1_000);
+
+        assertThat(proven.excuses(part("a"), 6_000)).isTrue();
+        assertThat(proven.excuses(part("a"), 6_001)).isFalse();
+    }
+
     @Test
     void shouldNotContainPartThatWasNotAnswered() {
         assertThat(proven.contains(part("a"), 0)).isFalse();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -264,7 +264,7 @@
                 () -> {
                     newer.suspects().stream()
                             .filter(suspect -> !previous.suspects().contains(suspect))
-                            .filter(this::isProven)
+                            .filter(this::isExcused)
                             .forEach(targetEndDetector::recordAnswer);
                     if (!newer.held().keySet().equals(previous.held().keySet())) {
                         waiting.retryAll();
@@ -278,8 +278,13 @@
     }
 
     /** Returns whether a target has recently answered a prompt with a part. */
-    boolean isProven(Suspect suspect) {
-        return provenParts.contains(suspect, nowMillis());
+    boolean isProven(PartFingerprint part) {
+        return provenParts.contains(part, nowMillis());
+    }
+
+    /** Returns whether a suspect is not suspected of the end of a target now. */
+    boolean isExcused(Suspect suspect) {
+        return provenParts.excuses(suspect, nowMillis());
     }
 
     /** Returns whether a request with some held suspects may be sent as a trial. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetEndDetector.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetEndDetector.java
@@ -103,7 +103,7 @@
         context.loads().of(entry.incarnation()).recordTargetEnd(context.nowMillis());
         endListener.onTargetEnded(
                 ends.stream()
-                        .filter(end -> !context.isProven(end.suspect()))
+                        .filter(end -> !context.isExcused(end.suspect()))
                         .distinct()
                         .collect(Collectors.toList()));
     }
