Let only successful answers clear a part

A target may reject a malformed request without reading its prompt; a caller could lift the hold of a deadly part that way. The measurement of crowding moved out of GatewayContext into CrowdingMonitor; no behaviour changes with that.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -473,9 +473,11 @@
         }
     }
 
+    // A target may reject a request without reading its prompt.
     @Override
     public void onEstablished() {
-        quarantineState.recordEstablished(service());
+        attempt.filter(TargetAttempt::isSuccess)
+                .ifPresent(established -> quarantineState.recordEstablished(service()));
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -167,7 +167,7 @@
                         buffers,
                         HTTP_OPTIONS,
                         root,
-                        context::shedsConnection);
+                        CrowdingMonitor.start(context)::shedsConnection);
         Undertow server =
                 Undertow.builder()
                         .setWorker(worker)
@@ -179,7 +179,6 @@
                         .build();
         listen(server, options);
         context.limitConnections();
-        context.measureDelay();
         return new Gateway(context, handler, callers, server, thread, leaving);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -41,7 +41,6 @@
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.ServiceSpecification;
 import org.tamaracktrack.core.route.ServingConfiguration;
-import org.tamaracktrack.core.shedding.ConnectionShedder;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.StreamOrigin;
 import org.tamaracktrack.daemon.load.LoadExchange;
@@ -84,7 +83,6 @@
     private final StalenessGate gate =
             new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
     private final LinkCheck linkCheck;
-    private final ConnectionShedder shedder = ConnectionShedder.idle();
     private Runnable loadsChangeListener = () -> {};
     private Supplier<LoadExchange.PeerLoad> peerLoad = () -> LoadExchange.PeerLoad.NONE;
     private volatile Quarantine quarantine = Quarantine.empty();
@@ -151,49 +149,9 @@
         peerLoad = exchange::peerLoad;
     }
 
-    /** Returns whether to close a new connection unread, since this daemon is crowded. */
-    boolean shedsConnection() {
-        boolean sheds = shedder.sheds(draw());
-        if (sheds) {
-            metrics.recordShedConnection();
-        }
-        return sheds;
-    }
-
-    /** Starts to measure how late the traffic thread runs. */
-    void measureDelay() {
-        execute(() -> measureDelayAt(nowMillis() + ConnectionShedder.TICK_MILLIS));
-    }
-
-    private void measureDelayAt(long dueMillis) {
-        after(
-                ConnectionShedder.TICK_MILLIS,
-                () -> {
-                    long nowMillis = nowMillis();
-                    recordDelay(Math.max(0, nowMillis - dueMillis));
-                    measureDelayAt(nowMillis + ConnectionShedder.TICK_MILLIS);
-                });
-    }
-
-    private void recordDelay(long delayMillis) {
-        boolean shedBefore = shedder.ratio() > 0;
-        int ownRequests = loads.ownOutstanding();
-        LoadExchange.PeerLoad others = peerLoad.get();
-        shedder.recordTick(delayMillis, ownRequests, others.requests(), others.peers());
-        boolean shedsNow = shedder.ratio() > 0;
-        if (shedsNow != shedBefore) {
-            LOG.info(
-                    "event="
-                            + (shedsNow ? "shedding-begins" : "shedding-ends")
-                            + " delay_ms="
-                            + delayMillis
-                            + " own_requests="
-                            + ownRequests
-                            + " peer_requests="
-                            + others.requests()
-                            + " peers="
-                            + others.peers());
-        }
+    /** Returns the load of the other daemons; nothing before they exchange it. */
+    LoadExchange.PeerLoad peerLoad() {
+        return peerLoad.get();
     }
 
     WaitingRequests waiting() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -42,6 +42,7 @@
      */
     private static final long DEADLINE_MARGIN_MILLIS = 500;
 
+    private static final int FIRST_NON_SUCCESS_STATUS = 300;
     private static final int FIRST_FAILURE_STATUS = 500;
     private static final int MISDIRECTED_STATUS = 421;
 
@@ -219,6 +220,11 @@
         return entry;
     }
 
+    /** Returns whether the head of the answer states success. */
+    boolean isSuccess() {
+        return mode != Mode.NO_HEAD && status < FIRST_NON_SUCCESS_STATUS;
+    }
+
     /** Returns whether only the end of the connection shows the end of the answer. */
     boolean endsWithConnection() {
         return !headers.containsKey(CONTENT_LENGTH) && !headers.containsKey(TRANSFER_ENCODING);
