--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -35,6 +35,10 @@
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
+import org.tamaracktrack.core.quarantine.Hold;
+import org.tamaracktrack.core.quarantine.Quarantine;
+import org.tamaracktrack.core.quarantine.RequestFingerprint;
+import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.route.RequestLimits;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.RouteKind;
@@ -282,6 +286,23 @@
         }
     }
 
+    // Guards against a request that is sent although it was quarantined while it waited for its
+    // connection.
+    @Test
+    void shouldNotSendTheRequestWhenItIsQuarantinedWhileTheConnectionOpens() throws Exception {
+        try (Socket caller = lookup()) {
+            PendingCall call = nextCall();
+            Suspect request = RequestFingerprint.of("GET", "example", "/lookup/", new byte[0]);
+            Hold hold = new Hold(3, 3, 0, Set.of(), Hold.Trial.NONE);
+
+            gateway.updateQuarantine(new Quarantine(Set.of(request), Map.of(request, hold)));
+
+            assertThat(call.maySend().getAsBoolean()).isFalse();
+            worker.getIoThread().execute(() -> call.listener().onFailure(HttpFailure.NOT_SENT));
+            assertThat(status(caller)).isEqualTo("HTTP/1.1 503");
+        }
+    }
+
     private static String status(Socket socket) throws IOException {
         socket.setSoTimeout((int) Duration.ofSeconds(10).toMillis());
         return new String(socket.getInputStream().readNBytes(12), StandardCharsets.UTF_8);
