Measure how long retries take from the decision to the target, and pauses by both clocks

event=retry-sent and two histograms tell how late a retry leaves and how late the first sign of its target comes; thread-late has the delay by the wall clock beside the monotonic one, so that a process that was stopped (late by both) can be told from a machine that was suspended (late by the wall clock only). No decision changed.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -65,6 +65,7 @@
     private final HeaderMap headers;
     private final PieceTimes pieces;
     private final RequestQuarantineState quarantineState;
+    private final RetryProgress retryProgress;
     private final boolean callerReturned;
     private final List<TargetEntry> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
@@ -110,6 +111,7 @@
         this.pieces = PieceTimes.since(accepted.arrivedMillis());
         this.quarantineState =
                 RequestQuarantineState.of(context, exchange, body, metadata.sharedParts());
+        this.retryProgress = RetryProgress.of(context, metadata.attempt());
         this.response = GatewayResponse.of(exchange, context::leaving, this);
     }
 
@@ -488,6 +490,12 @@
     @Override
     public void onSending() {
         registryAgeMillis = context.registryAgeMillis();
+        attempt.map(TargetAttempt::entry).ifPresent(retryProgress::recordSending);
+    }
+
+    @Override
+    public void onAnswering() {
+        attempt.map(TargetAttempt::entry).ifPresent(retryProgress::recordArrival);
     }
 
     @Override
@@ -559,7 +567,7 @@
             AttemptEnd end,
             Optional<TargetAttempt.TargetFailure> failure) {
         switch (next) {
-            case AGAIN -> dispatch();
+            case AGAIN -> retry();
             case PASS_ON -> forwardFailure(failure.orElseThrow());
             case REFUSE -> respondWithFailure(ErrorCode.NO_TARGET, "refused_by_target");
             case UNKNOWN -> respondWithFailure(ErrorCode.OUTCOME_UNKNOWN, end.name());
@@ -568,6 +576,11 @@
         }
     }
 
+    private void retry() {
+        retryProgress.recordDecision();
+        dispatch();
+    }
+
     private void forwardFailure(TargetAttempt.TargetFailure failure) {
         finish("target_failed", failure.status());
         response.sendWhole(failure.status(), failure.headers(), failure.body());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -144,6 +144,27 @@
         remainingRetries.computeIfAbsent(service, this::remainingRetries).set((int) remaining);
     }
 
+    /** Records the time from the decision on a retry to its first byte. */
+    void recordRetrySent(ServiceId service, long delayMillis) {
+        recordRetryDelay("tamaracktrack.gateway.retry.send.delay", service, delayMillis);
+    }
+
+    /** Records the time from the first byte of a retry to the first sign of its target. */
+    void recordRetryArrived(ServiceId service, long delayMillis) {
+        recordRetryDelay("tamaracktrack.gateway.retry.answer.delay", service, delayMillis);
+    }
+
+    private void recordRetryDelay(String name, ServiceId service, long delayMillis) {
+        timers.computeIfAbsent(
+                        name + '|' + service,
+                        key ->
+                                Timer.builder(name)
+                                        .tag("service", service.value())
+                                        .serviceLevelObjectives(BUCKETS)
+                                        .register(registry))
+                .record(delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     private AtomicInteger remainingRetries(ServiceId service) {
         return registry.gauge(
                 "tamaracktrack.gateway.repeats.left",
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -115,6 +115,9 @@
         /** Called right before the first byte is sent. */
         void onSending();
 
+        /** Called when the target has begun to answer. */
+        void onAnswering();
+
         /** Called when the target goes on writing the answer some time after it began. */
         void onEstablished();
 
@@ -326,6 +329,7 @@
         }
         recordContact();
         context.linkCheck().recordAnswer(startedMillis);
+        listener.onAnswering();
         ResponseMetadata metadata =
                 context.protocol().parseResponse(responseStatus, responseHeaders);
         // A late or extra response on a kept connection belongs to another request, and must not be
--- a/daemon/src/main/java/org/tamaracktrack/daemon/runtime/DelayMonitor.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/runtime/DelayMonitor.java
@@ -23,14 +23,48 @@
      */
     private static final long LATE_THRESHOLD_MILLIS = 250;
 
-    private final SchedulingDelay controlDelay = newDelay();
-    private final SchedulingDelay trafficDelay = newDelay();
+    private final MeasuredThread control = new MeasuredThread("control");
+    private final MeasuredThread traffic = new MeasuredThread("traffic");
 
     private DelayMonitor() {}
 
-    private static SchedulingDelay newDelay() {
-        return SchedulingDelay.of(
-                INTERVAL_MILLIS, LATE_THRESHOLD_MILLIS, ControlThread.nowMillis());
+    /** Measures one thread, by ticks that run on it. */
+    private static final class MeasuredThread {
+        private final String name;
+        private final SchedulingDelay delay =
+                SchedulingDelay.of(
+                        INTERVAL_MILLIS, LATE_THRESHOLD_MILLIS, ControlThread.nowMillis());
+        private long lastTickWallMillis = System.currentTimeMillis();
+
+        private MeasuredThread(String name) {
+            this.name = name;
+        }
+
+        // A stopped process or a busy thread is late by both clocks, a suspended machine only by
+        // the wall clock.
+        private void recordTick() {
+            long wallMillis = System.currentTimeMillis();
+            long wallDelayMillis = wallMillis - lastTickWallMillis - INTERVAL_MILLIS;
+            lastTickWallMillis = wallMillis;
+            long delayMillis = delay.recordTick(ControlThread.nowMillis());
+            if (Math.max(delayMillis, wallDelayMillis) > LATE_THRESHOLD_MILLIS) {
+                LOG.info(
+                        "event=thread-late thread="
+                                + name
+                                + " delay_ms="
+                                + delayMillis
+                                + " wall_delay_ms="
+                                + wallDelayMillis);
+            }
+        }
+
+        private void registerGauge(MeterRegistry metrics) {
+            Gauge.builder("tamaracktrack.thread.delay", delay, SchedulingDelay::takeLongestMillis)
+                    .tag("thread", name)
+                    .description(
+                            "the longest delay in milliseconds of a thread since the last scrape")
+                    .register(metrics);
+        }
     }
 
     /**
@@ -46,10 +80,10 @@
         Objects.requireNonNull(controlThread, "controlThread is null");
         Objects.requireNonNull(trafficThread, "trafficThread is null");
         DelayMonitor monitor = new DelayMonitor();
-        controlThread.every(INTERVAL_MILLIS, () -> measure("control", monitor.controlDelay));
+        controlThread.every(INTERVAL_MILLIS, monitor.control::recordTick);
         monitor.measureRepeatedly(trafficThread);
-        registerGauge("control", monitor.controlDelay, metrics);
-        registerGauge("traffic", monitor.trafficDelay, metrics);
+        monitor.control.registerGauge(metrics);
+        monitor.traffic.registerGauge(metrics);
         return monitor;
     }
 
@@ -57,7 +91,7 @@
         try {
             trafficThread.executeAfter(
                     () -> {
-                        measure("traffic", trafficDelay);
+                        traffic.recordTick();
                         measureRepeatedly(trafficThread);
                     },
                     INTERVAL_MILLIS,
@@ -67,20 +101,6 @@
         }
     }
 
-    private static void registerGauge(String thread, SchedulingDelay delay, MeterRegistry metrics) {
-        Gauge.builder("tamaracktrack.thread.delay", delay, SchedulingDelay::takeLongestMillis)
-                .tag("thread", thread)
-                .description("the longest delay in milliseconds of a thread since the last scrape")
-                .register(metrics);
-    }
-
-    private static void measure(String thread, SchedulingDelay delay) {
-        long delayMillis = delay.recordTick(ControlThread.nowMillis());
-        if (delayMillis > LATE_THRESHOLD_MILLIS) {
-            LOG.info("event=thread-late thread=" + thread + " delay_ms=" + delayMillis);
-        }
-    }
-
     /**
      * Returns whether the total scheduling delay of each thread since a given time is within the
      * threshold. May be called on any thread.
@@ -90,7 +110,7 @@
      */
     public boolean punctualSince(long sinceMillis) {
         long nowMillis = ControlThread.nowMillis();
-        return controlDelay.onTimeSince(sinceMillis, nowMillis)
-                && trafficDelay.onTimeSince(sinceMillis, nowMillis);
+        return control.delay.onTimeSince(sinceMillis, nowMillis)
+                && traffic.delay.onTimeSince(sinceMillis, nowMillis);
     }
 }
