--- a/core/src/test/java/org/tamaracktrack/core/dispatch/FleetRetryBudgetTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FleetRetryBudgetTest.java
@@ -8,8 +8,15 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tamaracktrack.core.dispatch.RetrySimulation.Conditions;
 
 class FleetRetryBudgetTest {
+    private static final int SMALL_SITE_DAEMONS = 4;
+    private static final int SMALL_SITE_SLACK = 52;
+    private static final int MAX_HOLD_MILLIS = 3_000;
 
     // Guards against a limit for all daemons together that is exceeded when there are many of them.
     @Property(seed = "101", tries = 60)
@@ -26,6 +33,54 @@
         assertWithinBudget(RetrySimulation.run(seed, daemons, true));
     }
 
+    // Guards against retries that are counted when they are decided on, and reach a target seconds
+    // later, together with those of the next window.
+    @Property(seed = "103", tries = 60)
+    void shouldKeepTotalRetriesWithinBudgetWhenRetriesAreHeldBack(
+            @ForAll("daemons") int daemons,
+            @ForAll boolean changes,
+            @ForAll boolean clocksRunOn,
+            @ForAll @LongRange(max = 1_000_000) long seed) {
+        Conditions conditions = Conditions.of(daemons, changes).withHolds(MAX_HOLD_MILLIS);
+        assertWithinBudget(
+                RetrySimulation.run(
+                        seed, clocksRunOn ? conditions.withClocksRunningOn() : conditions));
+    }
+
+    // Guards against the same with the requests of a small site, whose slack pays for most retries.
+    @ParameterizedTest
+    @ValueSource(longs = {15, 25, 62, 71, 82, 94, 118, 145, 163, 201})
+    void shouldKeepRetriesOfFourDaemonsWithinBudgetWhenTheyAreHeldBack(long seed) {
+        assertWithinBudget(
+                RetrySimulation.run(
+                        seed,
+                        Conditions.of(SMALL_SITE_DAEMONS, false)
+                                .withSlack(SMALL_SITE_SLACK)
+                                .withHolds(MAX_HOLD_MILLIS)));
+    }
+
+    // Guards against requests that lay in the sockets of a stopped process and earn credit as if
+    // callers had just sent them. Both clocks run on while a process is stopped.
+    @ParameterizedTest
+    @CsvSource({"9, 75", "4, 90"})
+    void shouldKeepTotalRetriesWithinBudgetWhenClocksRunOnDuringFreezes(int daemons, long seed) {
+        Conditions conditions = Conditions.of(daemons, true).withClocksRunningOn();
+        assertWithinBudget(
+                RetrySimulation.run(
+                        seed,
+                        daemons == SMALL_SITE_DAEMONS
+                                ? conditions.withSlack(SMALL_SITE_SLACK).withHolds(MAX_HOLD_MILLIS)
+                                : conditions));
+    }
+
+    // Guards against the same in any history.
+    @Property(seed = "104", tries = 90)
+    void shouldKeepTotalRetriesWithinBudgetWhenProcessesAreStopped(
+            @ForAll("daemons") int daemons, @ForAll @LongRange(max = 1_000_000) long seed) {
+        assertWithinBudget(
+                RetrySimulation.run(seed, Conditions.of(daemons, true).withClocksRunningOn()));
+    }
+
     @Provide
     Arbitrary<Integer> daemons() {
         return Arbitraries.oneOf(
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
@@ -19,12 +19,8 @@
 final class RetrySimulation {
     static final long WINDOW_MILLIS = 10_000;
     static final double RATIO = 0.2;
-    static final int SLACK = 84;
 
-    private static final FleetRetryBudget BUDGET =
-            new FleetRetryBudget(RATIO, WINDOW_MILLIS, SLACK);
     private static final ServiceId SERVICE = ServiceId.of("service");
-    private static final long MAX_IN_FLIGHT_MILLIS = 700;
 
     private static final long STEP_MILLIS = 20;
     private static final long WARM_UP_MILLIS = 15_000;
@@ -36,7 +32,8 @@
     private static final double[] RATES = {0, 5, 60, 500, 2_200};
 
     private final Random random;
-    private final boolean changes;
+    private final Conditions conditions;
+    private final FleetRetryBudget budget;
     private final double rate;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((one, other) -> Long.compare(one.atMillis, other.atMillis));
@@ -45,6 +42,7 @@
     private final boolean retriesImmediately;
     private final List<Span> bursts;
     private final List<Span> refusals;
+    private final List<Span> holds;
     private final Counts requests = new Counts();
     private final Counts retries = new Counts();
     private final Map<Member, Long> lastContactMillis = new HashMap<>();
@@ -52,15 +50,62 @@
     private long electionMillis = 2_000;
     private long nowMillis;
 
-    private RetrySimulation(Random random, int daemons, boolean changes) {
+    /**
+     * The conditions of a simulation.
+     *
+     * @param daemons number of daemons at the start
+     * @param slack the slack of the budget
+     * @param changes whether daemons start, end, freeze, are replaced, and are disconnected
+     * @param clocksRunOn whether the monotonic clock of a frozen daemon runs on, as under a stop
+     *     signal, or stands still, as while its machine is suspended
+     * @param maxInFlightMillis the longest time for which a single retry is on its way
+     * @param maxHoldMillis the longest time for which all retries are held back, to arrive
+     *     together; 0 if they never are
+     */
+    record Conditions(
+            int daemons,
+            int slack,
+            boolean changes,
+            boolean clocksRunOn,
+            int maxInFlightMillis,
+            int maxHoldMillis) {
+        private static final int SLACK = 84;
+        private static final int MAX_IN_FLIGHT_MILLIS = 700;
+
+        static Conditions of(int daemons, boolean changes) {
+            return new Conditions(daemons, SLACK, changes, false, MAX_IN_FLIGHT_MILLIS, 0);
+        }
+
+        Conditions withSlack(int other) {
+            return new Conditions(
+                    daemons, other, changes, clocksRunOn, maxInFlightMillis, maxHoldMillis);
+        }
+
+        Conditions withClocksRunningOn() {
+            return new Conditions(daemons, slack, changes, true, maxInFlightMillis, maxHoldMillis);
+        }
+
+        Conditions withHolds(int longestMillis) {
+            return new Conditions(
+                    daemons, slack, changes, clocksRunOn, maxInFlightMillis, longestMillis);
+        }
+    }
+
+    private RetrySimulation(Random random, Conditions conditions) {
         this.random = random;
-        this.changes = changes;
+        this.conditions = conditions;
+        this.budget = new FleetRetryBudget(RATIO, WINDOW_MILLIS, conditions.slack());
         this.rate = RATES[random.nextInt(RATES.length)];
         this.predominantChange = random.nextInt(CHANGE_KINDS);
         this.retriesImmediately = random.nextBoolean();
         this.bursts = randomSpans(3, 5_000);
         this.refusals = randomSpans(3, 25_000);
-        IntStream.range(0, daemons).forEach(number -> schedule(random.nextInt(300), this::start));
+        this.holds =
+                conditions.maxHoldMillis() > 0
+                        ? randomSpans(4, conditions.maxHoldMillis())
+                        : List.of();
+        IntStream.range(0, conditions.daemons())
+                .forEach(number -> schedule(random.nextInt(300), this::start));
     }
 
     /**
@@ -72,7 +117,18 @@
      * @return the simulation after its end
      */
     static RetrySimulation run(long seed, int daemons, boolean changes) {
-        RetrySimulation scenario = new RetrySimulation(new Random(seed), daemons, changes);
+        return run(seed, Conditions.of(daemons, changes));
+    }
+
+    /**
+     * Runs a random simulation under some conditions.
+     *
+     * @param seed seed of the random numbers
+     * @param conditions the conditions
+     * @return the simulation after its end
+     */
+    static RetrySimulation run(long seed, Conditions conditions) {
+        RetrySimulation scenario = new RetrySimulation(new Random(seed), conditions);
         scenario.runEvents();
         return scenario;
     }
@@ -87,7 +143,7 @@
                         from ->
                                 retries.countInWindow(from)
                                         - RATIO * maxRequestsOfAdjacentWindows(from)
-                                        - SLACK)
+                                        - conditions.slack())
                 .max()
                 .orElseThrow();
     }
@@ -131,7 +187,7 @@
     /** A daemon process, whose monotonic clock stands still while it is frozen. */
     private final class Member {
         private final RetryAllowances allowances =
-                RetryAllowances.of(BUDGET, steadyMillis(), nowMillis);
+                RetryAllowances.of(budget, steadyMillis(), nowMillis);
         private final long lagMillis = random.nextLong(MAX_LAG_MILLIS);
         private double weight = random.nextDouble();
         private long totalFrozenMillis;
@@ -155,7 +211,9 @@
         void freeze(long forMillis) {
             if (!isFrozen()) {
                 frozenUntilMillis = nowMillis + forMillis;
-                schedule(frozenUntilMillis, () -> totalFrozenMillis += forMillis);
+                if (!conditions.clocksRunOn()) {
+                    schedule(frozenUntilMillis, () -> totalFrozenMillis += forMillis);
+                }
             }
         }
 
@@ -183,7 +241,8 @@
 
         void reload() {
             allowances.updateBudget(
-                    new FleetRetryBudget(RATIO, WINDOW_MILLIS, SLACK - random.nextInt(2)));
+                    new FleetRetryBudget(
+                            RATIO, WINDOW_MILLIS, conditions.slack() - random.nextInt(2)));
         }
 
         void receiveList(List<Member> list, long agoMillis) {
@@ -237,7 +296,8 @@
                             memberAt(random.nextDouble() * totalWeight).receiveRequest();
                         });
         // A delay at the targets affects the retries of all daemons equally.
-        long underWayMillis = random.nextInt(20) == 0 ? MAX_IN_FLIGHT_MILLIS : 0;
+        long delayMillis = random.nextInt(20) == 0 ? conditions.maxInFlightMillis() : 0;
+        long underWayMillis = Math.max(delayMillis, remainingHoldMillis());
         boolean refusing = refusals.stream().anyMatch(span -> span.contains(nowMillis));
         members.stream()
                 .filter(member -> !member.isFrozen())
@@ -250,6 +310,14 @@
                         });
     }
 
+    private long remainingHoldMillis() {
+        return holds.stream()
+                .filter(span -> span.contains(nowMillis))
+                .mapToLong(span -> span.toMillis() - nowMillis)
+                .max()
+                .orElse(0);
+    }
+
     private Member memberAt(double cumulativeWeight) {
         double remaining = cumulativeWeight;
         for (Member member : members) {
@@ -302,7 +370,7 @@
     private void changeFleet() {
         schedule(nowMillis + 200 + random.nextInt(4_000), this::changeFleet);
         shiftTraffic();
-        if (!changes || members.isEmpty()) {
+        if (!conditions.changes() || members.isEmpty()) {
             return;
         }
         List<Member> affected = randomSubset();
