Count retries from when they leave until they have arrived

Callers and targets saw more retries of a service than its budget allows. Cause: a retry was paid for when it was decided on and forgotten a window and a second later, wherever it was by then. A link that held the first retries of a span of refusals back for two seconds delivered them together with those of the daemons' next window. The class: a bound that is looked at where the decision is made, not where it is broken.

Now a permit is taken right before the first byte leaves, and counts until a window after the target has begun to answer, or after the connection was closed and what was sent may still arrive. A request that nothing has been sent of goes out free of charge, any other send needs a permit, also after an attempt that could not be sent: the permit is no longer taken in advance.

Ruled out by measurement: the time from decision to first byte, 110 ms at most in 1,988 retries of real processes under holds and pauses.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
@@ -33,11 +33,11 @@
 
     /** How a retry is charged to the retry budget of the service. */
     public enum Payment {
-        /** The retry was taken from the allowance. */
+        /** The retry is taken from the allowance when it is sent. */
         PAID,
         /** The allowance is exhausted, so there is no retry. */
         DENIED,
-        /** The attempt reached no target, so another one does not count as a retry. */
+        /** No attempt has reached a target, so another one does not count as a retry. */
         FREE,
         /** There is no retry for another reason. */
         NONE
@@ -103,6 +103,15 @@
             };
         }
 
+        /**
+         * Returns whether an attempt may have reached a target.
+         *
+         * @return false when nothing was sent yet
+         */
+        public boolean reachedTarget() {
+            return refusals + possibleExecutions > 0;
+        }
+
         /**
          * Returns this history with another state of the answer to the caller.
          *
@@ -115,8 +124,8 @@
     }
 
     /**
-     * Decides how a request continues after a failed attempt. A retry is taken from the allowance
-     * only when the decision is {@code AGAIN}.
+     * Decides how a request continues after a failed attempt. Nothing is taken from the allowance
+     * yet: a retry counts from when it is sent.
      *
      * @param route the route of the request
      * @param end how the last attempt ended
@@ -135,7 +144,7 @@
             long nowMillis) {
         Payment payment =
                 mayRetry(route, end, history) && remainingMillis >= MIN_REMAINING_MILLIS
-                        ? payForRetry(end, allowance, nowMillis)
+                        ? paymentOfRetry(history, allowance, nowMillis)
                         : Payment.NONE;
         return new Decision(decide(end, history, payment), payment);
     }
@@ -151,11 +160,12 @@
         return new Decision(decide(end, history, Payment.NONE), Payment.NONE);
     }
 
-    private static Payment payForRetry(AttemptEnd end, RetryAllowance allowance, long nowMillis) {
-        if (end == AttemptEnd.NOT_SENT || end == AttemptEnd.WITHHELD) {
+    private static Payment paymentOfRetry(
+            History history, RetryAllowance allowance, long nowMillis) {
+        if (!history.reachedTarget()) {
             return Payment.FREE;
         }
-        return allowance.tryAcquire(nowMillis) ? Payment.PAID : Payment.DENIED;
+        return allowance.allowsRetry(nowMillis) ? Payment.PAID : Payment.DENIED;
     }
 
     private static Next decide(AttemptEnd end, History history, Payment payment) {
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -1,8 +1,11 @@
 package org.tamaracktrack.core.dispatch;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.LongToDoubleFunction;
 
 /**
@@ -21,8 +24,8 @@
      */
     private static final double SAFETY_FACTOR = 0.85;
 
-    /** Longest time between the acquisition of a retry and its arrival at the target. */
-    private static final long MAX_IN_FLIGHT_MILLIS = 1_000;
+    /** Time in which a retry usually arrives at the target, or is lost. */
+    private static final long IN_FLIGHT_MILLIS = 1_000;
 
     /** Requests that arrived during a freeze of the process are read within this time after it. */
     private static final long BACKLOG_MILLIS = 1_000;
@@ -33,7 +36,7 @@
     private final LongToDoubleFunction slackShare;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> credits = new ArrayDeque<>();
-    private final Deque<Retry> retries = new ArrayDeque<>();
+    private final List<Retry> retries = new ArrayList<>();
     private FleetRetryBudget budget;
     private double spentOfOldestCredit;
     private long earningResumesAtMillis = Long.MIN_VALUE;
@@ -53,8 +56,44 @@
         }
     }
 
-    /** A retry, and the fraction of it that was taken from the slack. */
-    private record Retry(long atMillis, double slack) {}
+    /**
+     * A retry that is sent to a target. It counts from its acquisition until a window after it has
+     * arrived. When it arrives is known only afterwards: a link that loses packets can hold it back
+     * for seconds, and deliver it together with retries that are sent much later.
+     */
+    public static final class Retry {
+        private static final long UNKNOWN = Long.MAX_VALUE;
+
+        private final double slack;
+        private long arrivedByMillis = UNKNOWN;
+
+        private Retry(double slack) {
+            this.slack = slack;
+        }
+
+        /**
+         * Records that the target has begun to answer.
+         *
+         * @param nowMillis the monotonic time in milliseconds
+         */
+        public void recordAnswer(long nowMillis) {
+            arrivedByMillis = Math.min(arrivedByMillis, nowMillis);
+        }
+
+        /**
+         * Records that the connection was closed. Without an answer, what was sent before may still
+         * be on its way.
+         *
+         * @param nowMillis the monotonic time in milliseconds
+         */
+        public void recordEnd(long nowMillis) {
+            arrivedByMillis = Math.min(arrivedByMillis, nowMillis + IN_FLIGHT_MILLIS);
+        }
+
+        private boolean isOlderThan(long windowMillis, long nowMillis) {
+            return arrivedByMillis != UNKNOWN && nowMillis - arrivedByMillis > windowMillis;
+        }
+    }
 
     private RetryAllowance(FleetRetryBudget budget, LongToDoubleFunction slackShare) {
         this.budget = budget;
@@ -89,21 +128,36 @@
     }
 
     /**
-     * Acquires permission for one retry, from the credit first and then from the slack.
+     * Returns whether a retry is allowed now.
      *
      * @param nowMillis the monotonic time in milliseconds
      * @return false when credit and slack are exhausted
      */
-    public boolean tryAcquire(long nowMillis) {
+    public boolean allowsRetry(long nowMillis) {
         expire(nowMillis);
-        double credit = Math.min(1, remainingCredit());
-        double slack = 1 - credit;
-        if (slack > ROUNDING && slack > remainingSlack(nowMillis) + ROUNDING) {
-            return false;
+        double slack = slackForRetry();
+        return slack <= ROUNDING || slack <= remainingSlack(nowMillis) + ROUNDING;
+    }
+
+    /**
+     * Acquires permission for one retry, from the credit first and then from the slack. Called
+     * right before the retry is sent, since retries count from then on.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the retry; empty when credit and slack are exhausted
+     */
+    public Optional<Retry> tryAcquire(long nowMillis) {
+        if (!allowsRetry(nowMillis)) {
+            return Optional.empty();
         }
-        spend(credit);
-        retries.addLast(new Retry(nowMillis, slack));
-        return true;
+        Retry retry = new Retry(slackForRetry());
+        spend(1 - retry.slack);
+        retries.add(retry);
+        return Optional.of(retry);
+    }
+
+    private double slackForRetry() {
+        return 1 - Math.min(1, remainingCredit());
     }
 
     /**
@@ -152,7 +206,7 @@
     }
 
     private long inFlightMillis() {
-        return Math.min(MAX_IN_FLIGHT_MILLIS, budget.windowMillis() / 4);
+        return Math.min(IN_FLIGHT_MILLIS, budget.windowMillis() / 4);
     }
 
     private long creditLifetimeMillis() {
@@ -184,7 +238,7 @@
     }
 
     private double slackUsed() {
-        return retries.stream().mapToDouble(Retry::slack).sum();
+        return retries.stream().mapToDouble(retry -> retry.slack).sum();
     }
 
     private void expire(long nowMillis) {
@@ -199,9 +253,6 @@
             credits.removeFirst();
             spentOfOldestCredit = 0;
         }
-        while (!retries.isEmpty()
-                && nowMillis - retries.peekFirst().atMillis() > window + inFlightMillis()) {
-            retries.removeFirst();
-        }
+        retries.removeIf(retry -> retry.isOlderThan(window, nowMillis));
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -487,15 +487,19 @@
         return refusalNow().isEmpty() && quarantineState.holdingSuspect(service()).isEmpty();
     }
 
+    @Override
+    public boolean tryBeginSending() {
+        return attempt.map(TargetAttempt::entry).filter(retryProgress::tryBeginSending).isPresent();
+    }
+
     @Override
     public void onSending() {
         registryAgeMillis = context.registryAgeMillis();
-        attempt.map(TargetAttempt::entry).ifPresent(retryProgress::recordSending);
     }
 
     @Override
     public void onAnswering() {
-        attempt.map(TargetAttempt::entry).ifPresent(retryProgress::recordArrival);
+        retryProgress.recordAnswer();
     }
 
     @Override
@@ -519,6 +523,7 @@
         Optional<TargetEntry> target = attempt.map(TargetAttempt::entry);
         AnswerProgress progress = attempt.map(TargetAttempt::progress).orElse(AnswerProgress.NONE);
         attempt = Optional.empty();
+        retryProgress.recordEnd();
         events.discardPartialEvent();
         history = history.after(end).withAnswerStarted(response.hasBegun());
         if (end == AttemptEnd.WITHHELD) {
@@ -643,6 +648,7 @@
     private void finish(String outcome, int status) {
         done = true;
         attempt = Optional.empty();
+        retryProgress.recordEnd();
         stopWaiting();
         deadlineTimer.ifPresent(XnioExecutor.Key::remove);
         connection.onClosed(() -> {});
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -150,7 +150,7 @@
     }
 
     /** Records the time from the first byte of a retry to the first sign of its target. */
-    void recordRetryArrived(ServiceId service, long delayMillis) {
+    void recordRetryAnswered(ServiceId service, long delayMillis) {
         recordRetryDelay("tamaracktrack.gateway.retry.answer.delay", service, delayMillis);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -1,20 +1,26 @@
 package org.tamaracktrack.daemon.gateway;
 
+import java.util.Optional;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.fleet.TargetEntry;
 
 /**
- * Measures how long the retries of one request take from the decision to the first byte, and from
- * there to the first sign of the target. Owned by the traffic thread.
+ * Follows the retries of one request. The first send is free of charge; each further one is taken
+ * from the retry allowance right before its first byte leaves, and counts until it has arrived.
+ * Owned by the traffic thread.
  */
 final class RetryProgress {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
-    private static final long NONE = Long.MIN_VALUE;
 
     private final GatewayContext context;
     private final String attempt;
-    private long decidedMillis = NONE;
-    private long sentMillis = NONE;
+    private boolean sentBefore;
+    private long decidedMillis;
+    private Optional<SentRetry> sent = Optional.empty();
+
+    /** A retry that was sent and that its target has not answered yet. */
+    private record SentRetry(RetryAllowance.Retry retry, TargetEntry target, long atMillis) {}
 
     private RetryProgress(GatewayContext context, String attempt) {
         this.context = context;
@@ -22,7 +28,7 @@
     }
 
     /**
-     * Returns the progress of a request that was not retried yet.
+     * Returns the progress of a request that was not sent yet.
      *
      * @param attempt the attempt id that the caller gave the request
      */
@@ -35,32 +41,54 @@
         decidedMillis = context.nowMillis();
     }
 
-    /** Records that bytes are about to be sent to a target. */
-    void recordSending(TargetEntry target) {
-        if (decidedMillis == NONE) {
-            return;
+    /**
+     * Asks for permission to send the request to a target. Called right before its first byte.
+     *
+     * @return false if it was sent before and the retry allowance is exhausted
+     */
+    boolean tryBeginSending(TargetEntry target) {
+        if (!sentBefore) {
+            sentBefore = true;
+            return true;
         }
-        sentMillis = context.nowMillis();
-        long delayMillis = sentMillis - decidedMillis;
-        decidedMillis = NONE;
-        context.metrics().recordRetrySent(target.service(), delayMillis);
+        long nowMillis = context.nowMillis();
+        Optional<RetryAllowance.Retry> acquired =
+                context.retryAllowance(target.service()).tryAcquire(nowMillis);
+        sent = acquired.map(retry -> new SentRetry(retry, target, nowMillis));
+        sent.ifPresent(this::logSent);
+        return sent.isPresent();
+    }
+
+    private void logSent(SentRetry retry) {
+        long delayMillis = retry.atMillis() - decidedMillis;
+        context.metrics().recordRetrySent(retry.target().service(), delayMillis);
         LOG.info(
                 "event=retry-sent request="
                         + attempt
                         + " service="
-                        + target.service()
+                        + retry.target().service()
                         + " target="
-                        + target.incarnation()
+                        + retry.target().incarnation()
                         + " decided_ms_ago="
                         + delayMillis);
     }
 
-    /** Records the first sign that the target has received the request. */
-    void recordArrival(TargetEntry target) {
-        if (sentMillis != NONE) {
-            context.metrics()
-                    .recordRetryArrived(target.service(), context.nowMillis() - sentMillis);
-            sentMillis = NONE;
-        }
+    /** Records that the target has begun to answer. */
+    void recordAnswer() {
+        sent.ifPresent(
+                answered -> {
+                    long nowMillis = context.nowMillis();
+                    answered.retry().recordAnswer(nowMillis);
+                    context.metrics()
+                            .recordRetryAnswered(
+                                    answered.target().service(), nowMillis - answered.atMillis());
+                });
+        sent = Optional.empty();
+    }
+
+    /** Records that the attempt has ended. */
+    void recordEnd() {
+        sent.ifPresent(ended -> ended.retry().recordEnd(context.nowMillis()));
+        sent = Optional.empty();
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -112,7 +112,14 @@
          */
         boolean isStillAllowed();
 
-        /** Called right before the first byte is sent. */
+        /**
+         * Asks for permission to send the request, right before its first byte.
+         *
+         * @return false if it must not be sent
+         */
+        boolean tryBeginSending();
+
+        /** Called right before bytes are sent. */
         void onSending();
 
         /** Called when the target has begun to answer. */
@@ -204,9 +211,7 @@
         if (ended) {
             return false;
         }
-        withheld =
-                !listener.isStillAllowed()
-                        || (sendingBegun ? context.gate().isClosed() : !context.maySendTo(entry));
+        withheld = !listener.isStillAllowed() || (sendingBegun ? mustStop() : mustNotBegin());
         sendingBegun = true;
         if (!withheld) {
             listener.onSending();
@@ -214,6 +219,14 @@
         return !withheld;
     }
 
+    private boolean mustStop() {
+        return context.gate().isClosed();
+    }
+
+    private boolean mustNotBegin() {
+        return !context.maySendTo(entry) || !listener.tryBeginSending();
+    }
+
     /** Returns whether bytes of the request may have reached the target. */
     boolean mayHaveBeenSent() {
         return sendingBegun && !withheld;
