Date requests that earn retries by when they may have waited unread

Callers and targets saw more retries than the budget allows after processes had been stopped. Cause: a pause was noticed by a monotonic clock that stood still. It does while a machine is suspended; under SIGSTOP, or without processor time, both clocks run on. Then requests that lay in the sockets for seconds earned credit as if callers had just sent them. The class: what has just been read is taken as just sent.

SocketDelay bounds how long data may have waited, by a tick on the traffic thread and by the clock that advanced more, until ten ticks after a pause. Each request earns from the earliest time at which it may have been sent; a daemon that is a little late loses as little of the credit's lifetime, and one that was stopped for longer than it earns nothing for its backlog. While the monotonic clock stands still, credit ages by the difference of the clocks; it is no longer discarded whenever they differ, only when the time of day was set back. CrowdingMonitor uses the same tick.

The test that wanted nothing earned within a second after a suspension is kept, with the time that the requests waited; five tests are new.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -1,11 +1,11 @@
 package org.tamaracktrack.core.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.function.LongToDoubleFunction;
 
 /**
@@ -27,19 +27,19 @@
     /** Time in which a retry usually arrives at the target, or is lost. */
     private static final long IN_FLIGHT_MILLIS = 1_000;
 
-    /** Requests that arrived during a freeze of the process are read within this time after it. */
-    private static final long BACKLOG_MILLIS = 1_000;
-
     /** Upper bound of the rounding errors of sums. */
     private static final double ROUNDING = 1e-6;
 
     private final LongToDoubleFunction slackShare;
-    private final Deque<Long> requests = new ArrayDeque<>();
-    private final Deque<Long> credits = new ArrayDeque<>();
+    private final PriorityQueue<Long> requests = new PriorityQueue<>();
+    private final PriorityQueue<Credit> credits =
+            new PriorityQueue<>(Comparator.comparingLong(Credit::sentMillis));
     private final List<Retry> retries = new ArrayList<>();
     private FleetRetryBudget budget;
-    private double spentOfOldestCredit;
-    private long earningResumesAtMillis = Long.MIN_VALUE;
+    private double unspentRequests;
+
+    /** The part of a request, from 0 to 1, whose credit is not spent. */
+    private record Credit(long sentMillis, double unspent) {}
 
     /**
      * The values that decide whether a retry is allowed.
@@ -117,14 +117,13 @@
     /**
      * Records a request of a caller, which earns credit.
      *
-     * @param nowMillis the monotonic time in milliseconds
+     * @param sentMillis the earliest time at which the caller may have sent it, by the monotonic
+     *     clock, in milliseconds
      */
-    public void recordRequest(long nowMillis) {
-        expire(nowMillis);
-        if (nowMillis >= earningResumesAtMillis) {
-            requests.addLast(nowMillis);
-            credits.addLast(nowMillis);
-        }
+    public void recordRequest(long sentMillis) {
+        requests.add(sentMillis);
+        credits.add(new Credit(sentMillis, 1));
+        unspentRequests++;
     }
 
     /**
@@ -161,16 +160,19 @@
     }
 
     /**
-     * Discards the credit after a freeze of the process: requests from before the freeze, and those
-     * that callers sent during it and that are read now, earn nothing. Earlier retries still count.
+     * Ages the requests by a time during which the monotonic clock stood still. Earlier retries
+     * still count.
      *
-     * @param nowMillis the monotonic time in milliseconds
+     * @param millis the time in milliseconds
      */
-    public void restartAfterFreeze(long nowMillis) {
+    public void recordSuspension(long millis) {
+        List<Long> requestTimes = List.copyOf(requests);
         requests.clear();
+        requestTimes.forEach(sentMillis -> requests.add(sentMillis - millis));
+        List<Credit> earned = List.copyOf(credits);
         credits.clear();
-        spentOfOldestCredit = 0;
-        earningResumesAtMillis = nowMillis + BACKLOG_MILLIS;
+        earned.forEach(
+                credit -> credits.add(new Credit(credit.sentMillis() - millis, credit.unspent())));
     }
 
     /**
@@ -218,21 +220,29 @@
     private double remainingCredit() {
         double creditOfWindow =
                 budget.ratio() * SAFETY_FACTOR * requests.size() - (retries.size() - slackUsed());
-        return Math.max(
-                0,
-                Math.min(
-                        creditOfWindow, credits.size() * creditPerRequest() - spentOfOldestCredit));
+        return Math.max(0, Math.min(creditOfWindow, unspentRequests * creditPerRequest()));
     }
 
     private void spend(double credit) {
-        spentOfOldestCredit += credit;
-        double earned = creditPerRequest();
-        while (!credits.isEmpty() && spentOfOldestCredit >= earned - ROUNDING) {
-            credits.removeFirst();
-            spentOfOldestCredit = Math.max(0, spentOfOldestCredit - earned);
+        double spent = credit == 0 ? 0 : credit / creditPerRequest();
+        while (spent > ROUNDING && !credits.isEmpty()) {
+            Credit oldest = takeOldestCredit();
+            if (oldest.unspent() > spent) {
+                Credit rest = new Credit(oldest.sentMillis(), oldest.unspent() - spent);
+                credits.add(rest);
+                unspentRequests += rest.unspent();
+            }
+            spent -= oldest.unspent();
         }
     }
 
+    private Credit takeOldestCredit() {
+        Credit oldest = credits.remove();
+        // Without credits the sum is zero; this discards its rounding errors.
+        unspentRequests = credits.isEmpty() ? 0 : unspentRequests - oldest.unspent();
+        return oldest;
+    }
+
     private double remainingSlack(long nowMillis) {
         return budget.slack() * slackShare.applyAsDouble(nowMillis) - slackUsed();
     }
@@ -245,13 +255,12 @@
         long window = budget.windowMillis();
         // Requests expire earlier than retries, since a retry may arrive in a later window than the
         // request that earned it.
-        while (!requests.isEmpty()
-                && nowMillis - requests.peekFirst() > window - inFlightMillis()) {
-            requests.removeFirst();
+        while (!requests.isEmpty() && nowMillis - requests.peek() > window - inFlightMillis()) {
+            requests.remove();
         }
-        while (!credits.isEmpty() && nowMillis - credits.peekFirst() > creditLifetimeMillis()) {
-            credits.removeFirst();
-            spentOfOldestCredit = 0;
+        while (!credits.isEmpty()
+                && nowMillis - credits.peek().sentMillis() > creditLifetimeMillis()) {
+            takeOldestCredit();
         }
         retries.removeIf(retry -> retry.isOlderThan(window, nowMillis));
     }
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowances.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowances.java
@@ -4,21 +4,18 @@
 import java.util.Map;
 import java.util.Objects;
 import org.tamaracktrack.core.id.ServiceId;
-import org.tamaracktrack.core.lease.FreezeDetector;
+import org.tamaracktrack.core.knowledge.DualTimestamp;
 
 /** The retry allowances of one daemon, by service. Confined to the traffic thread. */
 public final class RetryAllowances {
-    private static final long NEVER = Long.MIN_VALUE / 2;
-
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
-    private final FreezeDetector freezeDetector;
     private FleetRetryBudget budget;
     private SlackShare slackShare;
-    private long lastFreezeMillis = NEVER;
+    private DualTimestamp lastReading;
 
-    private RetryAllowances(FleetRetryBudget budget, FreezeDetector freezes) {
+    private RetryAllowances(FleetRetryBudget budget, DualTimestamp now) {
         this.budget = budget;
-        this.freezeDetector = freezes;
+        this.lastReading = now;
         this.slackShare = SlackShare.of(budget.windowMillis());
     }
 
@@ -26,32 +23,26 @@
      * Returns the allowances of a daemon that has just started.
      *
      * @param budget the budget of all daemons together, for each service
-     * @param steadyMillis the monotonic time in milliseconds
-     * @param dayMillis the time of day in milliseconds
+     * @param now the current time
      * @return the allowances
      */
-    public static RetryAllowances of(FleetRetryBudget budget, long steadyMillis, long dayMillis) {
+    public static RetryAllowances of(FleetRetryBudget budget, DualTimestamp now) {
         Objects.requireNonNull(budget, "budget is null");
-        return new RetryAllowances(budget, FreezeDetector.of(steadyMillis, dayMillis));
+        Objects.requireNonNull(now, "now is null");
+        return new RetryAllowances(budget, now);
     }
 
     /**
      * Returns the allowance of a service.
      *
      * @param service the service
-     * @param steadyMillis the monotonic time in milliseconds
-     * @param dayMillis the time of day in milliseconds
+     * @param now the current time
      * @return the allowance
      */
-    public RetryAllowance allowance(ServiceId service, long steadyMillis, long dayMillis) {
-        checkForFreeze(steadyMillis, dayMillis);
-        return allowances.computeIfAbsent(service, name -> newAllowance());
-    }
-
-    private RetryAllowance newAllowance() {
-        RetryAllowance started = RetryAllowance.of(budget, now -> slackShare.share(now));
-        started.restartAfterFreeze(lastFreezeMillis);
-        return started;
+    public RetryAllowance allowance(ServiceId service, DualTimestamp now) {
+        applyClocks(now);
+        return allowances.computeIfAbsent(
+                service, name -> RetryAllowance.of(budget, millis -> slackShare.share(millis)));
     }
 
     /**
@@ -59,11 +50,10 @@
      *
      * @param daemons the number of daemons on the list
      * @param atMillis when the list was valid, by the monotonic clock, in milliseconds
-     * @param steadyMillis the monotonic time in milliseconds
-     * @param dayMillis the time of day in milliseconds
+     * @param now the current time
      */
-    public void recordDaemonCount(int daemons, long atMillis, long steadyMillis, long dayMillis) {
-        checkForFreeze(steadyMillis, dayMillis);
+    public void recordDaemonCount(int daemons, long atMillis, DualTimestamp now) {
+        applyClocks(now);
         slackShare.recordDaemonCount(daemons, atMillis);
     }
 
@@ -81,13 +71,24 @@
         allowances.values().forEach(allowance -> allowance.updateBudget(newer));
     }
 
-    // After a freeze, old requests would otherwise earn credit as if they were recent, and this
+    // After a suspension, old requests would otherwise earn credit as if they were recent, and this
     // daemon would use a share of the slack that other daemons have taken over.
-    private void checkForFreeze(long steadyMillis, long dayMillis) {
-        if (freezeDetector.detectFreeze(steadyMillis, dayMillis)) {
-            lastFreezeMillis = steadyMillis;
-            allowances.values().forEach(allowance -> allowance.restartAfterFreeze(steadyMillis));
+    private void applyClocks(DualTimestamp now) {
+        if (now.clocksDivergedSince(lastReading)) {
+            long suspendedMillis = suspendedMillis(now);
+            allowances.values().forEach(allowance -> allowance.recordSuspension(suspendedMillis));
             slackShare.restartAfterFreeze();
         }
+        lastReading = now;
+    }
+
+    // The time of day was set back if it has advanced less than the monotonic clock. A suspension
+    // at the same time would go unnoticed, so all credit expires.
+    private long suspendedMillis(DualTimestamp now) {
+        long differenceMillis =
+                now.dayMillis()
+                        - lastReading.dayMillis()
+                        - (now.steadyMillis() - lastReading.steadyMillis());
+        return differenceMillis > 0 ? differenceMillis : budget.windowMillis();
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
@@ -9,25 +9,30 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.knowledge.DualTimestamp;
 
 class RetryAllowancesTest {
     private static final ServiceId SERVICE = ServiceId.of("service");
     private static final ServiceId OTHER = ServiceId.of("other");
     private static final FleetRetryBudget BUDGET = new FleetRetryBudget(0.2, 10_000, 0);
 
-    private final RetryAllowances allowances = RetryAllowances.of(BUDGET, 0, 0);
+    private final RetryAllowances allowances = RetryAllowances.of(BUDGET, at(0, 0));
+
+    private static DualTimestamp at(long steadyMillis, long dayMillis) {
+        return new DualTimestamp(steadyMillis, dayMillis);
+    }
 
     private void recordRequests(int count, long atMillis) {
         IntStream.range(0, count)
                 .forEach(
                         index ->
                                 allowances
-                                        .allowance(SERVICE, atMillis, atMillis)
+                                        .allowance(SERVICE, at(atMillis, atMillis))
                                         .recordRequest(atMillis));
     }
 
     private int acquireAll(ServiceId service, long steadyMillis, long dayMillis) {
-        RetryAllowance allowance = allowances.allowance(service, steadyMillis, dayMillis);
+        RetryAllowance allowance = allowances.allowance(service, at(steadyMillis, dayMillis));
         int acquired = 0;
         while (allowance.tryAcquire(steadyMillis).isPresent()) {
             acquired++;
@@ -88,25 +93,77 @@
             assertThat(acquireAll(SERVICE, 1_100, 9_100)).isEqualTo(0);
         }
 
-        // Guards against credit for requests that were sent during a freeze and are read together
-        // after it, also of a service without earlier requests.
+        // Guards against credit for requests that were sent during a freeze and are read after it,
+        // also of a service without earlier requests.
         @Test
         void shouldNotEarnFromRequestsSentDuringFreeze() {
-            allowances.allowance(SERVICE, 100, 8_100);
-            RetryAllowance other = allowances.allowance(OTHER, 150, 8_150);
-            IntStream.range(0, 100).forEach(index -> other.recordRequest(150));
+            allowances.allowance(SERVICE, at(100, 8_100));
+            RetryAllowance other = allowances.allowance(OTHER, at(150, 8_150));
+            IntStream.range(0, 100).forEach(index -> other.recordRequest(150 - 8_000));
 
             assertThat(acquireAll(OTHER, 150, 8_150)).isEqualTo(0);
         }
 
+        // Guards against the same when the clocks run on, as they do while a process is stopped.
+        @Test
+        void shouldNotEarnFromRequestsThatWaitedWhileProcessWasStopped() {
+            RetryAllowance allowance = allowances.allowance(SERVICE, at(8_100, 8_100));
+            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(100));
+
+            assertThat(acquireAll(SERVICE, 8_100, 8_100)).isEqualTo(0);
+        }
+
+        // Guards against a daemon that loses its credit whenever it is a little late.
+        @Test
+        void shouldEarnFromRequestsThatWaitedShortly() {
+            RetryAllowance allowance = allowances.allowance(SERVICE, at(1_300, 1_300));
+            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(1_000));
+
+            assertThat(acquireAll(SERVICE, 1_300, 1_300)).isAtLeast(10);
+        }
+
         @Test
         void shouldEarnAgainFromRequestsAfterFreeze() {
-            allowances.allowance(SERVICE, 100, 8_100);
-            RetryAllowance allowance = allowances.allowance(SERVICE, 1_200, 9_200);
+            allowances.allowance(SERVICE, at(100, 8_100));
+            RetryAllowance allowance = allowances.allowance(SERVICE, at(1_200, 9_200));
             IntStream.range(0, 100).forEach(index -> allowance.recordRequest(1_200));
 
             assertThat(acquireAll(SERVICE, 1_200, 9_200)).isAtLeast(10);
         }
+
+        // Guards against old requests that count as recent because the time of day was set back
+        // while the process was frozen.
+        @Test
+        void shouldNotEarnFromEarlierRequestsWhenTimeOfDayWasSetBack() {
+            recordRequests(100, 10_000);
+
+            assertThat(acquireAll(SERVICE, 10_100, 8_100)).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    class OrderOfRequests {
+
+        // Guards against credit that outlives its request because a more recent request was
+        // recorded before it.
+        @Test
+        void shouldExpireCreditOfRequestThatIsRecordedLate() {
+            recordRequests(1, 5_000);
+            recordRequests(100, 1_000);
+
+            assertThat(acquireAll(SERVICE, 6_500, 6_500)).isEqualTo(0);
+        }
+
+        // Guards against credit that is spent a second time after an older request was recorded.
+        @Test
+        void shouldNotRestoreSpentCreditWhenOlderRequestExpires() {
+            recordRequests(100, 5_000);
+            int acquired = acquireAll(SERVICE, 5_000, 5_000);
+            recordRequests(8, 500);
+
+            assertThat(acquired).isEqualTo(12);
+            assertThat(acquireAll(SERVICE, 6_000, 6_000)).isEqualTo(0);
+        }
     }
 
     @Nested
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
@@ -9,8 +9,10 @@
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.RetryAllowance.Retry;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.knowledge.DualTimestamp;
 
 /**
  * Simulates daemons in virtual time whose targets refuse all requests for a while, so that each
@@ -24,6 +26,7 @@
     private static final ServiceId SERVICE = ServiceId.of("service");
 
     private static final long STEP_MILLIS = 20;
+    private static final long TICK_MILLIS = 100;
     private static final long WARM_UP_MILLIS = 15_000;
     private static final long END_MILLIS = 50_000;
     private static final long LIST_INTERVAL_MILLIS = 500;
@@ -187,8 +190,9 @@
 
     /** A daemon process, whose monotonic clock stands still while it is frozen. */
     private final class Member {
-        private final RetryAllowances allowances =
-                RetryAllowances.of(budget, steadyMillis(), nowMillis);
+        private final RetryAllowances allowances = RetryAllowances.of(budget, now());
+        private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
+        private long nextTickMillis = steadyMillis() + TICK_MILLIS;
         private final long lagMillis = random.nextLong(MAX_LAG_MILLIS);
         private double weight = random.nextDouble();
         private long totalFrozenMillis;
@@ -209,6 +213,18 @@
             return nowMillis - totalFrozenMillis;
         }
 
+        private DualTimestamp now() {
+            return new DualTimestamp(steadyMillis(), nowMillis);
+        }
+
+        // A tick that was missed runs after the sockets were read.
+        void tick() {
+            if (steadyMillis() >= nextTickMillis) {
+                nextTickMillis = steadyMillis() + TICK_MILLIS;
+                socketDelay.recordTick(now());
+            }
+        }
+
         void freeze(long forMillis) {
             if (!isFrozen()) {
                 frozenUntilMillis = nowMillis + forMillis;
@@ -226,7 +242,7 @@
         void readRequests() {
             while (unreadRequests > 0) {
                 unreadRequests--;
-                allowance().recordRequest(steadyMillis());
+                allowance().recordRequest(steadyMillis() - socketDelay.maxMillis(now()));
             }
         }
 
@@ -250,7 +266,7 @@
         }
 
         private RetryAllowance allowance() {
-            return allowances.allowance(SERVICE, steadyMillis(), nowMillis);
+            return allowances.allowance(SERVICE, now());
         }
 
         void reload() {
@@ -261,8 +277,7 @@
 
         void receiveList(List<Member> list, long agoMillis) {
             if (list.contains(this)) {
-                allowances.recordDaemonCount(
-                        list.size(), steadyMillis() - agoMillis, steadyMillis(), nowMillis);
+                allowances.recordDaemonCount(list.size(), steadyMillis() - agoMillis, now());
             }
         }
     }
@@ -318,6 +333,7 @@
                 .forEach(
                         member -> {
                             member.readRequests();
+                            member.tick();
                             if (refusing && (retriesImmediately || random.nextInt(40) == 0)) {
                                 member.retryAll(underWayMillis);
                             }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -150,7 +150,7 @@
     private void begin() {
         connection.onClosed(this::onCallerGone);
         CallerConnection.detectDisconnect(exchange);
-        context.retryAllowance(dispatchRequest.service()).recordRequest(deadline.arrivedMillis());
+        context.recordRequest(service(), deadline.arrivedMillis());
         if (!callerReturned && quarantineState.holdingSuspect(service()).isEmpty()) {
             metadata.need().ifPresent(need -> context.demand().record(need, route));
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -160,6 +160,8 @@
                         random);
         GatewayHandler handler = GatewayHandler.of(context, () -> refusesNewRequests(leaving));
         HttpHandler root = root(options.readinessPath(), context, leaving, handler);
+        CrowdingMonitor crowding = new CrowdingMonitor(context);
+        TrafficDelayMonitor.start(context, crowding::recordTick);
         CallersListener callers =
                 CallersListener.start(
                         options.callersAddress(),
@@ -167,7 +169,7 @@
                         buffers,
                         HTTP_OPTIONS,
                         root,
-                        CrowdingMonitor.start(context)::shedsConnection);
+                        crowding::shedsConnection);
         Undertow server =
                 Undertow.builder()
                         .setWorker(worker)
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -16,6 +16,7 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
+import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.ConnectionShare;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.LruMap;
@@ -41,6 +42,7 @@
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.ServiceSpecification;
 import org.tamaracktrack.core.route.ServingConfiguration;
+import org.tamaracktrack.core.shedding.ConnectionShedder;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.StreamOrigin;
 import org.tamaracktrack.daemon.load.LoadExchange;
@@ -63,6 +65,9 @@
 
     private static final long CONNECTION_CHECK_MILLIS = 500;
 
+    /** Interval at which the delay of the traffic thread is measured. */
+    static final long TICK_MILLIS = ConnectionShedder.TICK_MILLIS;
+
     private final HttpCaller http;
     private final XnioIoThread thread;
     private final HeaderProtocol protocol;
@@ -83,6 +88,7 @@
     private final StalenessGate gate =
             new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
     private final LinkCheck linkCheck;
+    private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
     private Runnable loadsChangeListener = () -> {};
     private Supplier<LoadExchange.PeerLoad> peerLoad = () -> LoadExchange.PeerLoad.NONE;
     private volatile Quarantine quarantine = Quarantine.empty();
@@ -106,7 +112,7 @@
         this.thread = thread;
         this.protocol = protocol;
         this.targetSelector = targetSelector;
-        this.retryAllowances = RetryAllowances.of(retryBudget, nowMillis(), dayMillis());
+        this.retryAllowances = RetryAllowances.of(retryBudget, now());
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
@@ -184,7 +190,22 @@
     }
 
     RetryAllowance retryAllowance(ServiceId service) {
-        return retryAllowances.allowance(service, nowMillis(), dayMillis());
+        return retryAllowances.allowance(service, now());
+    }
+
+    /**
+     * Records a request of a caller that earns retries.
+     *
+     * @param arrivedMillis when its head was read
+     */
+    void recordRequest(ServiceId service, long arrivedMillis) {
+        long sentMillis = arrivedMillis - socketDelay.maxMillis(now());
+        retryAllowance(service).recordRequest(sentMillis);
+    }
+
+    /** Returns how long data may have waited in the sockets that this daemon reads. */
+    SocketDelay socketDelay() {
+        return socketDelay;
     }
 
     void updateRetryBudget(FleetRetryBudget newer) {
@@ -344,8 +365,7 @@
                     daemonCount = daemons.size();
                     quotas.ifPresent(exchange -> exchange.updateDaemons(daemons, atMillis));
                     origins.ifPresent(exchange -> exchange.updateDaemons(daemons));
-                    retryAllowances.recordDaemonCount(
-                            daemons.size(), atMillis, nowMillis(), dayMillis());
+                    retryAllowances.recordDaemonCount(daemons.size(), atMillis, now());
                 });
     }
 
@@ -434,8 +454,8 @@
                 + keyFreshness.ageMillis(now());
     }
 
-    private DualTimestamp now() {
-        return new DualTimestamp(nowMillis(), dayMillis());
+    DualTimestamp now() {
+        return Clocks.now();
     }
 
     LinkCheck linkCheck() {
