Ignore votes that may have moved while a coordinator was stopped

A vote that may have waited for longer than votes are valid is ignored; a coordinator that is a little late keeps its authority.

--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaLedger.java
@@ -69,17 +69,20 @@
     }
 
     /**
-     * Records a vote, which replaces the previous one of the same daemon.
+     * Records a vote, which replaces the previous one of the same daemon. A vote that has waited
+     * here for longer than votes are valid is ignored: its daemon may follow another coordinator.
      *
      * @param voter the address of the daemon
      * @param share the share of all quotas that it entrusts to this coordinator; 0 if it does not
      *     renew its vote, which then stays valid until it expires
+     * @param sentMillis the earliest time at which it may have been sent, by the monotonic clock,
+     *     in milliseconds
      * @param nowMillis the monotonic time in milliseconds
      */
-    public void recordVote(String voter, double share, long nowMillis) {
+    public void recordVote(String voter, double share, long sentMillis, long nowMillis) {
         Objects.requireNonNull(voter, "voter is null");
         advance(nowMillis);
-        if (share > 0) {
+        if (share > 0 && nowMillis - sentMillis <= VOTE_VALIDITY_MILLIS) {
             votes.put(voter, new Vote(share, nowMillis));
             setAuthority(sumOfVotes(), nowMillis);
         }
--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
@@ -214,14 +214,16 @@
      *
      * @param from the address of the daemon
      * @param message the message
+     * @param sentMillis the earliest time at which it may have been sent, by the monotonic clock,
+     *     in milliseconds; an old vote may have moved since
      * @param nowMillis the monotonic time in milliseconds
      */
-    public void receive(String from, QuotaMessage message, long nowMillis) {
+    public void receive(String from, QuotaMessage message, long sentMillis, long nowMillis) {
         if (!choice.isKnown(from)) {
             return;
         }
         if (message instanceof QuotaMessage.Ping ping) {
-            ledger.recordVote(from, ping.vote(), nowMillis);
+            ledger.recordVote(from, ping.vote(), sentMillis, nowMillis);
             daemons.recordCount(ping.knownDaemons(), nowMillis);
             transport.send(from, new QuotaMessage.Pong(ping.number(), daemons.count()));
         } else if (message instanceof QuotaMessage.Pong pong) {
@@ -271,7 +273,7 @@
             choice.recordVote(nowMillis);
         }
         if (coordinator.equals(self)) {
-            ledger.recordVote(self, share, nowMillis);
+            ledger.recordVote(self, share, nowMillis, nowMillis);
         } else {
             ping(coordinator, share, nowMillis);
         }
--- a/core/src/test/java/org/tamaracktrack/core/quota/QuotaLedgerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/quota/QuotaLedgerTest.java
@@ -21,7 +21,7 @@
     private void voteFor(long millis, double... shares) {
         for (long end = nowMillis + millis; nowMillis < end; nowMillis += VOTE_INTERVAL_MILLIS) {
             for (int voter = 0; voter < shares.length; voter++) {
-                ledger.recordVote("voter-" + voter, shares[voter], nowMillis);
+                ledger.recordVote("voter-" + voter, shares[voter], nowMillis, nowMillis);
             }
         }
     }
@@ -41,7 +41,7 @@
         // Guards against a second burst right after another coordinator has admitted one.
         @Test
         void shouldStartWithoutRoom() {
-            ledger.recordVote("voter-0", 1, nowMillis);
+            ledger.recordVote("voter-0", 1, nowMillis, nowMillis);
 
             assertThat(ask(1, 1_000, 400).outcome()).isEqualTo(Admission.Outcome.UNDECIDED);
             voteFor(500, 1);
@@ -97,6 +97,29 @@
         }
     }
 
+    @Nested
+    class LateVotes {
+
+        // Guards against a vote that lay unread while its daemon began to follow another one.
+        @Test
+        void shouldIgnoreVoteThatMayHaveMoved() {
+            long sentMillis = nowMillis - QuotaLedger.VOTE_VALIDITY_MILLIS - 1;
+
+            ledger.recordVote("voter-0", 1, sentMillis, nowMillis);
+
+            assertThat(ledger.authority()).isEqualTo(0);
+        }
+
+        // Guards against a coordinator without votes because its thread is a little late.
+        @Test
+        void shouldCountVoteThatHasWaitedShortly() {
+            ledger.recordVote(
+                    "voter-0", 1, nowMillis - QuotaLedger.VOTE_VALIDITY_MILLIS, nowMillis);
+
+            assertThat(ledger.authority()).isEqualTo(1);
+        }
+    }
+
     @Nested
     class Limits {
 
--- a/core/src/test/java/org/tamaracktrack/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/quota/QuotaSimulation.java
@@ -10,9 +10,11 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.DataCentreId;
+import org.tamaracktrack.core.knowledge.DualTimestamp;
 
 /**
  * Daemons that admit requests of client accounts in virtual time, with a network that loses and
@@ -100,6 +102,7 @@
         private QuotaMember member;
         private QuotaLedger ownLedger = QuotaLedger.empty(TOLERANCE);
         private KnownDaemons known = KnownDaemons.empty();
+        private SocketDelay socketDelay;
         private long number;
         private int run;
         private boolean alive;
@@ -129,14 +132,24 @@
                             (to, message) -> deliver(this, to, message));
             ownLedger = QuotaLedger.empty(TOLERANCE);
             known = KnownDaemons.empty();
+            socketDelay = SocketDelay.of(QuotaMember.TICK_MILLIS, now());
             every(QuotaMember.TICK_MILLIS, currentRun, this::tick);
             every(REPORT_MILLIS, currentRun, () -> report(this));
         }
 
+        private DualTimestamp now() {
+            return new DualTimestamp(clock(), nowMillis);
+        }
+
+        private long earliestSentMillis() {
+            return clock() - socketDelay.maxMillis(now());
+        }
+
         private void tick() {
+            socketDelay.recordTick(now());
             member.tick(clock());
             double share = policy == Policy.WHOLE_QUOTA_EACH ? 1 : known.share(clock());
-            ownLedger.recordVote(address, share, clock());
+            ownLedger.recordVote(address, share, clock(), clock());
         }
 
         private void updateDaemons(List<Peer> list) {
@@ -326,7 +339,17 @@
                 });
     }
 
+    /** Suspends a host: its monotonic clock stands still. */
     void freeze(int index, long forMillis) {
+        pause(index, forMillis, false);
+    }
+
+    /** Stops a process: its clocks run on. */
+    void stop(int index, long forMillis) {
+        pause(index, forMillis, true);
+    }
+
+    private void pause(int index, long forMillis, boolean clockRunsOn) {
         Daemon daemon = daemons.get(index % daemons.size());
         if (!daemon.alive || daemon.frozen) {
             return;
@@ -340,9 +363,11 @@
                 () -> {
                     if (daemon.run == frozenRun && daemon.alive) {
                         daemon.frozen = false;
-                        daemon.frozenMillis += forMillis;
                         disturb(daemon);
-                        daemon.member.restartAfterFreeze(daemon.clock());
+                        if (!clockRunsOn) {
+                            daemon.frozenMillis += forMillis;
+                            daemon.member.restartAfterFreeze(daemon.clock());
+                        }
                         List<Runnable> late = List.copyOf(daemon.unread);
                         daemon.unread.clear();
                         late.forEach(daemon::run);
@@ -422,7 +447,10 @@
                         receiver.run(
                                 () ->
                                         receiver.member.receive(
-                                                from.address, message, receiver.clock()));
+                                                from.address,
+                                                message,
+                                                receiver.earliestSentMillis(),
+                                                receiver.clock()));
                     }
                 });
     }
--- a/core/src/test/java/org/tamaracktrack/core/quota/QuotaSimulationTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/quota/QuotaSimulationTest.java
@@ -4,12 +4,15 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class QuotaSimulationTest {
     private static final long DAY_MILLIS = 40_000;
@@ -97,6 +100,40 @@
         }
     }
 
+    @Nested
+    class StoppedProcesses {
+        private static final int LONGEST_STOP_MILLIS = 9_000;
+
+        private QuotaSimulation.Result play(long seed, int daemons) {
+            return QuotaSimulation.of(
+                            seed, QuotaSimulation.Policy.COORDINATOR, load(daemons), LOSS_RATIO)
+                    .play(
+                            day -> {
+                                raiseDemand(day);
+                                IntStream.range(0, daemons).forEach(host -> stop(day, host));
+                            });
+        }
+
+        private void stop(QuotaSimulation day, int host) {
+            long atMillis = CALM_START_MILLIS + day.draw(24_000);
+            long forMillis = 300 + day.draw(LONGEST_STOP_MILLIS);
+            day.at(atMillis, () -> day.stop(host, forMillis));
+        }
+
+        // Guards against votes that lay in the sockets of a stopped coordinator and count as if
+        // they had just been sent, while the voters already follow another one.
+        @ParameterizedTest
+        @CsvSource({"12, 69", "12, 139", "8, 335"})
+        void shouldKeepSumOfAuthoritiesWithinQuota(int daemons, long seed) {
+            QuotaSimulation.Result result = play(seed, daemons);
+
+            assertWithMessage("%s", result)
+                    .that(result.excessAuthorityMillis())
+                    .isAtMost(QuotaSimulation.OVER * QuotaSimulation.WINDOW_MILLIS);
+            assertWithMessage("%s", result).that(result.worstExcess()).isAtMost(0);
+        }
+    }
+
     @Group
     @Nested
     class WithinLimit {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -344,7 +344,8 @@
                                         context.firstMessageNumber(),
                                         datagrams,
                                         context,
-                                        GatewayContext::dayMillis)));
+                                        GatewayContext::dayMillis,
+                                        context.socketDelay())));
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
@@ -11,8 +11,10 @@
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.account.Quota;
+import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.Peer;
 import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.knowledge.DualTimestamp;
 import org.tamaracktrack.core.lease.FreezeDetector;
 import org.tamaracktrack.core.quota.QuotaLimit;
 import org.tamaracktrack.core.quota.QuotaMember;
@@ -32,6 +34,7 @@
     private final Datagrams datagrams;
     private final LoadExchange.Timer timer;
     private final LongSupplier dayMillis;
+    private final SocketDelay socketDelay;
     private final FreezeDetector freezeDetector;
     private final QuotaMember member;
     private Optional<String> loggedCoordinator = Optional.empty();
@@ -45,11 +48,13 @@
             long firstNumber,
             Datagrams datagrams,
             LoadExchange.Timer timer,
-            LongSupplier dayMillis) {
+            LongSupplier dayMillis,
+            SocketDelay socketDelay) {
         this.self = self;
         this.datagrams = datagrams;
         this.timer = timer;
         this.dayMillis = dayMillis;
+        this.socketDelay = socketDelay;
         this.freezeDetector = FreezeDetector.of(timer.nowMillis(), dayMillis.getAsLong());
         this.member = QuotaMember.of(self.address(), tolerance, firstNumber, this::send);
     }
@@ -65,6 +70,7 @@
      * @param datagrams sends and receives messages
      * @param timer schedules tasks on the traffic thread
      * @param dayMillis returns the time of day
+     * @param socketDelay how long messages may have waited to be read
      * @return the exchange
      */
     public static QuotaExchange start(
@@ -73,11 +79,13 @@
             long firstNumber,
             Datagrams datagrams,
             LoadExchange.Timer timer,
-            LongSupplier dayMillis) {
+            LongSupplier dayMillis,
+            SocketDelay socketDelay) {
         Objects.requireNonNull(self, "self is null");
         Objects.requireNonNull(datagrams, "datagrams is null");
         QuotaExchange exchange =
-                new QuotaExchange(self, tolerance, firstNumber, datagrams, timer, dayMillis);
+                new QuotaExchange(
+                        self, tolerance, firstNumber, datagrams, timer, dayMillis, socketDelay);
         datagrams.onReceived(exchange::receive);
         return exchange;
     }
@@ -157,7 +165,12 @@
         try {
             QuotaMessage message = QuotaRecord.decode(bytes);
             detectFreeze();
-            member.receive(IpAddresses.format(from), message, timer.nowMillis());
+            long nowMillis = timer.nowMillis();
+            long sentMillis =
+                    nowMillis
+                            - socketDelay.maxMillis(
+                                    new DualTimestamp(nowMillis, dayMillis.getAsLong()));
+            member.receive(IpAddresses.format(from), message, sentMillis, nowMillis);
         } catch (TamaracktrackException unreadable) {
             // The sender runs another version. Its requests stay undecided, or ours do.
             LOG.info("event=quota-message-unreadable from=" + from);
