Assume that requests and their retries are up to 2.5 s on their way

Left by counting retries until they have arrived: credit is earned and lapses by when a request is read and a retry leaves, and both were assumed to be a second apart from the caller's and the target's view.

Credit lives 5.4 s in place of 5, so that the burst of retries that RetryAllowancesTest asks for (30 after steady traffic, when targets end) stays possible.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -24,8 +24,17 @@
      */
     private static final double SAFETY_FACTOR = 0.85;
 
-    /** Time in which a retry usually arrives at the target, or is lost. */
-    private static final long IN_FLIGHT_MILLIS = 1_000;
+    /**
+     * Time in which a request usually arrives at this daemon and its retry at the target, or is
+     * lost: enough for a link that loses several packets in a row.
+     */
+    private static final long IN_FLIGHT_MILLIS = 2_500;
+
+    /**
+     * Lifetime of credit, relative to the window. A longer one pays for larger bursts of retries,
+     * as when targets end, and for fewer retries per request.
+     */
+    private static final double CREDIT_LIFETIME_RATIO = 0.54;
 
     /** Upper bound of the rounding errors of sums. */
     private static final double ROUNDING = 1e-6;
@@ -212,7 +221,7 @@
     }
 
     private long creditLifetimeMillis() {
-        return budget.windowMillis() / 2;
+        return (long) (budget.windowMillis() * CREDIT_LIFETIME_RATIO);
     }
 
     // Between two bursts of requests the credits of both could be spent in one window, so credit is
