Test the lease with processes whose clocks run on while they are stopped

Looked for the class elsewhere: the lease counts its validity by the monotonic clock, which runs on under SIGSTOP, so that it expires by itself. 300 drawn histories keep the pause between two holders; nothing had to change.

--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseScenario.java
@@ -34,23 +34,33 @@
     private long logUnavailableUntilMillis;
     private boolean failuresEnded;
     private final boolean logIsRestored;
+    private final boolean clocksRunOn;
     private long logEra = 1;
 
-    private ConditionalLeaseScenario(Random random, Terms terms, boolean restores) {
+    private ConditionalLeaseScenario(
+            Random random, Terms terms, boolean restores, boolean clocksRunOn) {
         this.random = random;
         this.logIsRestored = restores;
+        this.clocksRunOn = clocksRunOn;
         for (int number = 0; number < PROCESSES; number++) {
             processes.add(new Process("process-" + number, terms));
         }
     }
 
     static ConditionalLeaseScenario of(long seed, Terms terms) {
-        return new ConditionalLeaseScenario(new Random(seed), terms, false);
+        return new ConditionalLeaseScenario(new Random(seed), terms, false, false);
     }
 
     /** Returns a scenario whose log is restored from a copy from time to time. */
     static ConditionalLeaseScenario withRestoredLog(long seed, Terms terms) {
-        return new ConditionalLeaseScenario(new Random(seed), terms, true);
+        return new ConditionalLeaseScenario(new Random(seed), terms, true, false);
+    }
+
+    /**
+     * Returns a scenario whose processes are stopped by signals, which lets their clocks run on.
+     */
+    static ConditionalLeaseScenario withStoppedProcesses(long seed, Terms terms) {
+        return new ConditionalLeaseScenario(new Random(seed), terms, false, true);
     }
 
     /** A time at which a process considered itself allowed to act as the holder. */
@@ -105,7 +115,7 @@
 
         Optional<HolderAction> step() {
             if (isFrozen()) {
-                totalFrozenMillis += STEP_MILLIS;
+                totalFrozenMillis += clocksRunOn ? 0 : STEP_MILLIS;
                 return Optional.empty();
             }
             if (freezeDetector.detectFreeze(monotonicMillis(), nowMillis)) {
--- a/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/lease/ConditionalLeaseTest.java
@@ -41,6 +41,17 @@
                     ConditionalLeaseScenario.of(seed, Terms.of(3_000, 0)).run(90_000));
         }
 
+        // Guards against a lease that is kept by a process which was stopped by a signal: its
+        // clocks
+        // run on, so that no jump of a clock shows the pause.
+        @Property(seed = "98", tries = 300)
+        void shouldKeepThePauseBetweenHoldersWhenProcessesAreStopped(
+                @ForAll @LongRange(max = 1_000_000) long seed) {
+            assertPausesBetweenHolders(
+                    ConditionalLeaseScenario.withStoppedProcesses(seed, Terms.of(3_000, 0))
+                            .run(90_000));
+        }
+
         // Guards against two holders with the same term, or without a pause between them, after the
         // log was restored from a copy: the offsets that serve as terms are assigned again, and
         // some processes learn of the restore seconds after others.
