Test the pace of loads from the weight store with orders that are carried out late

Looked for the class elsewhere: a load counts when it is ordered, and an order without an answer may be carried out 2 to 12 s later.

--- a/core/src/test/java/org/tamaracktrack/core/copies/StoreLoadLimiterTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/StoreLoadLimiterTest.java
@@ -8,8 +8,13 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
 
 class StoreLoadLimiterTest {
+    private static final double SMALL_SITE_RATE = 2.5;
+    private static final int SMALL_SITE_ENGINES = 8;
+    private static final double LARGE_SITE_RATE = 8.5;
+    private static final int LARGE_SITE_ENGINES = 42;
 
     @Property(seed = "95", tries = 50)
     void shouldKeepEveryWindowWithinTheLimitOfTheStore(
@@ -73,6 +78,29 @@
         }
     }
 
+    // Orders are left unanswered and carried out 2 to 12 s later, beside those of a later window.
+    // Guards against more loads in a window than the weight store allows.
+    @Property(seed = "99", tries = 60)
+    void shouldKeepWindowsWithinTheBoundWhenOrdersAreCarriedOutLate(
+            @ForAll @LongRange(max = 1_000_000) long seed,
+            @ForAll @DoubleRange(max = 0.9) double unansweredRatio,
+            @ForAll boolean large) {
+        double rate = large ? LARGE_SITE_RATE : SMALL_SITE_RATE;
+        int engines = large ? LARGE_SITE_ENGINES : SMALL_SITE_ENGINES;
+
+        List<Long> startedMillis = LateLoadSimulation.run(seed, engines, rate, unansweredRatio);
+
+        assertThat(startedMillis).isNotEmpty();
+        startedMillis.forEach(
+                from -> {
+                    long inWindow =
+                            startedMillis.stream()
+                                    .filter(at -> at >= from && at < from + 5_000)
+                                    .count();
+                    assertThat((double) inWindow).isAtMost(rate * 5 * 1.1 + 3);
+                });
+    }
+
     private static void recordLoads(
             StoreLoadLimiter limiter,
             double rate,
