Keep the attempt at a silent target until another target has answered

Callers got 502, or a stream that broke off in the middle, although nobody was down: their target was silent for a second or so and went on. Most were seen beside a large configuration, which slows daemons and targets at once.

Cause: after 1,000 ms of silence the connection was closed, and only then the retry allowance, the gate, the quarantine and the next target were asked. Each of them may say no; a sound answer that was on its way was thrown away. The class: something that can't be taken back is done before its successor is certain.

Now the request is sent to another target beside the silent one (HedgedAttempt), if it may be repeated and a retry is allowed (HedgePolicy); it goes on with the target that sends a part of an answer first, and the other attempt ends at that moment. A refusal, a failure or a silence of the other target changes nothing for the caller. If the silent target breaks its connection, the attempt that is under way takes over without another retry.

The same cause elsewhere: a target that had left the registry was given up after a second of silence, also for requests that may run only once; it is now given up only when its host doesn't answer, nothing listens at its address, or another target has it (TargetReachability). A caller that reads slowly made its target look silent. A silence made the target unreachable for a second and counted as a failure; now the target is avoided while another one can take the request, until it sends something.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
@@ -21,6 +21,8 @@
     public enum Next {
         /** Retry the request at another target. */
         AGAIN,
+        /** Go on with the attempt that was already made at another target. */
+        HEDGED,
         /** Pass the error of the target on to the caller. */
         PASS_ON,
         /** Tell the caller that the request did not run. */
@@ -149,6 +151,15 @@
         return new Decision(decide(end, history, payment), payment);
     }
 
+    /**
+     * Returns the decision for a request that was already sent to another target.
+     *
+     * @return the request goes on there
+     */
+    public static Decision hedged() {
+        return new Decision(Next.HEDGED, Payment.NONE);
+    }
+
     /**
      * Decides how a request ends after a failed attempt that is not followed by another.
      *
--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/HedgePolicy.java
@@ -0,0 +1,62 @@
+package org.tamaracktrack.core.dispatch;
+
+import org.tamaracktrack.core.route.Route;
+
+/**
+ * Decides whether a request whose target is silent is sent to another target as well. The silent
+ * target may go on at any moment, so the request stays there until the other one answers.
+ */
+public final class HedgePolicy {
+    /** Refusals after which the other targets are probably full as well. */
+    private static final int MAX_REFUSALS = 3;
+
+    /** Failed connection attempts after which no further target is tried. */
+    private static final int MAX_CONNECTION_FAILURES = 3;
+
+    private HedgePolicy() {}
+
+    /** Whether a request is sent to another target as well, or why not. */
+    public enum Decision {
+        /** The request is sent to another target as well. */
+        SEND,
+        /** The request may run only once. */
+        NOT_REPEATABLE,
+        /** The request was sent to as many targets as it may be. */
+        ATTEMPTS_EXHAUSTED,
+        /** The retry allowance is exhausted. */
+        DENIED,
+        /** No other target could answer in the remaining time. */
+        NO_TARGET
+    }
+
+    /**
+     * Decides whether a request is sent to another target as well. Nothing is taken from the
+     * allowance yet.
+     *
+     * @param route the route of the request
+     * @param history the attempts before the one at the silent target
+     * @param allowance the retry allowance of the service at this daemon
+     * @param hasTarget whether another target could answer in the remaining time
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the decision
+     */
+    public static Decision decide(
+            Route route,
+            FailurePolicy.History history,
+            RetryAllowance allowance,
+            boolean hasTarget,
+            long nowMillis) {
+        if (!route.repeatable()) {
+            return Decision.NOT_REPEATABLE;
+        }
+        if (history.possibleExecutions() + 1 >= route.maximumAttempts()
+                || history.refusals() >= MAX_REFUSALS
+                || history.connectionFailures() >= MAX_CONNECTION_FAILURES) {
+            return Decision.ATTEMPTS_EXHAUSTED;
+        }
+        if (!hasTarget) {
+            return Decision.NO_TARGET;
+        }
+        return allowance.allowsRetry(nowMillis) ? Decision.SEND : Decision.DENIED;
+    }
+}
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -32,6 +32,9 @@
     /** Time for which a target receives no requests after a connection could not be opened. */
     private static final long UNREACHABLE_MILLIS = 1_000;
 
+    /** Time for which a silent target is avoided unless it sends something. */
+    private static final long SILENCE_MILLIS = 2_000;
+
     /** Time for which an ended target receives no requests; the registry drops it well before. */
     private static final long ENDED_MILLIS = 10_000;
 
@@ -51,6 +54,7 @@
     private int ownPendingTokens;
     private long unreachableUntilMillis = Long.MIN_VALUE;
     private long lastContactMillis = Long.MIN_VALUE / 2;
+    private long silentUntilMillis = Long.MIN_VALUE;
 
     /**
      * Records that a request is sent to the target.
@@ -217,6 +221,27 @@
      */
     public void recordContact(long nowMillis) {
         lastContactMillis = nowMillis;
+        silentUntilMillis = Long.MIN_VALUE;
+    }
+
+    /**
+     * Records that the target has sent nothing for some time although it has requests. It may have
+     * ended, or go on at any moment.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordSilence(long nowMillis) {
+        silentUntilMillis = nowMillis + SILENCE_MILLIS;
+    }
+
+    /**
+     * Returns whether the target should receive a request only if no other target can.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return true for some time after a silence, until the target sends something
+     */
+    public boolean isSilent(long nowMillis) {
+        return nowMillis < silentUntilMillis;
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
@@ -53,6 +53,9 @@
     /** Cost of a target that fails all requests. */
     private static final double FAILURE_PENALTY_MILLIS = 4_000;
 
+    /** Cost of a target that may have ended; above that of any other. */
+    private static final double SILENCE_PENALTY_MILLIS = 60_000;
+
     /**
      * Scale of the random noise: targets whose cost differs by less are selected about equally
      * often. Without noise, daemons with the same information would all select the same target.
@@ -172,7 +175,8 @@
         double distance = entry.dataCentre().equals(ownDataCentre) ? 0 : distanceMillis(request);
         double failurePenalty = load.failureShare(nowMillis) * FAILURE_PENALTY_MILLIS;
         double crowding = request.need().isPresent() ? crowdingMillis(load, entry, nowMillis) : 0;
-        double cost = firstPieceMillis + crowding + distance + failurePenalty;
+        double silencePenalty = load.isSilent(nowMillis) ? SILENCE_PENALTY_MILLIS : 0;
+        double cost = firstPieceMillis + crowding + distance + failurePenalty + silencePenalty;
         return new Selection(
                 entry, firstPieceMillis, cost + spreadMillis(request) * gumbelNoise(draw));
     }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -65,6 +65,40 @@
         }
     }
 
+    @Nested
+    class SilentTargets {
+
+        @Test
+        void shouldSelectOtherTargetWhenOneIsSilent() {
+            load("near").recordSilence(NOW - 500);
+
+            assertThat(select(request(), List.of())).hasValue("far");
+        }
+
+        // Guards against requests that are refused because the only target was silent for a moment.
+        @Test
+        void shouldSelectSilentTargetWhenThereIsNoOther() {
+            load("near").recordSilence(NOW - 500);
+
+            assertThat(select(request(), List.of(TargetId.of("far")))).hasValue("near");
+        }
+
+        @Test
+        void shouldSelectTargetAgainWhenItHasSentSomething() {
+            load("near").recordSilence(NOW - 500);
+            load("near").recordContact(NOW - 10);
+
+            assertThat(select(request(), List.of())).hasValue("near");
+        }
+
+        @Test
+        void shouldTryTargetAgainWhenItIsSilentForLong() {
+            load("near").recordSilence(NOW - 2_500);
+
+            assertThat(select(request(), List.of())).hasValue("near");
+        }
+    }
+
     @Nested
     class SoftwareVersions {
         private final FleetSnapshot versions =
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -14,6 +14,7 @@
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
+import org.tamaracktrack.core.dispatch.HedgePolicy;
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -38,7 +39,7 @@
  * Forwards one request of a caller, from its last byte to the end of the response. Used on the
  * traffic thread.
  */
-final class ForwardedRequest implements TargetAttempt.Listener, GatewayResponse.FlowListener {
+final class ForwardedRequest implements HedgedAttempt.Owner, GatewayResponse.FlowListener {
     private static final int SUCCESS = 200;
     private static final int FIRST_NON_SUCCESS = 300;
 
@@ -65,11 +66,13 @@
     private final HeaderMap headers;
     private final PieceTimes pieces;
     private final RequestQuarantineState quarantineState;
-    private final RetryProgress retryProgress;
+    private final SilenceLog silenceLog;
     private final boolean callerReturned;
     private final List<TargetEntry> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
     private Optional<TargetAttempt> attempt = Optional.empty();
+    private Optional<HedgedAttempt> hedge = Optional.empty();
+    private RetryProgress retryProgress;
     private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
     private Optional<XnioExecutor.Key> deadlineTimer = Optional.empty();
     private long retryAfterMillis;
@@ -112,6 +115,7 @@
         this.quarantineState =
                 RequestQuarantineState.of(context, exchange, body, metadata.sharedParts());
         this.retryProgress = RetryProgress.of(context, metadata.attempt());
+        this.silenceLog = SilenceLog.of(context, metadata.attempt());
         this.response = GatewayResponse.of(exchange, context::leaving, this);
     }
 
@@ -256,12 +260,28 @@
     }
 
     private void send(TargetEntry entry) {
+        TargetAttempt next = newAttempt(entry, this);
+        attempt = Optional.of(next);
+        next.send(outgoingRequest(entry));
+    }
+
+    private TargetAttempt newAttempt(TargetEntry entry, TargetAttempt.Listener listener) {
         tried.add(entry);
         if (response.hasBegun()) {
             context.metrics()
                     .recordContinuation(
                             dispatchRequest.service(), dispatchRequest.fitsVersionOf(entry));
         }
+        return TargetAttempt.of(
+                context,
+                entry,
+                dispatchRequest,
+                metadata.attempt(),
+                route.kind() == RouteKind.STREAMING,
+                listener);
+    }
+
+    private TargetAttempt.OutgoingRequest outgoingRequest(TargetEntry entry) {
         long remainingMillis = deadline.remainingMillis();
         Map<String, String> targetHeaders =
                 context.protocol()
@@ -274,20 +294,13 @@
                                         lastEventId(),
                                         authorization.account().map(Account::id),
                                         context.keysRequired()));
-        TargetAttempt.OutgoingRequest outgoingRequest =
-                new TargetAttempt.OutgoingRequest(
-                        exchange.getRequestMethod().toString(),
-                        CallerPath.of(exchange),
-                        targetHeaders,
-                        body,
-                        remainingMillis,
-                        route.repeatable());
-        boolean streamed = route.kind() == RouteKind.STREAMING;
-        TargetAttempt next =
-                TargetAttempt.of(
-                        context, entry, dispatchRequest, metadata.attempt(), streamed, this);
-        attempt = Optional.of(next);
-        next.send(outgoingRequest);
+        return new TargetAttempt.OutgoingRequest(
+                exchange.getRequestMethod().toString(),
+                CallerPath.of(exchange),
+                targetHeaders,
+                body,
+                remainingMillis,
+                route.repeatable());
     }
 
     private OptionalInt accountPriority() {
@@ -349,19 +362,109 @@
         }
     }
 
-    // A repeatable request is sent to another target. Any other is abandoned only when the registry
-    // has dropped the target as well.
+    // A silent target may go on at any moment. So the attempt ends only when another target has
+    // answered, or when its target is known to have ended.
     private void onTargetSilent(TargetAttempt silentAttempt) {
-        boolean gone = !context.isKnown(silentAttempt.entry().incarnation());
-        boolean mayGoElsewhere =
-                route.repeatable()
-                        && history.possibleExecutions() + 1 < route.maximumAttempts()
-                        && selectTarget().isPresent();
-        if (gone || mayGoElsewhere) {
+        silentAttempt.recordSilence();
+        if (hedge.filter(pending -> !isSilent(pending.attempt())).isPresent()) {
+            return;
+        }
+        FailurePolicy.History hedgeHistory =
+                hedge.isPresent() ? history.after(AttemptEnd.LOST) : history;
+        Optional<TargetEntry> other = selectForHedge();
+        HedgePolicy.Decision decision =
+                HedgePolicy.decide(
+                        route,
+                        hedgeHistory,
+                        context.retryAllowance(service()),
+                        other.isPresent(),
+                        context.nowMillis());
+        silenceLog.record(silentAttempt, decision, other, deadline.remainingMillis());
+        if (decision == HedgePolicy.Decision.SEND) {
+            hedge.ifPresent(pending -> dropHedge(pending, "silent"));
+            sendHedge(other.orElseThrow());
+        } else if (!context.isKnown(silentAttempt.entry().incarnation())
+                && context.targetReachability().hasEnded(silentAttempt.entry())) {
             silentAttempt.abandon();
         }
     }
 
+    private boolean isSilent(TargetAttempt pending) {
+        boolean silent = SilentTargetMonitor.isSilent(pending, context.nowMillis());
+        if (silent) {
+            pending.recordSilence();
+        }
+        return silent;
+    }
+
+    private Optional<TargetEntry> selectForHedge() {
+        if (!route.repeatable()
+                || context.gate().isClosed()
+                || !isStillAllowed()
+                || quarantineState.isTrial()) {
+            return Optional.empty();
+        }
+        long nowMillis = context.nowMillis();
+        return selectTarget()
+                .filter(selection -> selection.firstPieceMillis() <= deadline.remainingMillis())
+                .map(TargetSelector.Selection::entry)
+                .filter(entry -> !context.loads().of(entry.incarnation()).isSilent(nowMillis));
+    }
+
+    private void sendHedge(TargetEntry entry) {
+        HedgedAttempt next = HedgedAttempt.of(this, retryProgress.ofFurtherSend());
+        TargetAttempt hedgedAttempt = newAttempt(entry, next);
+        hedge = Optional.of(next);
+        next.send(hedgedAttempt, outgoingRequest(entry));
+    }
+
+    @Override
+    public void onContact() {
+        hedge.ifPresent(pending -> dropHedge(pending, "target_resumed"));
+    }
+
+    private void dropHedge(HedgedAttempt pending, String outcome) {
+        hedge = Optional.empty();
+        if (pending.attempt().mayHaveBeenSent()) {
+            history = history.after(AttemptEnd.LOST);
+        }
+        pending.cancel();
+        silenceLog.recordHedgeEnd(pending.attempt(), outcome);
+    }
+
+    @Override
+    public void onHedgeAnswered(HedgedAttempt answered) {
+        attempt.ifPresent(
+                silent -> {
+                    history = history.after(AttemptEnd.LOST);
+                    retryProgress.recordEnd();
+                    events.discardPartialEvent();
+                    silent.cancel();
+                    silenceLog.recordLeft(silent, answered.attempt());
+                });
+        continueWith(answered);
+    }
+
+    private void continueWith(HedgedAttempt answered) {
+        hedge = Optional.empty();
+        attempt = Optional.of(answered.attempt());
+        retryProgress = answered.progress();
+        answered.takeOver();
+    }
+
+    @Override
+    public void onHedgeFailed(HedgedAttempt failed, AttemptEnd end) {
+        if (hedge.filter(failed::equals).isEmpty()) {
+            return;
+        }
+        hedge = Optional.empty();
+        history = history.after(end);
+        if (end == AttemptEnd.WITHHELD) {
+            tried.remove(failed.attempt().entry());
+        }
+        silenceLog.recordHedgeEnd(failed.attempt(), end.name());
+    }
+
     private void onDeadline() {
         if (done) {
             return;
@@ -445,7 +548,7 @@
         }
         if (events.hasPartialEvent()) {
             attempt.filter(TargetAttempt::endsWithConnection)
-                    .ifPresent(cut -> onConnectionBroken(true));
+                    .ifPresent(cut -> onConnectionBroken(cut, true));
             onAttemptEnded(AttemptEnd.CUT, Optional.empty());
             return;
         }
@@ -503,11 +606,8 @@
     }
 
     @Override
-    public void onConnectionBroken(boolean ran) {
-        attempt.ifPresent(
-                broken ->
-                        quarantineState.recordBrokenConnection(
-                                broken.entry(), ran, broken.progress()));
+    public void onConnectionBroken(TargetAttempt broken, boolean ran) {
+        quarantineState.recordBrokenConnection(broken.entry(), ran, broken.progress());
     }
 
     @Override
@@ -530,16 +630,7 @@
             target.ifPresent(tried::remove);
         }
         RetryAllowance allowance = context.retryAllowance(service());
-        FailurePolicy.Decision decision =
-                mayHaveEndedTarget(end, progress)
-                        ? FailurePolicy.giveUp(end, history)
-                        : FailurePolicy.decide(
-                                route,
-                                end,
-                                history,
-                                deadline.remainingMillis(),
-                                allowance,
-                                nowMillis);
+        FailurePolicy.Decision decision = decide(end, progress, allowance, nowMillis);
         RetryAllowance.State allowanceState = allowance.state(nowMillis);
         context.metrics()
                 .recordRetryDecision(
@@ -559,6 +650,17 @@
         apply(decision.next(), end, failure);
     }
 
+    private FailurePolicy.Decision decide(
+            AttemptEnd end, AnswerProgress progress, RetryAllowance allowance, long nowMillis) {
+        if (hedge.isPresent()) {
+            return FailurePolicy.hedged();
+        }
+        return mayHaveEndedTarget(end, progress)
+                ? FailurePolicy.giveUp(end, history)
+                : FailurePolicy.decide(
+                        route, end, history, deadline.remainingMillis(), allowance, nowMillis);
+    }
+
     // A target that ends because of a request does so when it begins to answer. Such a request is
     // not sent to the next target as well, unless other answers show that its prompt is harmless.
     private boolean mayHaveEndedTarget(AttemptEnd end, AnswerProgress progress) {
@@ -573,6 +675,7 @@
             Optional<TargetAttempt.TargetFailure> failure) {
         switch (next) {
             case AGAIN -> retry();
+            case HEDGED -> continueWith(hedge.orElseThrow());
             case PASS_ON -> forwardFailure(failure.orElseThrow());
             case REFUSE -> respondWithFailure(ErrorCode.NO_TARGET, "refused_by_target");
             case UNKNOWN -> respondWithFailure(ErrorCode.OUTCOME_UNKNOWN, end.name());
@@ -647,6 +750,7 @@
 
     private void finish(String outcome, int status) {
         done = true;
+        hedge.ifPresent(pending -> dropHedge(pending, outcome));
         attempt = Optional.empty();
         retryProgress.recordEnd();
         stopWaiting();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -85,6 +85,7 @@
     private final ProvenParts provenParts = ProvenParts.empty();
     private final Trials trials = Trials.none();
     private final TargetEndDetector targetEndDetector = new TargetEndDetector(this);
+    private final TargetReachability targetReachability = new TargetReachability(this);
     private final StalenessGate gate =
             new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
     private final LinkCheck linkCheck;
@@ -275,6 +276,10 @@
         return targetEndDetector;
     }
 
+    TargetReachability targetReachability() {
+        return targetReachability;
+    }
+
     StalenessGate gate() {
         return gate;
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
+import org.tamaracktrack.core.dispatch.HedgePolicy;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
@@ -103,6 +104,16 @@
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
 
+    /** Counts a decision about a request whose target is silent. */
+    void recordSilence(HedgePolicy.Decision decision) {
+        registry.counter("tamaracktrack.gateway.silences", "hedge", decision.name()).increment();
+    }
+
+    /** Counts the end of an attempt that was made beside one whose target was silent. */
+    void recordHedgeEnd(String outcome) {
+        registry.counter("tamaracktrack.gateway.hedges", "outcome", outcome).increment();
+    }
+
     /**
      * Counts a stream that goes on at another target within one response.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestQuarantineState.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestQuarantineState.java
@@ -112,6 +112,11 @@
         return Optional.empty();
     }
 
+    /** Returns whether the request is sent as a trial of a held suspect. */
+    boolean isTrial() {
+        return !trials.isEmpty();
+    }
+
     /** Returns whether no target has recently answered a prompt with one of the shared parts. */
     boolean hasUnprovenPart(ServiceId service) {
         return computeParts(service).stream().anyMatch(part -> !context.isProven(part));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -36,6 +36,14 @@
         return new RetryProgress(context, attempt);
     }
 
+    /** Returns the progress of a further send beside this one, which has been decided on now. */
+    RetryProgress ofFurtherSend() {
+        RetryProgress further = new RetryProgress(context, attempt);
+        further.sentBefore = true;
+        further.recordDecision();
+        return further;
+    }
+
     /** Records that a retry was decided on. */
     void recordDecision() {
         decidedMillis = context.nowMillis();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/SilentTargetMonitor.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/SilentTargetMonitor.java
@@ -58,6 +58,11 @@
                 .scheduleCheck(SILENCE_LIMIT_MILLIS);
     }
 
+    /** Returns whether the target of an attempt is silent. */
+    static boolean isSilent(TargetAttempt attempt, long nowMillis) {
+        return attempt.silentMillis(nowMillis) >= SILENCE_LIMIT_MILLIS;
+    }
+
     private void scheduleCheck(long millis) {
         long dueMillis = context.nowMillis() + millis;
         context.after(millis, () -> onTimer(dueMillis));
@@ -76,10 +81,7 @@
             return;
         }
         long nowMillis = context.nowMillis();
-        currentAttempt
-                .get()
-                .filter(current -> current.millisSinceContact(nowMillis) >= SILENCE_LIMIT_MILLIS)
-                .ifPresent(onSilent);
+        currentAttempt.get().filter(current -> isSilent(current, nowMillis)).ifPresent(onSilent);
         if (!requestEnded.getAsBoolean()) {
             scheduleCheck(CHECK_INTERVAL_MILLIS);
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -73,6 +73,7 @@
     private boolean established;
     private boolean withheld;
     private boolean sendingBegun;
+    private boolean paused;
 
     private enum Mode {
         NO_HEAD,
@@ -125,15 +126,19 @@
         /** Called when the target has begun to answer. */
         void onAnswering();
 
+        /** Called when the target has sent a part of an answer that is not a failure. */
+        void onContact();
+
         /** Called when the target goes on writing the answer some time after it began. */
         void onEstablished();
 
         /**
          * Called when the connection to the target has broken; {@code onFailed} follows.
          *
+         * @param broken the attempt
          * @param ran whether the target is known to have run the request
          */
-        void onConnectionBroken(boolean ran);
+        void onConnectionBroken(TargetAttempt broken, boolean ran);
     }
 
     /** A failure response of a target. */
@@ -257,10 +262,13 @@
     }
 
     void pause() {
+        paused = true;
         stream.ifPresent(HttpStream::pause);
     }
 
     void resume() {
+        paused = false;
+        lastContactMillis = context.nowMillis();
         stream.ifPresent(HttpStream::resume);
     }
 
@@ -299,13 +307,21 @@
 
     /**
      * Returns the time since this attempt or any other at the target last received something, in
-     * milliseconds.
+     * milliseconds. While nothing is read from the target, because the caller reads slowly, the
+     * target is not silent.
      */
-    long millisSinceContact(long nowMillis) {
-        return Math.min(nowMillis - lastContactMillis, load.millisSinceContact(nowMillis));
+    long silentMillis(long nowMillis) {
+        return paused
+                ? 0
+                : Math.min(nowMillis - lastContactMillis, load.millisSinceContact(nowMillis));
+    }
+
+    /** Records that the target is silent, so that requests are sent to others. */
+    void recordSilence() {
+        load.recordSilence(context.nowMillis());
     }
 
-    /** Abandons the attempt because its target is silent; the request may have run. */
+    /** Abandons the attempt because its target has ended; the request may have run. */
     void abandon() {
         load.recordConnectionFailure(context.nowMillis());
         failAndClose(AttemptEnd.LOST);
@@ -373,9 +389,11 @@
             mode = Mode.FAILURE;
         } else if (streamed) {
             mode = Mode.STREAMING;
+            listener.onContact();
             listener.onStreamBegin(status, headers);
         } else {
             mode = Mode.BUFFERING;
+            listener.onContact();
         }
     }
 
@@ -386,6 +404,9 @@
         }
         recordStreamEvent();
         recordContact();
+        if (mode != Mode.FAILURE) {
+            listener.onContact();
+        }
         if (mode == Mode.STREAMING) {
             listener.onBytes(ByteBuffer.wrap(bytes));
             return;
@@ -439,7 +460,7 @@
             load.recordOutcome(true, context.nowMillis());
         }
         if (brokenByTarget(failure)) {
-            listener.onConnectionBroken(hasRun());
+            listener.onConnectionBroken(this, hasRun());
         }
         notifyFailed(kind, Optional.empty());
     }
