Discard expired requests of retry allowances when requests arrive

Operators saw a daemon whose memory grew with each request of a service as long as no request of it had to be retried; so did the work of the next decision on a retry, which discarded the whole backlog at once, and of each suspension, which copies it. Cause: RetryAllowance discarded expired requests and credit only when a retry was decided on, in state() and in allowsRetry(). A service whose targets answer never gets there.

Now recordRequest discards what has expired. The queues are ordered by age, so each request is removed once, and what is kept is bounded by the requests of a window. What has expired can't count again, as time doesn't run back and a suspension only ages requests, so decisions stay the same; a reload to a longer window starts with the requests of the shorter one, which allows fewer retries.

Evidence: shouldForgetOldRequestsWhenThereAreNoRetries failed without the call to expire() in recordRequest (5,000 of 5,000 requests were kept, at most 500 are within the window) and passes with it. It needs an accessor, since state() discards before it counts. RetryAllowanceTest, RetryAllowancesTest, FleetRetryBudgetTest, FailurePolicyTest, SlackShareTest and RetryBudgetProcessTest pass. The bytes kept per request and the time of a decision were not measured.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -128,8 +128,10 @@
      *
      * @param sentMillis the earliest time at which the caller may have sent it, by the monotonic
      *     clock, in milliseconds
+     * @param nowMillis the monotonic time in milliseconds
      */
-    public void recordRequest(long sentMillis) {
+    public void recordRequest(long sentMillis, long nowMillis) {
+        expire(nowMillis);
         requests.add(sentMillis);
         credits.add(new Credit(sentMillis, 1));
         unspentRequests++;
@@ -208,6 +210,11 @@
                 Math.max(0, remainingSlack(nowMillis)));
     }
 
+    // For tests: state() discards expired requests before it counts.
+    int trackedRequests() {
+        return requests.size();
+    }
+
     // Requests of a window, and those sent before it within the lifetime of credit and the time in
     // flight, can pay for the retries that arrive in it.
     private double creditPerRequest() {
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
@@ -40,7 +40,7 @@
             int skewedDraw = random.nextInt(daemons * daemons);
             RetryAllowance allowance = allowances.get((int) Math.sqrt(skewedDraw));
             if (random.nextInt(4) == 0) {
-                allowance.recordRequest(now);
+                allowance.recordRequest(now, now);
                 requests.add(now);
             }
             long sentAt = now;
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
@@ -28,7 +28,7 @@
                         index ->
                                 allowances
                                         .allowance(SERVICE, at(atMillis, atMillis))
-                                        .recordRequest(atMillis));
+                                        .recordRequest(atMillis, atMillis));
     }
 
     private int acquireAll(ServiceId service, long steadyMillis, long dayMillis) {
@@ -99,7 +99,7 @@
         void shouldNotEarnFromRequestsSentDuringFreeze() {
             allowances.allowance(SERVICE, at(100, 8_100));
             RetryAllowance other = allowances.allowance(OTHER, at(150, 8_150));
-            IntStream.range(0, 100).forEach(index -> other.recordRequest(150 - 8_000));
+            IntStream.range(0, 100).forEach(index -> other.recordRequest(150 - 8_000, 150));
 
             assertThat(acquireAll(OTHER, 150, 8_150)).isEqualTo(0);
         }
@@ -108,7 +108,7 @@
         @Test
         void shouldNotEarnFromRequestsThatWaitedWhileProcessWasStopped() {
             RetryAllowance allowance = allowances.allowance(SERVICE, at(8_100, 8_100));
-            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(100));
+            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(100, 8_100));
 
             assertThat(acquireAll(SERVICE, 8_100, 8_100)).isEqualTo(0);
         }
@@ -117,7 +117,7 @@
         @Test
         void shouldEarnFromRequestsThatWaitedShortly() {
             RetryAllowance allowance = allowances.allowance(SERVICE, at(1_300, 1_300));
-            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(1_000));
+            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(1_000, 1_300));
 
             assertThat(acquireAll(SERVICE, 1_300, 1_300)).isAtLeast(10);
         }
@@ -126,7 +126,7 @@
         void shouldEarnAgainFromRequestsAfterFreeze() {
             allowances.allowance(SERVICE, at(100, 8_100));
             RetryAllowance allowance = allowances.allowance(SERVICE, at(1_200, 9_200));
-            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(1_200));
+            IntStream.range(0, 100).forEach(index -> allowance.recordRequest(1_200, 1_200));
 
             assertThat(acquireAll(SERVICE, 1_200, 9_200)).isAtLeast(10);
         }
@@ -144,6 +144,15 @@
     @Nested
     class OrderOfRequests {
 
+        // Guards against memory that grows with each request while nothing has to be retried.
+        @Test
+        void shouldForgetOldRequestsWhenThereAreNoRetries() {
+            IntStream.range(0, 5_000).forEach(index -> recordRequests(1, index * 20L));
+
+            assertThat(allowances.allowance(SERVICE, at(100_000, 100_000)).trackedRequests())
+                    .isAtMost(500);
+        }
+
         // Guards against credit that outlives its request because a more recent request was
         // recorded before it.
         @Test
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
@@ -242,7 +242,9 @@
         void readRequests() {
             while (unreadRequests > 0) {
                 unreadRequests--;
-                allowance().recordRequest(steadyMillis() - socketDelay.maxMillis(now()));
+                allowance()
+                        .recordRequest(
+                                steadyMillis() - socketDelay.maxMillis(now()), steadyMillis());
             }
         }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -200,8 +200,9 @@
      * @param arrivedMillis when its head was read
      */
     void recordRequest(ServiceId service, long arrivedMillis) {
-        long sentMillis = arrivedMillis - socketDelay.maxMillis(now());
-        retryAllowance(service).recordRequest(sentMillis);
+        DualTimestamp now = now();
+        long sentMillis = arrivedMillis - socketDelay.maxMillis(now);
+        retryAllowances.allowance(service, now).recordRequest(sentMillis, now.steadyMillis());
     }
 
     /** Returns how long data may have waited in the sockets that this daemon reads. */
