--- a/core/src/main/java/org/tamaracktrack/core/delay/SocketDelay.java
+++ b/core/src/main/java/org/tamaracktrack/core/delay/SocketDelay.java
@@ -14,7 +14,10 @@
  * suspended only by the time of day. Confined to the thread.
  */
 public final class SocketDelay {
-    /** The thread reads its sockets between two ticks, so later ticks find none of the backlog. */
+    /**
+     * Number of ticks for which a delay is remembered. The thread reads its sockets between two
+     * ticks, so by then none of the data that waited is left.
+     */
     private static final int BACKLOG_TICKS = 10;
 
     private final long intervalMillis;
