Send no requests to a target that has asked for a rest

Targets that refused a request and asked for 3 s of rest got 25 and 29 requests from the same daemon in that time, and callers whose targets all rested were told to come back in 0.3 s.

Cause: nothing read the Retry-After that a target states beside 503. Such an answer was a refusal like any other, after which the next request may go to the same target. The class: what a target states in its answers was not known where it is decided where to send.

It is asked when a target is selected and again right before the first byte, which first attempts, retries, hedges and trials of quarantined requests all pass; so a request that waits for its connection is withheld and goes elsewhere. No request begins in a rest, so two are never exceeded. Where all targets that could run a request rest, it is refused at once with the shortest rest as Retry-After, also while it waits for a model.

Not covered: a header that is sent twice (the first counts, since the HTTP client keeps only that); a refusal of an order or a request for a report, whose Retry-After is not read.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -228,7 +228,7 @@
                         context.view().fleet(),
                         context.loads()::of,
                         triedTargets(),
-                        context::connectionShare,
+                        context::maximumRequests,
                         context.nowMillis(),
                         context::draw);
     }
@@ -311,7 +311,25 @@
         return events.lastId().or(metadata::lastEventId);
     }
 
+    private OptionalLong shortestRestMillis() {
+        return context.restingTargets()
+                .shortestRemainingMillis(
+                        TargetSelector.candidates(dispatchRequest, context.view().fleet()));
+    }
+
+    private boolean refuseIfAllTargetsRest() {
+        OptionalLong restMillis = shortestRestMillis();
+        if (restMillis.isPresent()) {
+            retryAfterMillis = restMillis.getAsLong();
+            refuseOrFail("targets_rest");
+        }
+        return restMillis.isPresent();
+    }
+
     private void onNoTarget() {
+        if (refuseIfAllTargetsRest()) {
+            return;
+        }
         long timeoutMillis = deadline.firstPieceTimeoutMillis();
         OptionalLong loadMillis =
                 tried.isEmpty()
@@ -337,9 +355,11 @@
             return;
         }
         Optional<TargetSelector.Selection> selection = selectTarget();
-        if (selection.isPresent() && !done) {
+        if (selection.isPresent()) {
             stopWaiting();
             sendUnlessTooLate(selection.get());
+        } else {
+            refuseIfAllTargetsRest();
         }
     }
 
@@ -677,13 +697,18 @@
             case AGAIN -> retry();
             case HEDGED -> continueWith(hedge.orElseThrow());
             case PASS_ON -> forwardFailure(failure.orElseThrow());
-            case REFUSE -> respondWithFailure(ErrorCode.NO_TARGET, "refused_by_target");
+            case REFUSE -> passOnRefusal();
             case UNKNOWN -> respondWithFailure(ErrorCode.OUTCOME_UNKNOWN, end.name());
             case BREAK -> abortStream();
             default -> throw new AssertionError(next);
         }
     }
 
+    private void passOnRefusal() {
+        retryAfterMillis = shortestRestMillis().orElse(0);
+        respondWithFailure(ErrorCode.NO_TARGET, "refused_by_target");
+    }
+
     private void retry() {
         retryProgress.recordDecision();
         dispatch();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
+import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
@@ -416,6 +417,17 @@
         return context.takeClosingTargets();
     }
 
+    /**
+     * Returns whether a target has asked this daemon for a rest that has not ended. Safe for use by
+     * any thread.
+     *
+     * @param target the target
+     * @return whether it wants no request
+     */
+    public boolean isResting(TargetEntry target) {
+        return context.restingTargets().isResting(target);
+    }
+
     /**
      * Sets the source of the age of the registry's information, which is logged with each request.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -89,6 +89,7 @@
     private final StalenessGate gate =
             new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
     private final LinkCheck linkCheck;
+    private final RestingTargets restingTargets;
     private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
     private Runnable loadsChangeListener = () -> {};
     private Supplier<LoadExchange.PeerLoad> peerLoad = () -> LoadExchange.PeerLoad.NONE;
@@ -123,6 +124,7 @@
                         () -> view.fleet(),
                         ControlThread::nowMillis,
                         new SplittableRandom(random.nextLong()));
+        this.restingTargets = RestingTargets.of(ControlThread::nowMillis, this::draw, metrics);
     }
 
     HttpCaller http() {
@@ -330,6 +332,15 @@
         quotas.ifPresent(QuotaExchange::continueAlone);
     }
 
+    RestingTargets restingTargets() {
+        return restingTargets;
+    }
+
+    /** Returns the number of requests that this daemon may have at a target; 0 while it rests. */
+    int maximumRequests(TargetEntry entry) {
+        return restingTargets.permits(entry) ? connectionShare(entry) : 0;
+    }
+
     /** Returns the number of connections that this daemon may have to a target. */
     int connectionShare(TargetEntry entry) {
         int maximum =
@@ -477,10 +488,11 @@
 
     /**
      * Returns whether a request may be sent to a target now. Since it was selected, the target may
-     * have started to leave, or started again, possibly with other software.
+     * have started to leave, or started again, possibly with other software, or asked for a rest.
      */
     boolean maySendTo(TargetEntry selected) {
         return !gate.isClosed()
+                && restingTargets.permits(selected)
                 && view.fleet()
                         .entry(selected.incarnation().target())
                         .filter(entry -> entry.incarnation().equals(selected.incarnation()))
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -100,6 +100,12 @@
         registry.counter("tamaracktrack.gateway.connections.shed").increment();
     }
 
+    /** Counts a rest that a target has asked for. */
+    void recordRest(ServiceId service) {
+        registry.counter("tamaracktrack.gateway.target.rests", "service", service.value())
+                .increment();
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ResponseMetadata.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tamaracktrack.core.dispatch.ReportedLoad;
 
 /**
@@ -12,17 +13,23 @@
  * @param notRun whether the target states that it did not run the request
  * @param load the target's load
  * @param closesConnection whether the target closes the connection after this response
+ * @param restMillis for how long the target, which refused the request, wants no further request of
+ *     this daemon, in milliseconds, above 0; empty if it doesn't say so
  */
 public record ResponseMetadata(
         Optional<String> attempt,
         boolean verified,
         boolean notRun,
         Optional<ReportedLoad> load,
-        boolean closesConnection) {
+        boolean closesConnection,
+        OptionalLong restMillis) {
 
     /** Checks the arguments. */
     public ResponseMetadata {
         Objects.requireNonNull(attempt, "attempt is null");
         Objects.requireNonNull(load, "load is null");
+        if (restMillis.isPresent() && restMillis.getAsLong() <= 0) {
+            throw new IllegalArgumentException("restMillis must be positive: " + restMillis);
+        }
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -229,7 +229,11 @@
     }
 
     private boolean mustNotBegin() {
-        return !context.maySendTo(entry) || !listener.tryBeginSending();
+        if (!context.maySendTo(entry) || !listener.tryBeginSending()) {
+            return true;
+        }
+        context.restingTargets().recordSent(entry);
+        return false;
     }
 
     /** Returns whether bytes of the request may have reached the target. */
@@ -361,12 +365,17 @@
         listener.onAnswering();
         ResponseMetadata metadata =
                 context.protocol().parseResponse(responseStatus, responseHeaders);
+        metadata.restMillis()
+                .ifPresent(restMillis -> context.restingTargets().recordRest(entry, restMillis));
         // A late or extra response on a kept connection belongs to another request, and must not be
         // forwarded to this caller. The attempt id in the response shows this.
         if (!metadata.attempt().map(attemptId::equals).orElse(metadata.notRun())) {
             failAndClose(AttemptEnd.LOST);
             return;
         }
+        if (metadata.restMillis().isEmpty()) {
+            context.restingTargets().recordAnswer(entry);
+        }
         metadata.load().ifPresent(report -> load.recordReport(report, lastContactMillis));
         if (metadata.closesConnection()) {
             context.recordClosing(entry.incarnation().target());
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -58,6 +58,8 @@
 /** Tests the check of the target right before the first byte of a request is sent. */
 class LeavingTargetTest {
     private static final ServiceId SERVICE = ServiceId.of("plain");
+    private static final int REFUSED_STATUS = 503;
+    private static final long REST_MILLIS = 60_000;
     private static final DataCentreId HOME = DataCentreId.of("home");
 
     private final BlockingQueue<PendingCall> pendingCalls = new LinkedBlockingQueue<>();
@@ -146,7 +148,14 @@
 
         @Override
         public ResponseMetadata parseResponse(int status, Map<String, String> headers) {
-            return new ResponseMetadata(Optional.of("a1"), true, false, Optional.empty(), false);
+            boolean refused = status == REFUSED_STATUS;
+            return new ResponseMetadata(
+                    Optional.of("a1"),
+                    true,
+                    refused,
+                    Optional.empty(),
+                    false,
+                    refused ? OptionalLong.of(REST_MILLIS) : OptionalLong.empty());
         }
     }
 
@@ -272,6 +281,60 @@
         }
     }
 
+    // Guards against a request that waits for a connection while its target asks for a rest, and is
+    // sent there during the rest.
+    @Test
+    void shouldNotSendTheRequestWhenTheTargetAsksForRestWhileTheConnectionOpens() throws Exception {
+        try (Socket refused = lookup();
+                Socket late = lookup()) {
+            PendingCall first = nextCall();
+            PendingCall second = nextCall();
+            assertThat(first.maySend().getAsBoolean()).isTrue();
+
+            worker.getIoThread().execute(() -> first.listener().onHead(REFUSED_STATUS, Map.of()));
+            assertThat(status(refused)).isEqualTo("HTTP/1.1 503");
+
+            assertThat(second.maySend().getAsBoolean()).isFalse();
+            worker.getIoThread().execute(() -> second.listener().onFailure(HttpFailure.NOT_SENT));
+            assertThat(status(late)).isEqualTo("HTTP/1.1 503");
+        }
+    }
+
+    // Guards against a rest that binds the next target at the same name, which has not asked for
+    // it.
+    @Test
+    void shouldSendTheRequestWhenTheRestingTargetHasStartedAgain() throws Exception {
+        try (Socket refused = lookup()) {
+            PendingCall first = nextCall();
+            assertThat(first.maySend().getAsBoolean()).isTrue();
+            worker.getIoThread().execute(() -> first.listener().onHead(REFUSED_STATUS, Map.of()));
+            assertThat(status(refused)).isEqualTo("HTTP/1.1 503");
+            TargetEntry restarted = startedAgain(entry("r1", false));
+
+            gateway.updateFleet(
+                    FleetSnapshot.of(Map.of(restarted.incarnation().target(), restarted)));
+
+            try (Socket caller = lookup()) {
+                assertThat(nextCall().maySend().getAsBoolean()).isTrue();
+            }
+        }
+    }
+
+    private static TargetEntry startedAgain(TargetEntry before) {
+        return new TargetEntry(
+                new TargetIncarnation(before.incarnation().target(), 1),
+                before.service(),
+                before.version(),
+                before.address(),
+                before.dataCentre(),
+                before.slots(),
+                before.leaving(),
+                2,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
     // Guards against a stream that continues at another software version because its target started
     // again with that version, under its own name, while the connection was opened.
     @Test
