Send nothing more to a target that has stated in an answer that it leaves

Cause: no code read Server-Leaving. Whether a target leaves was known from the registry alone, which those daemons couldn't read then and had as it was up to 7.8 s before. The class: a fact that arrives on the traffic path is no knowledge. That it was read and lost, or unknown where requests wait, is ruled out by reading.

Before anything of the answer is passed on, GatewayContext.recordLeaving marks the incarnation in the view from which targets are selected and which maySendTo asks last before the first byte. So it doesn't depend on the store or on the control thread, and binds requests that wait for a connection, retries and hedged attempts. Two threads change the view now, so a change is applied to the newest view in place of one that was read before it. After that the control thread gets it: FleetTracker marks the entry, so that the planner no longer counts on the target. Both keep LeavingTargets, bounded, by incarnation: a record, a listing, a restored store or a removal takes nothing back, and the next incarnation is free.

When all targets of a service leave, callers get 503 with Retry-After as with those that leave by the registry. event=target-leaving tells of the first statement of each run.

--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetSnapshot.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetSnapshot.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.core.fleet;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,6 +49,18 @@
         return new FleetSnapshot(byTarget);
     }
 
+    /**
+     * Returns a copy in which some targets are replaced.
+     *
+     * @param changed the entries to replace or add, by name
+     * @return the copy
+     */
+    public FleetSnapshot with(Map<TargetId, TargetEntry> changed) {
+        Map<TargetId, TargetEntry> newer = new HashMap<>(byTarget);
+        newer.putAll(changed);
+        return of(newer);
+    }
+
     /**
      * Returns the targets of a service.
      *
--- a/core/src/main/java/org/tamaracktrack/core/fleet/FleetTracker.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/FleetTracker.java
@@ -32,6 +32,7 @@
     private final Set<TargetId> missingTargets = new HashSet<>();
     private final Set<TargetIncarnation> departedIncarnations =
             LruMap.setOf(MAX_DEPARTED_INCARNATIONS);
+    private LeavingTargets leavingTargets = LeavingTargets.empty();
     private FleetSnapshot fleet = FleetSnapshot.empty();
     private boolean registryUnavailable;
     private long availableSinceMillis = Long.MIN_VALUE / 2;
@@ -59,18 +60,20 @@
 
     /**
      * Applies a registry entry of a target. Outdated entries are ignored, also those of departed
-     * incarnations.
+     * incarnations. An incarnation that has stated that it leaves stays leaving, whatever the entry
+     * says.
      *
-     * @param entry the entry
+     * @param registered the entry
      * @return true when the known targets changed
      */
-    public boolean accept(TargetEntry entry) {
-        Objects.requireNonNull(entry, "entry is null");
-        TargetId target = entry.incarnation().target();
-        if (departedIncarnations.contains(entry.incarnation()) && !entry.leaving()) {
+    public boolean accept(TargetEntry registered) {
+        Objects.requireNonNull(registered, "registered is null");
+        TargetId target = registered.incarnation().target();
+        if (departedIncarnations.contains(registered.incarnation()) && !registered.leaving()) {
             return false;
         }
         missingTargets.remove(target);
+        TargetEntry entry = leavingTargets.mark(registered);
         TargetEntry known = entries.get(target);
         if (known != null && isOutdated(entry, known)) {
             return false;
@@ -93,6 +96,28 @@
         return entry.revision() < known.revision() || known.leaving() && !entry.leaving();
     }
 
+    /**
+     * Records that a target has stated in an answer that it leaves. The statement may come before
+     * its entry in the registry does, or long before the registry says so.
+     *
+     * @param incarnation the incarnation that answered
+     * @return true when the known targets changed
+     */
+    public boolean recordLeaving(TargetIncarnation incarnation) {
+        leavingTargets = leavingTargets.with(incarnation);
+        return entry(incarnation.target()).filter(this::acceptMarked).isPresent();
+    }
+
+    private boolean acceptMarked(TargetEntry known) {
+        TargetEntry marked = leavingTargets.mark(known);
+        if (marked.equals(known)) {
+            return false;
+        }
+        entries.put(marked.incarnation().target(), marked);
+        fleet = FleetSnapshot.of(entries);
+        return true;
+    }
+
     /** Records that the registry cannot be read. */
     public void registryUnavailable() {
         registryUnavailable = true;
--- a/core/src/main/java/org/tamaracktrack/core/fleet/TargetEntry.java
+++ b/core/src/main/java/org/tamaracktrack/core/fleet/TargetEntry.java
@@ -73,6 +73,26 @@
                 modelsOnDisk);
     }
 
+    /**
+     * Returns a copy of the entry that is leaving.
+     *
+     * @return the copy
+     */
+    public TargetEntry asLeaving() {
+        return new TargetEntry(
+                incarnation,
+                service,
+                version,
+                address,
+                dataCentre,
+                slots,
+                true,
+                revision,
+                models,
+                modelsInMemory,
+                modelsOnDisk);
+    }
+
     /**
      * Indexes held models by name.
      *
--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetTrackerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetTrackerTest.java
@@ -61,6 +61,99 @@
         }
     }
 
+    @Nested
+    class LeavingAnswers {
+        private final TargetIncarnation answered = new TargetIncarnation(ONE, 100);
+
+        private boolean isLeaving() {
+            return tracker.fleet().entry(ONE).orElseThrow().leaving();
+        }
+
+        private boolean accept(long started, long revision) {
+            return tracker.accept(
+                    TargetEntries.entry("one", started, revision, false, TargetEntries.HOME));
+        }
+
+        // Guards against copies and orders for a target that has stated in an answer that it
+        // leaves.
+        @Test
+        void shouldMarkTheTargetWhenAnAnswerStatesLeaving() {
+            accept(100, 5);
+
+            assertThat(tracker.recordLeaving(answered)).isTrue();
+
+            assertThat(isLeaving()).isTrue();
+            assertThat(tracker.fleet().ready(TargetEntries.ENGINES).count()).isEqualTo(0);
+            assertThat(tracker.recordLeaving(answered)).isFalse();
+        }
+
+        // Guards against a target that is used again because a later record does not say that it
+        // leaves; what else the record says is applied.
+        @Test
+        void shouldStayLeavingWhenALaterEntryIsNotLeaving() {
+            accept(100, 5);
+            tracker.recordLeaving(answered);
+
+            accept(100, 4);
+            accept(100, 6);
+
+            assertThat(isLeaving()).isTrue();
+            assertThat(tracker.entry(ONE).orElseThrow().revision()).isEqualTo(6);
+        }
+
+        // Guards against a statement that is lost because it came before the target's entry.
+        @Test
+        void shouldMarkTheTargetWhenItsEntryComesAfterTheAnswer() {
+            assertThat(tracker.recordLeaving(answered)).isFalse();
+
+            accept(100, 5);
+
+            assertThat(isLeaving()).isTrue();
+        }
+
+        // Guards against a target that is used again after its entry expired in an outage and was
+        // written again.
+        @Test
+        void shouldStayLeavingWhenTheEntryReappears() {
+            accept(100, 5);
+            tracker.recordLeaving(answered);
+            tracker.registryUnavailable();
+            tracker.remove(ONE, 10_000);
+            tracker.registryAvailable(10_010);
+
+            accept(100, 6);
+
+            assertThat(isLeaving()).isTrue();
+        }
+
+        // Guards against a target that is used again because its old entry was restored or listed
+        // after its removal.
+        @Test
+        void shouldNotUseTheTargetWhenItsOldEntryReturnsAfterTheRemoval() {
+            accept(100, 5);
+            tracker.recordLeaving(answered);
+            tracker.applyListing(Set.of(), 10_000);
+            assertThat(known()).isFalse();
+
+            accept(100, 5);
+
+            assertThat(tracker.fleet().ready(TargetEntries.ENGINES).count()).isEqualTo(0);
+        }
+
+        // Guards against a target that is never used again after it has left and started anew.
+        @Test
+        void shouldUseTheNextIncarnation() {
+            accept(100, 5);
+            tracker.recordLeaving(answered);
+
+            accept(200, 1);
+
+            assertThat(isLeaving()).isFalse();
+            assertThat(tracker.recordLeaving(answered)).isFalse();
+            assertThat(isLeaving()).isFalse();
+        }
+    }
+
     @Nested
     class Removal {
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/FleetFollower.java
@@ -13,6 +13,7 @@
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.fleet.FleetTracker;
 import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.KeyedRecord;
@@ -25,6 +26,7 @@
     private final Function<KeyedRecord, Optional<TargetEntry>> decoder;
     private final Consumer<FleetSnapshot> onFleetChanged;
     private final Supplier<Set<TargetId>> takeClosingTargets;
+    private final ControlThread control;
     private final FleetTracker fleetTracker = FleetTracker.empty();
     private volatile int missing;
     private volatile long completeAtMillis = Long.MIN_VALUE / 2;
@@ -32,7 +34,9 @@
     private FleetFollower(
             Function<KeyedRecord, Optional<TargetEntry>> decoder,
             Consumer<FleetSnapshot> onFleetChanged,
-            Supplier<Set<TargetId>> takeClosingTargets) {
+            Supplier<Set<TargetId>> takeClosingTargets,
+            ControlThread control) {
+        this.control = control;
         this.decoder = decoder;
         this.onFleetChanged = onFleetChanged;
         this.takeClosingTargets = takeClosingTargets;
@@ -54,7 +58,8 @@
             Supplier<Set<TargetId>> takeClosingTargets,
             ControlThread control) {
         Objects.requireNonNull(decoder, "decoder is null");
-        FleetFollower follower = new FleetFollower(decoder, onFleetChanged, takeClosingTargets);
+        FleetFollower follower =
+                new FleetFollower(decoder, onFleetChanged, takeClosingTargets, control);
         control.every(EXPIRY_INTERVAL_MILLIS, follower::expire);
         return follower;
     }
@@ -69,6 +74,20 @@
         return missing;
     }
 
+    /**
+     * Records that a target has stated in an answer that it leaves. Safe for use by any thread.
+     *
+     * @param incarnation the incarnation that answered
+     */
+    public void recordLeaving(TargetIncarnation incarnation) {
+        control.post(
+                () -> {
+                    if (fleetTracker.recordLeaving(incarnation)) {
+                        onFleetChanged.accept(fleetTracker.fleet());
+                    }
+                });
+    }
+
     /**
      * Returns the age of the information about the registry. Safe for use by any thread.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.DataCentreId;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
@@ -260,7 +261,7 @@
      * @param configuration the configuration
      */
     public void configure(ServingConfiguration configuration) {
-        context.update(context.view().with(configuration));
+        context.update(view -> view.with(configuration));
     }
 
     /**
@@ -269,7 +270,7 @@
      * @param fleet the targets
      */
     public void updateFleet(FleetSnapshot fleet) {
-        context.update(context.view().with(fleet));
+        context.update(view -> view.with(fleet));
     }
 
     /**
@@ -416,6 +417,26 @@
         return context.takeClosingTargets();
     }
 
+    /**
+     * Sets the listener for targets that have stated in an answer that they leave. Such a target
+     * receives no further request from this daemon.
+     *
+     * @param listener called once for each incarnation, on any thread
+     */
+    public void onTargetLeaving(Consumer<TargetIncarnation> listener) {
+        context.leavingListener(listener);
+    }
+
+    /**
+     * Records that a target has stated, in an answer to this daemon itself, that it leaves. Safe
+     * for use by any thread.
+     *
+     * @param incarnation the incarnation that answered
+     */
+    public void recordLeaving(TargetIncarnation incarnation) {
+        context.recordLeaving(incarnation);
+    }
+
     /**
      * Sets the source of the age of the registry's information, which is logged with each request.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
@@ -99,6 +100,7 @@
     private volatile Optional<OriginExchange> origins = Optional.empty();
     private volatile KeyFreshness keyFreshness = KeyFreshness.notRequired();
     private volatile LongSupplier registryAge = () -> -1;
+    private volatile Consumer<TargetIncarnation> leavingListener = incarnation -> {};
 
     GatewayContext(
             HttpCaller http,
@@ -232,6 +234,23 @@
         return taken;
     }
 
+    /** Sets the listener for targets that have stated that they leave. Safe for any thread. */
+    void leavingListener(Consumer<TargetIncarnation> listener) {
+        leavingListener = listener;
+    }
+
+    /**
+     * Records that an answer of a target states that it leaves. From the return of this method on,
+     * no request is begun there, whether or not the registry says so or can be read. Safe for use
+     * by any thread.
+     */
+    void recordLeaving(TargetIncarnation incarnation) {
+        if (changeView(current -> current.withLeaving(incarnation))) {
+            LOG.info("event=target-leaving target=" + incarnation + " source=answer");
+            leavingListener.accept(incarnation);
+        }
+    }
+
     Quarantine quarantine() {
         return quarantine;
     }
@@ -524,14 +543,22 @@
         return registryAge.getAsLong();
     }
 
-    /** Replaces the view. Safe for use by any thread. */
-    void update(GatewayView newer) {
-        view = newer;
+    // The control thread applies what the store says while the traffic thread applies what targets
+    // state. If one replaced what the other has just written, a leaving target would be used again.
+    private synchronized boolean changeView(UnaryOperator<GatewayView> change) {
+        GatewayView previous = view;
+        view = change.apply(previous);
+        return view != previous;
+    }
+
+    /** Changes the view. Safe for use by any thread. */
+    void update(UnaryOperator<GatewayView> change) {
+        changeView(change);
         execute(
                 () -> {
                     activateQuotas();
-                    updateOrigins(newer);
-                    loads.retainTargets(newer.fleet());
+                    updateOrigins(view);
+                    loads.retainTargets(view.fleet());
                     waiting.retryAll();
                 });
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ResponseMetadata.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ResponseMetadata.java
@@ -12,13 +12,15 @@
  * @param notRun whether the target states that it did not run the request
  * @param load the target's load
  * @param closesConnection whether the target closes the connection after this response
+ * @param leaving whether the target states that it leaves
  */
 public record ResponseMetadata(
         Optional<String> attempt,
         boolean verified,
         boolean notRun,
         Optional<ReportedLoad> load,
-        boolean closesConnection) {
+        boolean closesConnection,
+        boolean leaving) {
 
     /** Checks the arguments. */
     public ResponseMetadata {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -367,6 +367,9 @@
             failAndClose(AttemptEnd.LOST);
             return;
         }
+        if (metadata.leaving()) {
+            context.recordLeaving(entry.incarnation());
+        }
         metadata.load().ifPresent(report -> load.recordReport(report, lastContactMillis));
         if (metadata.closesConnection()) {
             context.recordClosing(entry.incarnation().target());
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -146,7 +146,13 @@
 
         @Override
         public ResponseMetadata parseResponse(int status, Map<String, String> headers) {
-            return new ResponseMetadata(Optional.of("a1"), true, false, Optional.empty(), false);
+            return new ResponseMetadata(
+                    Optional.of("a1"),
+                    true,
+                    false,
+                    Optional.empty(),
+                    false,
+                    headers.containsKey("leaving"));
         }
     }
 
@@ -272,6 +278,54 @@
         }
     }
 
+    // Guards against a request that waits for a connection while an answer of its target states
+    // that the target leaves, and is sent there long afterwards.
+    @Test
+    void shouldNotSendTheRequestWhenAnAnswerStatesLeavingWhileTheConnectionOpens()
+            throws Exception {
+        try (Socket answered = lookup()) {
+            PendingCall first = nextCall();
+            assertThat(first.maySend().getAsBoolean()).isTrue();
+            try (Socket late = lookup()) {
+                PendingCall second = nextCall();
+
+                receiveHead(first, Map.of("leaving", "1"));
+                gateway.updateFleet(fleet(false));
+
+                assertThat(second.maySend().getAsBoolean()).isFalse();
+                worker.getIoThread()
+                        .execute(() -> second.listener().onFailure(HttpFailure.NOT_SENT));
+                assertThat(status(late)).isEqualTo("HTTP/1.1 503");
+            }
+        }
+    }
+
+    // Guards against a target that is avoided because its answers do not state that it leaves.
+    @Test
+    void shouldSendTheRequestWhenTheAnswerDoesNotStateLeaving() throws Exception {
+        try (Socket answered = lookup();
+                Socket next = lookup()) {
+            PendingCall first = nextCall();
+            PendingCall second = nextCall();
+            assertThat(first.maySend().getAsBoolean()).isTrue();
+
+            receiveHead(first, Map.of());
+
+            assertThat(second.maySend().getAsBoolean()).isTrue();
+        }
+    }
+
+    private void receiveHead(PendingCall call, Map<String, String> headers) {
+        CompletableFuture<Void> received = new CompletableFuture<>();
+        worker.getIoThread()
+                .execute(
+                        () -> {
+                            call.listener().onHead(200, headers);
+                            received.complete(null);
+                        });
+        received.join();
+    }
+
     // Guards against a stream that continues at another software version because its target started
     // again with that version, under its own name, while the connection was opened.
     @Test
