--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ResponseMetadata.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ResponseMetadata.java
@@ -13,6 +13,7 @@
  * @param notRun whether the target states that it did not run the request
  * @param load the target's load
  * @param closesConnection whether the target closes the connection after this response
+ * @param leaving whether the target states that it leaves
  * @param restMillis for how long the target, which refused the request, wants no further request of
  *     this daemon, in milliseconds, above 0; empty if it doesn't say so
  */
@@ -22,6 +23,7 @@
         boolean notRun,
         Optional<ReportedLoad> load,
         boolean closesConnection,
+        boolean leaving,
         OptionalLong restMillis) {
 
     /** Checks the arguments. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -373,6 +373,9 @@
             failAndClose(AttemptEnd.LOST);
             return;
         }
+        if (metadata.leaving()) {
+            context.recordLeaving(entry.incarnation());
+        }
         if (metadata.restMillis().isEmpty()) {
             context.restingTargets().recordAnswer(entry);
         }
