Report requests that were read and that nothing answers

A caller whose request was read whole and got neither an answer nor a refusal left no line and no count here: event=request comes only with an end, and what waits at the staleness gate, for its quota, for the origin of its stream or for a target shows nowhere until then. A new connection that was closed unread while connections are shed was counted, but not whether a request was in it.

AnswerGuard starts when the body has been read and is removed with the end of the exchange. One second after the request's deadline it writes event=request-unanswered with what the request waits for, and counts tamaracktrack.gateway.unanswered by stage, unless the answer has begun, the exchange has ended or the connection is closed. A shed connection is asked for one byte, so that the rest stays unread and its caller is sent a reset as before; tamaracktrack.gateway.connections.shed.with.request counts.

No request is answered differently.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallersListener.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallersListener.java
@@ -5,6 +5,7 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -41,6 +42,7 @@
      * @param options the options of Undertow and of the sockets
      * @param handler handles requests
      * @param sheds returns whether to close the connection that was just accepted
+     * @param onRequestShed called when a part of a request was there
      * @return the listener
      * @throws TamaracktrackException with {@code INVALID_SETTINGS} when the address can't be used
      */
@@ -50,14 +52,19 @@
             ByteBufferPool buffers,
             OptionMap options,
             HttpHandler handler,
-            BooleanSupplier sheds) {
+            BooleanSupplier sheds,
+            Runnable onRequestShed) {
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(sheds, "sheds is null");
+        Objects.requireNonNull(onRequestShed, "onRequestShed is null");
         HttpOpenListener openListener = new HttpOpenListener(buffers, options);
         openListener.setRootHandler(handler);
         ChannelListener<StreamConnection> shedding =
                 connection -> {
                     if (sheds.getAsBoolean()) {
+                        if (hasBytes(connection)) {
+                            onRequestShed.run();
+                        }
                         IoUtils.safeClose(connection);
                     } else {
                         openListener.handleEvent(connection);
@@ -77,6 +84,15 @@
         }
     }
 
+    // A single byte is read, so that the rest stays unread and the caller is sent a reset.
+    private static boolean hasBytes(StreamConnection connection) {
+        try {
+            return connection.getSourceChannel().read(ByteBuffer.allocate(1)) > 0;
+        } catch (IOException broken) {
+            return false;
+        }
+    }
+
     /**
      * Returns the address that it listens at.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -60,6 +60,7 @@
     private final RequestMetadata metadata;
     private final byte[] body;
     private final RequestDeadline deadline;
+    private final AnswerGuard guard;
     private final long configurationVersion;
     private final Optional<QuotaMember.Permit> permit;
     private final GatewayResponse response;
@@ -99,6 +100,7 @@
         this.body = accepted.body();
         this.deadline =
                 RequestDeadline.of(route, metadata, accepted.arrivedMillis(), context::nowMillis);
+        this.guard = accepted.guard();
         this.configurationVersion = accepted.configurationVersion();
         this.permit = accepted.permit();
         this.headers = exchange.getRequestHeaders();
@@ -128,6 +130,7 @@
      * @param metadata what its headers state
      * @param body its body
      * @param arrivedMillis when its head was read
+     * @param guard reports it when it gets no answer
      * @param configurationVersion the version of the configuration that the route is from
      * @param permit what it has taken from the quota of its client account
      */
@@ -138,6 +141,7 @@
             RequestMetadata metadata,
             byte[] body,
             long arrivedMillis,
+            AnswerGuard guard,
             long configurationVersion,
             Optional<QuotaMember.Permit> permit) {}
 
@@ -162,6 +166,7 @@
                 Optional.of(context.timer(deadline.untilDeadlineMillis(), this::onDeadline));
         SilentTargetMonitor.start(context, () -> attempt, () -> done, this::onTargetSilent);
         if (takesUpStream()) {
+            guard.enter(AnswerGuard.Stage.ORIGIN);
             context.findOrigin(
                     metadata.resumedAttempt(), dispatchRequest.service(), this::continueFrom);
         } else {
@@ -205,6 +210,7 @@
     // the last one that this request was allowed.
     private void dispatch() {
         if (!refuseIfNotAllowed() && !refuseIfQuarantined()) {
+            guard.enter(AnswerGuard.Stage.GATE);
             context.gate().whenOpen(this::selectAndSend, this::refuseAsOutdated);
         }
     }
@@ -260,6 +266,7 @@
     }
 
     private void send(TargetEntry entry) {
+        guard.enter(AnswerGuard.Stage.TARGET);
         TargetAttempt next = newAttempt(entry, this);
         attempt = Optional.of(next);
         next.send(outgoingRequest(entry));
@@ -323,6 +330,7 @@
             return;
         }
         if (waitTimer.isEmpty()) {
+            guard.enter(AnswerGuard.Stage.MODEL);
             context.waiting().add(this);
             waitTimer = Optional.of(context.timer(timeoutMillis, this::onWaitTimeout));
         }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -169,7 +169,8 @@
                         buffers,
                         HTTP_OPTIONS,
                         root,
-                        crowding::shedsConnection);
+                        crowding::shedsConnection,
+                        context.metrics()::recordShedRequest);
         Undertow server =
                 Undertow.builder()
                         .setWorker(worker)
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -149,6 +149,17 @@
             long version,
             byte[] body,
             long arrivedMillis) {
+        AnswerGuard guard =
+                AnswerGuard.start(
+                        context,
+                        exchange,
+                        admitted.metadata(),
+                        admitted.route().name(),
+                        RequestDeadline.of(
+                                admitted.route(),
+                                admitted.metadata(),
+                                arrivedMillis,
+                                context::nowMillis));
         AtomicBoolean callerGone = new AtomicBoolean();
         if (admitted.hasQuota()) {
             CallerConnection.of(exchange, connections).onClosed(() -> callerGone.set(true));
@@ -171,6 +182,7 @@
                                         admitted.metadata(),
                                         body,
                                         arrivedMillis,
+                                        guard,
                                         version,
                                         decision.permit()));
                     } else {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -100,6 +100,16 @@
         registry.counter("tamaracktrack.gateway.connections.shed").increment();
     }
 
+    /** Counts a connection of a caller that was closed though a part of a request was there. */
+    void recordShedRequest() {
+        registry.counter("tamaracktrack.gateway.connections.shed.with.request").increment();
+    }
+
+    /** Counts a request that was read and neither answered nor closed. */
+    void recordUnanswered(AnswerGuard.Stage stage) {
+        registry.counter("tamaracktrack.gateway.unanswered", "stage", stage.name()).increment();
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
