Answer each request that was read, whatever fails on its way

Callers whose request had been read got nothing at all when a check of the staleness gate threw while they were held, when handling the decision on their quota threw, and when the record of their request's end threw; others got a 500 that does not say whether the request ran. The deadline timer began only with ForwardedRequest.begin, it did nothing for a request that counted as done, and callbacks from timers and datagrams run outside the handler whose exceptions Undertow answers.

AnswerGuard now has the request's only deadline timer, moved from ForwardedRequest to where the body has been read (and to where a request is held at the gate, with the longest timeout of all routes until its route is known). When it fires, or when a step of the request throws, ForwardedRequest ends the request as before; what is still unanswered after that the guard answers: 503 NO_TARGET (not run) while no byte may have left, else 502 OUTCOME_UNKNOWN. If even that fails it closes the connection. A step that comes after such an answer (the gate opens, the quota is decided) no longer runs the request. The record of an end can no longer keep the answer back. Headers for a target are built before the attempt is counted. The staleness gate schedules its next check before the work that may throw: a check, or a read that could not be asked for, used to end the checks, and held requests stayed until another caller came.

New: a request is not run when the gate opens after its answer, and a failing step after a broken connection says that the outcome is unknown.

Remains: an exception while a part of a stream is passed on ends the stream at its deadline only.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -39,7 +39,8 @@
  * Forwards one request of a caller, from its last byte to the end of the response. Used on the
  * traffic thread.
  */
-final class ForwardedRequest implements HedgedAttempt.Owner, GatewayResponse.FlowListener {
+final class ForwardedRequest
+        implements HedgedAttempt.Owner, GatewayResponse.FlowListener, AnswerGuard.Owner {
     private static final int SUCCESS = 200;
     private static final int FIRST_NON_SUCCESS = 300;
 
@@ -48,9 +49,6 @@
      */
     private static final double NEW_CALLER_WAIT_RATIO = 0.7;
 
-    /** A timer that fires this late shows that the thread also reads its sockets late. */
-    private static final long LATE_TIMER_MILLIS = 50;
-
     private final GatewayContext context;
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
@@ -75,14 +73,12 @@
     private Optional<HedgedAttempt> hedge = Optional.empty();
     private RetryProgress retryProgress;
     private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
-    private Optional<XnioExecutor.Key> deadlineTimer = Optional.empty();
     private long retryAfterMillis;
     private int streamStatus;
     private DispatchRequest dispatchRequest;
     private Map<String, String> streamHeaders = Map.of();
     private FailurePolicy.History history = FailurePolicy.History.none();
     private long registryAgeMillis = -1;
-    private boolean deadlineExtended;
     private boolean done;
 
     private ForwardedRequest(
@@ -98,9 +94,8 @@
         this.route = authorization.route().orElseThrow();
         this.metadata = accepted.metadata();
         this.body = accepted.body();
-        this.deadline =
-                RequestDeadline.of(route, metadata, accepted.arrivedMillis(), context::nowMillis);
         this.guard = accepted.guard();
+        this.deadline = guard.deadline();
         this.configurationVersion = accepted.configurationVersion();
         this.permit = accepted.permit();
         this.headers = exchange.getRequestHeaders();
@@ -113,7 +108,7 @@
         this.callerReturned =
                 context.returningCallerDetector(route.name())
                         .observe(metadata.waitMillis().orElse(route.timeoutMillis()));
-        this.pieces = PieceTimes.since(accepted.arrivedMillis());
+        this.pieces = PieceTimes.since(deadline.arrivedMillis());
         this.quarantineState =
                 RequestQuarantineState.of(context, exchange, body, metadata.sharedParts());
         this.retryProgress = RetryProgress.of(context, metadata.attempt());
@@ -129,8 +124,7 @@
      * @param service the service that the route selected
      * @param metadata what its headers state
      * @param body its body
-     * @param arrivedMillis when its head was read
-     * @param guard reports it when it gets no answer
+     * @param guard answers it when nothing else does
      * @param configurationVersion the version of the configuration that the route is from
      * @param permit what it has taken from the quota of its client account
      */
@@ -140,7 +134,6 @@
             ServiceId service,
             RequestMetadata metadata,
             byte[] body,
-            long arrivedMillis,
             AnswerGuard guard,
             long configurationVersion,
             Optional<QuotaMember.Permit> permit) {}
@@ -156,19 +149,24 @@
     }
 
     private void begin() {
+        guard.owner(this);
         connection.onClosed(this::onCallerGone);
         CallerConnection.detectDisconnect(exchange);
         context.recordRequest(service(), deadline.arrivedMillis());
         if (!callerReturned && quarantineState.holdingSuspect(service()).isEmpty()) {
             metadata.need().ifPresent(need -> context.demand().record(need, route));
         }
-        deadlineTimer =
-                Optional.of(context.timer(deadline.untilDeadlineMillis(), this::onDeadline));
-        SilentTargetMonitor.start(context, () -> attempt, () -> done, this::onTargetSilent);
+        SilentTargetMonitor.start(
+                context,
+                () -> attempt,
+                () -> done,
+                silent -> guard.runSafely(() -> onTargetSilent(silent)));
         if (takesUpStream()) {
             guard.enter(AnswerGuard.Stage.ORIGIN);
             context.findOrigin(
-                    metadata.resumedAttempt(), dispatchRequest.service(), this::continueFrom);
+                    metadata.resumedAttempt(),
+                    dispatchRequest.service(),
+                    finding -> guard.run(() -> continueFrom(finding)));
         } else {
             dispatch();
         }
@@ -211,7 +209,10 @@
     private void dispatch() {
         if (!refuseIfNotAllowed() && !refuseIfQuarantined()) {
             guard.enter(AnswerGuard.Stage.GATE);
-            context.gate().whenOpen(this::selectAndSend, this::refuseAsOutdated);
+            context.gate()
+                    .whenOpen(
+                            guard.guarded(this::selectAndSend),
+                            guard.guarded(this::refuseAsOutdated));
         }
     }
 
@@ -267,9 +268,10 @@
 
     private void send(TargetEntry entry) {
         guard.enter(AnswerGuard.Stage.TARGET);
+        TargetAttempt.OutgoingRequest outgoing = outgoingRequest(entry);
         TargetAttempt next = newAttempt(entry, this);
         attempt = Optional.of(next);
-        next.send(outgoingRequest(entry));
+        next.send(outgoing);
     }
 
     private TargetAttempt newAttempt(TargetEntry entry, TargetAttempt.Listener listener) {
@@ -332,12 +334,17 @@
         if (waitTimer.isEmpty()) {
             guard.enter(AnswerGuard.Stage.MODEL);
             context.waiting().add(this);
-            waitTimer = Optional.of(context.timer(timeoutMillis, this::onWaitTimeout));
+            waitTimer =
+                    Optional.of(context.timer(timeoutMillis, guard.guarded(this::onWaitTimeout)));
         }
     }
 
     /** Selects a target again after the fleet has changed. */
     void retryWaiting() {
+        guard.run(this::selectAgain);
+    }
+
+    private void selectAgain() {
         if (done
                 || context.gate().closeIfStale()
                 || refuseIfNotAllowed()
@@ -353,9 +360,12 @@
 
     /** Refuses the request while it waits for a target because this daemon is about to stop. */
     void refuseWaiting() {
-        if (!done) {
-            refuseOrFail("leaving");
-        }
+        guard.run(
+                () -> {
+                    if (!done) {
+                        refuseOrFail("leaving");
+                    }
+                });
     }
 
     private void stopWaiting() {
@@ -420,10 +430,11 @@
     }
 
     private void sendHedge(TargetEntry entry) {
+        TargetAttempt.OutgoingRequest outgoing = outgoingRequest(entry);
         HedgedAttempt next = HedgedAttempt.of(this, retryProgress.ofFurtherSend());
         TargetAttempt hedgedAttempt = newAttempt(entry, next);
         hedge = Optional.of(next);
-        next.send(hedgedAttempt, outgoingRequest(entry));
+        next.send(hedgedAttempt, outgoing);
     }
 
     @Override
@@ -473,26 +484,32 @@
         silenceLog.recordHedgeEnd(failed.attempt(), end.name());
     }
 
-    private void onDeadline() {
-        if (done) {
-            return;
-        }
-        if (!deadlineExtended && deadline.untilDeadlineMillis() < -LATE_TIMER_MILLIS) {
-            deadlineExtended = true;
-            deadlineTimer = Optional.of(context.timer(LATE_TIMER_MILLIS, this::onDeadline));
-            return;
-        }
+    @Override
+    public void onDeadline() {
         boolean sent =
                 attempt.filter(TargetAttempt::mayHaveBeenSent).isPresent()
                         || history.possibleExecutions() > 0;
+        endUnfinished(sent, ErrorCode.DEADLINE_WHILE_RUNNING, "timeout");
+    }
+
+    // The step may have failed before it recorded how an attempt ended.
+    @Override
+    public void onStepFailed() {
+        endUnfinished(guard.isSent(), ErrorCode.OUTCOME_UNKNOWN, "step_failed");
+    }
+
+    private void endUnfinished(boolean sent, ErrorCode codeWhenSent, String reason) {
+        if (done) {
+            return;
+        }
         attempt.ifPresent(TargetAttempt::cancel);
         if (response.hasBegun()) {
-            finish("cut_at_timeout", SUCCESS);
+            finish("cut_at_" + reason, SUCCESS);
             response.abort();
         } else if (sent) {
-            respondWithFailure(ErrorCode.DEADLINE_WHILE_RUNNING, "timeout");
+            respondWithFailure(codeWhenSent, reason);
         } else {
-            respondWithFailure(ErrorCode.NO_TARGET, "timeout_before_start");
+            respondWithFailure(ErrorCode.NO_TARGET, reason + "_before_start");
         }
     }
 
@@ -551,6 +568,10 @@
 
     @Override
     public void onStreamEnd() {
+        guard.run(this::endStream);
+    }
+
+    private void endStream() {
         if (done) {
             return;
         }
@@ -569,6 +590,10 @@
     @Override
     public void onCompleteResponse(
             int status, Map<String, String> responseHeaders, byte[] responseBody) {
+        guard.run(() -> complete(status, responseHeaders, responseBody));
+    }
+
+    private void complete(int status, Map<String, String> responseHeaders, byte[] responseBody) {
         if (done) {
             return;
         }
@@ -605,6 +630,7 @@
 
     @Override
     public void onSending() {
+        guard.recordSent();
         registryAgeMillis = context.registryAgeMillis();
     }
 
@@ -620,7 +646,7 @@
 
     @Override
     public void onFailed(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
-        onAttemptEnded(end, failure);
+        guard.run(() -> onAttemptEnded(end, failure));
     }
 
     private void onAttemptEnded(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
@@ -762,8 +788,12 @@
         attempt = Optional.empty();
         retryProgress.recordEnd();
         stopWaiting();
-        deadlineTimer.ifPresent(XnioExecutor.Key::remove);
         connection.onClosed(() -> {});
+        guard.runSafely(() -> record(outcome, status));
+    }
+
+    // A request that can't be recorded is answered all the same.
+    private void record(String outcome, int status) {
         context.metrics().recordRequestEnd(route.name(), outcome, pieces.firstMillis());
         RequestLog.logEnd(
                 new RequestLog.RequestEnd(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -13,6 +13,7 @@
 import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.quota.Admission;
+import org.tamaracktrack.core.quota.QuotaMember;
 import org.tamaracktrack.core.route.RequestAuthorization;
 import org.tamaracktrack.core.route.Route;
 import org.tamaracktrack.core.route.ServingConfiguration;
@@ -55,7 +56,7 @@
             return;
         }
         if (context.gate().isClosed()) {
-            hold(exchange);
+            hold(exchange, configuration.get());
             return;
         }
         RequestAuthorization.Origin origin = CallerIdentity.origin(exchange);
@@ -100,18 +101,22 @@
 
     // Under an outdated configuration a request may be refused finally, or run on a service that it
     // no longer belongs to.
-    private void hold(HttpServerExchange exchange) {
+    private void hold(HttpServerExchange exchange, ServingConfiguration configuration) {
         if (exchange.getAttachment(ARRIVED_MILLIS) == null) {
             exchange.putAttachment(ARRIVED_MILLIS, context.nowMillis());
             countInProgress(exchange);
         }
+        AnswerGuard guard = AnswerGuard.of(context, exchange);
+        guard.startUnrouted(
+                exchange.getAttachment(ARRIVED_MILLIS),
+                configuration.routes().longestTimeoutMillis());
+        Runnable proceed =
+                guard.guardedUnlessAnswered(() -> Connectors.executeRootHandler(this, exchange));
+        Runnable refuse =
+                guard.guardedUnlessAnswered(() -> Refusals.sendOutdated(exchange, context.draw()));
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
-                () ->
-                        context.gate()
-                                .whenOpen(
-                                        () -> Connectors.executeRootHandler(this, exchange),
-                                        () -> Refusals.sendOutdated(exchange, context.draw())));
+                () -> guard.run(() -> context.gate().whenOpen(proceed, refuse)));
     }
 
     private void read(
@@ -133,13 +138,15 @@
                 (same, body) ->
                         exchange.dispatch(
                                 SameThreadExecutor.INSTANCE,
-                                () ->
-                                        acquireQuota(
-                                                exchange,
-                                                admitted,
-                                                configuration.version(),
-                                                body,
-                                                arrivedMillis)),
+                                AnswerGuard.of(context, exchange)
+                                        .guardedUnlessAnswered(
+                                                () ->
+                                                        acquireQuota(
+                                                                exchange,
+                                                                admitted,
+                                                                configuration.version(),
+                                                                body,
+                                                                arrivedMillis))),
                 (same, failure) -> Refusals.send(exchange, ErrorCode.BODY_TOO_LARGE));
     }
 
@@ -149,17 +156,12 @@
             long version,
             byte[] body,
             long arrivedMillis) {
-        AnswerGuard guard =
-                AnswerGuard.start(
-                        context,
-                        exchange,
-                        admitted.metadata(),
-                        admitted.route().name(),
-                        RequestDeadline.of(
-                                admitted.route(),
-                                admitted.metadata(),
-                                arrivedMillis,
-                                context::nowMillis));
+        AnswerGuard guard = AnswerGuard.of(context, exchange);
+        guard.start(
+                admitted.metadata(),
+                admitted.route(),
+                RequestDeadline.of(
+                        admitted.route(), admitted.metadata(), arrivedMillis, context::nowMillis));
         AtomicBoolean callerGone = new AtomicBoolean();
         if (admitted.hasQuota()) {
             CallerConnection.of(exchange, connections).onClosed(() -> callerGone.set(true));
@@ -170,33 +172,47 @@
                 version,
                 admitted.metadata().totalTokens(),
                 decision -> {
-                    if (callerGone.get()) {
+                    if (callerGone.get() || guard.isAnswered()) {
                         decision.permit().ifPresent(context::giveBackQuota);
-                    } else if (decision.admission().outcome() == Admission.Outcome.ADMITTED) {
-                        forward(
-                                exchange,
-                                new ForwardedRequest.AcceptedRequest(
-                                        admitted.origin(),
-                                        admitted.authorization(),
-                                        admitted.route().service(context.draw()),
-                                        admitted.metadata(),
-                                        body,
-                                        arrivedMillis,
-                                        guard,
-                                        version,
-                                        decision.permit()));
-                    } else {
-                        refuse(
-                                exchange,
-                                new Refusals.QuotaRefusal(
-                                        admitted.metadata(),
-                                        admitted.authorization().account().orElseThrow(),
-                                        version,
-                                        decision.admission()));
+                        return;
                     }
+                    guard.run(
+                            () ->
+                                    onQuotaDecision(
+                                            exchange, admitted, version, body, guard, decision));
                 });
     }
 
+    private void onQuotaDecision(
+            HttpServerExchange exchange,
+            Admitted admitted,
+            long version,
+            byte[] body,
+            AnswerGuard guard,
+            QuotaMember.Decision decision) {
+        if (decision.admission().outcome() == Admission.Outcome.ADMITTED) {
+            forward(
+                    exchange,
+                    new ForwardedRequest.AcceptedRequest(
+                            admitted.origin(),
+                            admitted.authorization(),
+                            admitted.route().service(context.draw()),
+                            admitted.metadata(),
+                            body,
+                            guard,
+                            version,
+                            decision.permit()));
+        } else {
+            refuse(
+                    exchange,
+                    new Refusals.QuotaRefusal(
+                            admitted.metadata(),
+                            admitted.authorization().account().orElseThrow(),
+                            version,
+                            decision.admission()));
+        }
+    }
+
     private void refuse(HttpServerExchange exchange, Refusals.QuotaRefusal refusal) {
         context.metrics().recordRefusal(refusal.code(), Optional.of(refusal.account().id()));
         Refusals.sendQuotaRefusal(exchange, refusal, context.draw());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestDeadline.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestDeadline.java
@@ -38,6 +38,10 @@
         return arrivedMillis;
     }
 
+    long deadlineMillis() {
+        return deadlineMillis;
+    }
+
     long elapsedMillis() {
         return nowMillis.getAsLong() - arrivedMillis;
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/StalenessGate.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/StalenessGate.java
@@ -127,8 +127,9 @@
         }
         closedAtMillis = timer.nowMillis();
         refusedCount = 0;
-        watchedSources.forEach(this::refreshIfStale);
+        // Scheduled first, so that a read that can't be asked for doesn't end the checks.
         scheduleCheck();
+        watchedSources.forEach(this::refreshIfStale);
     }
 
     private void scheduleCheck() {
@@ -154,6 +155,11 @@
 
     private void check() {
         checkScheduled = false;
+        if (closedAtMillis == NOT_CLOSED) {
+            return;
+        }
+        // Scheduled first, so that a check that fails doesn't end the checks.
+        scheduleCheck();
         if (!isClosed()) {
             open();
             return;
@@ -164,7 +170,6 @@
             refusedCount += expired.size();
             expired.forEach(request -> runSafely(request.refuse()));
         }
-        scheduleCheck();
     }
 
     private void open() {
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -60,6 +61,7 @@
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCall;
 import org.tamaracktrack.link.http.HttpCaller;
+import org.tamaracktrack.link.http.HttpFailure;
 import org.tamaracktrack.link.http.HttpListener;
 import org.tamaracktrack.link.http.HttpResponse;
 import org.tamaracktrack.link.http.HttpStream;
@@ -80,6 +82,7 @@
 
     private final CountDownLatch headRead = new CountDownLatch(1);
     private final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
+    private final AtomicInteger calls = new AtomicInteger();
     private XnioWorker worker;
     private DefaultByteBufferPool buffers;
     private Gateway gateway;
@@ -92,7 +95,8 @@
     private enum TargetBehaviour {
         NEVER_ANSWERS,
         CALL_FAILS,
-        CALL_FAILS_AFTER_SENDING
+        CALL_FAILS_AFTER_SENDING,
+        CONNECTION_BREAKS
     }
 
     /** Calls targets that never answer. */
@@ -104,6 +108,7 @@
 
         @Override
         public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
+            calls.incrementAndGet();
             if (target == TargetBehaviour.CALL_FAILS) {
                 throw new IllegalStateException("call fails");
             }
@@ -111,6 +116,9 @@
             if (target == TargetBehaviour.CALL_FAILS_AFTER_SENDING) {
                 throw new IllegalStateException("call fails after sending");
             }
+            if (target == TargetBehaviour.CONNECTION_BREAKS) {
+                worker.getIoThread().execute(() -> listener.onFailure(HttpFailure.NO_ANSWER));
+            }
             return new HttpStream() {
                 @Override
                 public void pause() {
@@ -393,6 +401,32 @@
                             throw new IllegalStateException("age unknown");
                         };
                 assertAnswered(caller, 503, NOT_RUN);
+                assertThat(
+                                metrics.get("tamaracktrack.gateway.unanswered")
+                                        .tag("stage", "GATE")
+                                        .counter()
+                                        .count())
+                        .isEqualTo(1);
+            }
+        }
+
+        // Guards against running a request after its caller was told that it did not run.
+        @Test
+        void shouldNotRunTheRequestWhenTheGateOpensAfterItsAnswer() throws Exception {
+            source.stale = true;
+            CountDownLatch held = new CountDownLatch(1);
+            source.onRefresh = held::countDown;
+            try (Socket caller = lookup()) {
+                assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
+                source.onAgeAsked =
+                        () -> {
+                            throw new IllegalStateException("age unknown");
+                        };
+                assertAnswered(caller, 503, NOT_RUN);
+                source.onAgeAsked = () -> {};
+                source.stale = false;
+                assertAnswered(504, MAY_HAVE_RUN);
+                assertThat(calls.get()).isEqualTo(1);
             }
         }
 
@@ -517,6 +551,14 @@
             assertAnswered(502, MAY_HAVE_RUN);
         }
 
+        // Guards against telling a caller that its request did not run when a step after it failed.
+        @Test
+        void shouldAnswerOutcomeUnknownWhenTheDecisionOnTheRetryFails() throws Exception {
+            target = TargetBehaviour.CONNECTION_BREAKS;
+            failMetric("tamaracktrack.gateway.repeats");
+            assertAnswered(502, MAY_HAVE_RUN);
+        }
+
         // Guards against a request without an end when its target never answers.
         @Test
         void shouldAnswerOutcomeUnknownWhenTheTargetNeverAnswers() throws Exception {
