Decide on quotas that are pending when a configuration without quotas comes

A caller whose request waits for its quota when a configuration comes that has no quotas got neither an answer nor a refusal: QuotaExchange stops its ticks with such a configuration, and questions are repeated and expire only in ticks. Only a coordinator's answer that was under way could still end the wait. UnansweredRequestTest$Quotas#shouldRefuseWhenTheQuotaIsRemovedBeforeItsDecision: no answer in 6 s before; with the guard alone NO_TARGET at the deadline; now QUOTA_UNDECIDED 1.5 s after the question, as without the change of configuration.

Ticks go on while a question is pending (QuotaMember.isAsking).

--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
@@ -188,6 +188,15 @@
                                 : Optional.empty()));
     }
 
+    /**
+     * Returns whether a question has no decision yet. Questions expire only in ticks.
+     *
+     * @return true while there is one
+     */
+    public boolean isAsking() {
+        return !pending.isEmpty();
+    }
+
     // A new coordinator can't decide yet whether the account is over its quota.
     private static boolean isAskedAgain(
             Pending question, QuotaMessage.Answer answer, long nowMillis) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
@@ -183,7 +183,7 @@
                 QuotaMember.TICK_MILLIS,
                 () -> {
                     tickScheduled = false;
-                    if (active) {
+                    if (active || member.isAsking()) {
                         // Scheduled first, so that a request that fails doesn't end the ticks.
                         scheduleTick();
                         tick();
