--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
@@ -423,8 +423,8 @@
                             throw new IllegalStateException("age unknown");
                         };
                 assertAnswered(caller, 503, NOT_RUN);
-                source.onAgeAsked = () -> {};
                 source.stale = false;
+                source.onAgeAsked = () -> {};
                 assertAnswered(504, MAY_HAVE_RUN);
                 assertThat(calls.get()).isEqualTo(1);
             }
