--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -106,6 +106,11 @@
                 .increment();
     }
 
+    /** Counts a request that was read and neither answered nor closed. */
+    void recordUnanswered(AnswerGuard.Stage stage) {
+        registry.counter("tamaracktrack.gateway.unanswered", "stage", stage.name()).increment();
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
