--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
@@ -185,7 +185,14 @@
 
         @Override
         public ResponseMetadata parseResponse(int status, Map<String, String> headers) {
-            return new ResponseMetadata(Optional.of("a2"), true, false, Optional.empty(), false);
+            return new ResponseMetadata(
+                    Optional.of("a2"),
+                    true,
+                    false,
+                    Optional.empty(),
+                    false,
+                    false,
+                    OptionalLong.empty());
         }
     }
 
