Limit bodies by the configuration alone

Callers got 413 for bodies above 2 MiB, whatever the configuration allows: Undertow has a limit of its own, which was never set. Found by the review of the silent targets, with a body of 3.5 MB. Now the limit of the configuration is set for each exchange, as the entry role does.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -132,6 +132,8 @@
         if (exchange.getAttachment(ARRIVED_MILLIS) == null) {
             countInProgress(exchange);
         }
+        // Undertow has a lower limit of its own.
+        exchange.setMaxEntitySize(maxBodyBytes);
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(maxBodyBytes);
         receiver.receiveFullBytes(
