Leave a silent target only for a whole event, and no hedge for another

- The silent target was left when another one had sent the head of an answer.
If that one then ended, the stream broke off although the first target went on (test: closed after the head).
Now the first whole event decides, or 300 ms after the head, since two targets must not both work on a stream for longer.
- A hedged attempt whose target was silent too was cancelled for a third one, which refused: 504 at the deadline.
Now attempts are added, and all of them stay until one answers.

A target whose attempt was never sent counts as tried no longer.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/FailurePolicy.java
@@ -5,12 +5,12 @@
 /** Decides how a request continues after a failed attempt. */
 public final class FailurePolicy {
     /** Failed connection attempts after which no further target is tried. */
-    private static final int MAX_CONNECTION_FAILURES = 3;
+    static final int MAX_CONNECTION_FAILURES = 3;
 
     /**
      * Refusals after which no further target is tried, since the others are probably full as well.
      */
-    private static final int MAX_REFUSALS = 3;
+    static final int MAX_REFUSALS = 3;
 
     /** A further attempt could not be answered in less time than this. */
     private static final long MIN_REMAINING_MILLIS = 30;
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/HedgePolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/HedgePolicy.java
@@ -7,12 +7,6 @@
  * target may go on at any moment, so the request stays there until the other one answers.
  */
 public final class HedgePolicy {
-    /** Refusals after which the other targets are probably full as well. */
-    private static final int MAX_REFUSALS = 3;
-
-    /** Failed connection attempts after which no further target is tried. */
-    private static final int MAX_CONNECTION_FAILURES = 3;
-
     private HedgePolicy() {}
 
     /** Whether a request is sent to another target as well, or why not. */
@@ -34,7 +28,7 @@
      * allowance yet.
      *
      * @param route the route of the request
-     * @param history the attempts before the one at the silent target
+     * @param history the attempts without the one at the silent target
      * @param allowance the retry allowance of the service at this daemon
      * @param hasTarget whether another target could answer in the remaining time
      * @param nowMillis the monotonic time in milliseconds
@@ -50,8 +44,8 @@
             return Decision.NOT_REPEATABLE;
         }
         if (history.possibleExecutions() + 1 >= route.maximumAttempts()
-                || history.refusals() >= MAX_REFUSALS
-                || history.connectionFailures() >= MAX_CONNECTION_FAILURES) {
+                || history.refusals() >= FailurePolicy.MAX_REFUSALS
+                || history.connectionFailures() >= FailurePolicy.MAX_CONNECTION_FAILURES) {
             return Decision.ATTEMPTS_EXHAUSTED;
         }
         if (!hasTarget) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
@@ -70,7 +71,7 @@
     private final List<TargetEntry> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
     private Optional<TargetAttempt> attempt = Optional.empty();
-    private Optional<HedgedAttempt> hedge = Optional.empty();
+    private final List<HedgedAttempt> hedges = new ArrayList<>();
     private RetryProgress retryProgress;
     private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
     private long retryAfterMillis;
@@ -404,22 +405,19 @@
     // answered, or when its target is known to have ended.
     private void onTargetSilent(TargetAttempt silentAttempt) {
         silentAttempt.recordSilence();
-        if (hedge.filter(pending -> !isSilent(pending.attempt())).isPresent()) {
+        if (!hedges.stream().allMatch(pending -> isSilent(pending.attempt()))) {
             return;
         }
-        FailurePolicy.History hedgeHistory =
-                hedge.isPresent() ? history.after(AttemptEnd.LOST) : history;
         Optional<TargetEntry> other = selectForHedge();
         HedgePolicy.Decision decision =
                 HedgePolicy.decide(
                         route,
-                        hedgeHistory,
+                        historyWithHedges(),
                         context.retryAllowance(service()),
                         other.isPresent(),
                         context.nowMillis());
         silenceLog.record(silentAttempt, decision, other, deadline.remainingMillis());
         if (decision == HedgePolicy.Decision.SEND) {
-            hedge.ifPresent(pending -> dropHedge(pending, "silent"));
             sendHedge(other.orElseThrow());
         } else if (!context.isKnown(silentAttempt.entry().incarnation())
                 && context.targetReachability().hasEnded(silentAttempt.entry())) {
@@ -427,6 +425,14 @@
         }
     }
 
+    private FailurePolicy.History historyWithHedges() {
+        return hedges.stream()
+                .reduce(
+                        history,
+                        (before, pending) -> before.after(AttemptEnd.LOST),
+                        (first, second) -> second);
+    }
+
     private boolean isSilent(TargetAttempt pending) {
         boolean silent = SilentTargetMonitor.isSilent(pending, context.nowMillis());
         if (silent) {
@@ -451,21 +457,27 @@
 
     private void sendHedge(TargetEntry entry) {
         TargetAttempt.OutgoingRequest outgoing = outgoingRequest(entry);
-        HedgedAttempt next = HedgedAttempt.of(this, retryProgress.ofFurtherSend());
+        HedgedAttempt next = HedgedAttempt.of(this, context, retryProgress.ofFurtherSend());
         TargetAttempt hedgedAttempt = newAttempt(entry, next);
-        hedge = Optional.of(next);
+        hedges.add(next);
         next.send(hedgedAttempt, outgoing);
     }
 
     @Override
     public void onContact() {
-        hedge.ifPresent(pending -> dropHedge(pending, "target_resumed"));
+        dropHedges("target_resumed");
+    }
+
+    private void dropHedges(String outcome) {
+        List.copyOf(hedges).forEach(pending -> dropHedge(pending, outcome));
     }
 
     private void dropHedge(HedgedAttempt pending, String outcome) {
-        hedge = Optional.empty();
+        hedges.remove(pending);
         if (pending.attempt().mayHaveBeenSent()) {
             history = history.after(AttemptEnd.LOST);
+        } else {
+            tried.remove(pending.attempt().entry());
         }
         pending.cancel();
         silenceLog.recordHedgeEnd(pending.attempt(), outcome);
@@ -473,30 +485,32 @@
 
     @Override
     public void onHedgeAnswered(HedgedAttempt answered) {
-        attempt.ifPresent(
-                silent -> {
-                    history = history.after(AttemptEnd.LOST);
-                    retryProgress.recordEnd();
-                    events.discardPartialEvent();
-                    silent.cancel();
-                    silenceLog.recordLeft(silent, answered.attempt());
-                });
+        attempt.ifPresent(silent -> leave(silent, answered.attempt()));
         continueWith(answered);
+        dropHedges("another_answered");
     }
 
-    private void continueWith(HedgedAttempt answered) {
-        hedge = Optional.empty();
-        attempt = Optional.of(answered.attempt());
-        retryProgress = answered.progress();
-        answered.takeOver();
+    private void leave(TargetAttempt silent, TargetAttempt answered) {
+        history = history.after(AttemptEnd.LOST);
+        retryProgress.recordEnd();
+        events.discardPartialEvent();
+        silent.leave();
+        silenceLog.recordLeft(silent, answered);
+    }
+
+    private void continueWith(HedgedAttempt next) {
+        hedges.remove(next);
+        attempt = Optional.of(next.attempt());
+        retryProgress = next.progress();
+        next.takeOver();
     }
 
     @Override
-    public void onHedgeFailed(HedgedAttempt failed, AttemptEnd end) {
-        if (hedge.filter(failed::equals).isEmpty()) {
+    public void onHedgeFailed(
+            HedgedAttempt failed, AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
+        if (!hedges.remove(failed)) {
             return;
         }
-        hedge = Optional.empty();
         history = history.after(end);
         if (end == AttemptEnd.WITHHELD) {
             tried.remove(failed.attempt().entry());
@@ -504,12 +518,15 @@
         silenceLog.recordHedgeEnd(failed.attempt(), end.name());
     }
 
+    private boolean mayHaveBeenSent() {
+        return Stream.concat(attempt.stream(), hedges.stream().map(HedgedAttempt::attempt))
+                        .anyMatch(TargetAttempt::mayHaveBeenSent)
+                || history.possibleExecutions() > 0;
+    }
+
     @Override
     public void onDeadline() {
-        boolean sent =
-                attempt.filter(TargetAttempt::mayHaveBeenSent).isPresent()
-                        || history.possibleExecutions() > 0;
-        endUnfinished(sent, ErrorCode.DEADLINE_WHILE_RUNNING, "timeout");
+        endUnfinished(mayHaveBeenSent(), ErrorCode.DEADLINE_WHILE_RUNNING, "timeout");
     }
 
     // The step may have failed before it recorded how an attempt ended.
@@ -535,8 +552,7 @@
 
     private void onCallerGone() {
         if (!done) {
-            if (attempt.filter(TargetAttempt::mayHaveBeenSent).isEmpty()
-                    && history.possibleExecutions() == 0) {
+            if (!mayHaveBeenSent()) {
                 permit.ifPresent(context::giveBackQuota);
             }
             attempt.ifPresent(TargetAttempt::cancel);
@@ -706,7 +722,7 @@
 
     private FailurePolicy.Decision decide(
             AttemptEnd end, AnswerProgress progress, RetryAllowance allowance, long nowMillis) {
-        if (hedge.isPresent()) {
+        if (!hedges.isEmpty()) {
             return FailurePolicy.hedged();
         }
         return mayHaveEndedTarget(end, progress)
@@ -729,7 +745,7 @@
             Optional<TargetAttempt.TargetFailure> failure) {
         switch (next) {
             case AGAIN -> retry();
-            case HEDGED -> continueWith(hedge.orElseThrow());
+            case HEDGED -> continueWith(hedges.get(0));
             case PASS_ON -> forwardFailure(failure.orElseThrow());
             case REFUSE -> passOnRefusal();
             case UNKNOWN -> respondWithFailure(ErrorCode.OUTCOME_UNKNOWN, end.name());
@@ -809,7 +825,7 @@
 
     private void finish(String outcome, int status) {
         done = true;
-        hedge.ifPresent(pending -> dropHedge(pending, outcome));
+        dropHedges(outcome);
         attempt = Optional.empty();
         retryProgress.recordEnd();
         stopWaiting();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/HedgedAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/HedgedAttempt.java
@@ -1,36 +1,64 @@
 package org.tamaracktrack.daemon.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.Optional;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
+import org.tamaracktrack.core.stream.EventSplitter;
 
 /**
- * An attempt that is made while the target of the current attempt is silent. The request goes on
- * with whichever of the two targets sends a part of an answer first. Used on the traffic thread.
+ * An attempt that is made while the target of the current attempt is silent. It takes over with the
+ * first whole event of its stream, or with its complete answer, unless the silent target sends
+ * something before. Used on the traffic thread.
  */
 final class HedgedAttempt implements TargetAttempt.Listener {
+    /**
+     * Longest time for which both targets may work on a stream. A target sends the head of its
+     * answer with the first token, and whole events shortly after.
+     */
+    private static final long MAX_OVERLAP_MILLIS = 300;
+
     private final Owner owner;
+    private final GatewayContext context;
     private final RetryProgress progress;
+    private final EventSplitter events = EventSplitter.empty();
+    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
     private Optional<TargetAttempt> attempt = Optional.empty();
-    private boolean takenOver;
+    private int streamStatus;
+    private Map<String, String> streamHeaders = Map.of();
+    private State state = State.PENDING;
+
+    private enum State {
+        PENDING,
+        TAKEN_OVER,
+        ENDED
+    }
 
     /** The request that has both attempts. */
     interface Owner extends TargetAttempt.Listener {
-        /** Called when the target has answered; from then on this is the current attempt. */
+        /** Called when the target has answered; the attempt becomes the current one. */
         void onHedgeAnswered(HedgedAttempt hedge);
 
-        /** Called when the attempt has ended without an answer. */
-        void onHedgeFailed(HedgedAttempt hedge, AttemptEnd end);
+        /**
+         * Called when the attempt has ended without an answer that can be used.
+         *
+         * @param hedge the attempt
+         * @param end how it ended
+         * @param failure the target's own failure response, if it sent one
+         */
+        void onHedgeFailed(
+                HedgedAttempt hedge, AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure);
     }
 
-    private HedgedAttempt(Owner owner, RetryProgress progress) {
+    private HedgedAttempt(Owner owner, GatewayContext context, RetryProgress progress) {
         this.owner = owner;
+        this.context = context;
         this.progress = progress;
     }
 
-    static HedgedAttempt of(Owner owner, RetryProgress progress) {
-        return new HedgedAttempt(owner, progress);
+    static HedgedAttempt of(Owner owner, GatewayContext context, RetryProgress progress) {
+        return new HedgedAttempt(owner, context, progress);
     }
 
     /** Sends the request; the owner may be told of the end before this method returns. */
@@ -49,55 +77,84 @@
 
     /** Makes this the current attempt, whose further progress the owner receives. */
     void takeOver() {
-        takenOver = true;
+        state = State.TAKEN_OVER;
+        if (!streamHeaders.isEmpty()) {
+            owner.onStreamBegin(streamStatus, streamHeaders);
+        }
+        if (received.size() > 0) {
+            owner.onBytes(ByteBuffer.wrap(received.toByteArray()));
+        }
     }
 
     /** Ends the attempt. */
     void cancel() {
+        state = State.ENDED;
         attempt().cancel();
         progress.recordEnd();
     }
 
-    private void answered() {
-        if (!takenOver) {
+    private void fail(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
+        state = State.ENDED;
+        progress.recordEnd();
+        owner.onHedgeFailed(this, end, failure);
+    }
+
+    private void answerIfPending() {
+        if (state == State.PENDING) {
             owner.onHedgeAnswered(this);
         }
     }
 
     @Override
     public void onStreamBegin(int status, Map<String, String> headers) {
-        if (!takenOver && !attempt().isSuccess()) {
-            cancel();
-            owner.onHedgeFailed(this, AttemptEnd.FAILED);
-            return;
+        if (state == State.TAKEN_OVER) {
+            owner.onStreamBegin(status, headers);
+        } else if (attempt().isSuccess()) {
+            streamStatus = status;
+            streamHeaders = headers;
+            context.after(MAX_OVERLAP_MILLIS, this::answerIfPending);
+        } else {
+            attempt().cancel();
+            fail(AttemptEnd.FAILED, Optional.empty());
         }
-        answered();
-        owner.onStreamBegin(status, headers);
     }
 
     @Override
     public void onBytes(ByteBuffer bytes) {
-        owner.onBytes(bytes);
+        if (state == State.TAKEN_OVER) {
+            owner.onBytes(bytes);
+            return;
+        }
+        byte[] copy = new byte[bytes.remaining()];
+        bytes.get(copy);
+        received.writeBytes(copy);
+        if (events.split(ByteBuffer.wrap(copy)).length > 0 || events.exceedsPendingLimit()) {
+            answerIfPending();
+        }
     }
 
     @Override
     public void onStreamEnd() {
+        if (state == State.PENDING && received.size() > 0) {
+            fail(AttemptEnd.CUT, Optional.empty());
+            return;
+        }
+        answerIfPending();
         owner.onStreamEnd();
     }
 
     @Override
     public void onCompleteResponse(int status, Map<String, String> headers, byte[] body) {
-        answered();
+        answerIfPending();
         owner.onCompleteResponse(status, headers, body);
     }
 
     @Override
     public void onFailed(AttemptEnd end, Optional<TargetAttempt.TargetFailure> failure) {
-        if (takenOver) {
+        if (state == State.TAKEN_OVER) {
             owner.onFailed(end, failure);
         } else {
-            progress.recordEnd();
-            owner.onHedgeFailed(this, end);
+            fail(end, failure);
         }
     }
 
@@ -123,14 +180,14 @@
 
     @Override
     public void onContact() {
-        if (takenOver) {
+        if (state == State.TAKEN_OVER) {
             owner.onContact();
         }
     }
 
     @Override
     public void onEstablished() {
-        if (takenOver) {
+        if (state == State.TAKEN_OVER) {
             owner.onEstablished();
         }
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -325,6 +325,12 @@
         load.recordSilence(context.nowMillis());
     }
 
+    /** Ends the attempt because another target has answered while this one was silent. */
+    void leave() {
+        load.recordOutcome(true, context.nowMillis());
+        cancel();
+    }
+
     /** Abandons the attempt because its target has ended; the request may have run. */
     void abandon() {
         load.recordConnectionFailure(context.nowMillis());
