Pass on the failure of a target when no other target answers

Callers were told of an unknown outcome (502) although a target had answered with a failure of its own: it was thrown away when a retry was decided on, and the retry was refused. The last failure is kept and passed on where the outcome would be unknown otherwise. Both tests failed before: 502 in place of 500, after a retry and after a hedged attempt.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -75,6 +75,7 @@
     private RetryProgress retryProgress;
     private Optional<XnioExecutor.Key> waitTimer = Optional.empty();
     private long retryAfterMillis;
+    private Optional<TargetAttempt.TargetFailure> targetFailure = Optional.empty();
     private int streamStatus;
     private DispatchRequest dispatchRequest;
     private Map<String, String> streamHeaders = Map.of();
@@ -512,6 +513,7 @@
             return;
         }
         history = history.after(end);
+        targetFailure = failure.or(() -> targetFailure);
         if (end == AttemptEnd.WITHHELD) {
             tried.remove(failed.attempt().entry());
         }
@@ -544,7 +546,7 @@
             finish("cut_at_" + reason, SUCCESS);
             response.abort();
         } else if (sent) {
-            respondWithFailure(codeWhenSent, reason);
+            respondWithUnknownOutcome(codeWhenSent, reason);
         } else {
             respondWithFailure(ErrorCode.NO_TARGET, reason + "_before_start");
         }
@@ -696,6 +698,7 @@
         retryProgress.recordEnd();
         events.discardPartialEvent();
         history = history.after(end).withAnswerStarted(response.hasBegun());
+        targetFailure = failure.or(() -> targetFailure);
         if (end == AttemptEnd.WITHHELD) {
             target.ifPresent(tried::remove);
         }
@@ -748,7 +751,7 @@
             case HEDGED -> continueWith(hedges.get(0));
             case PASS_ON -> forwardFailure(failure.orElseThrow());
             case REFUSE -> passOnRefusal();
-            case UNKNOWN -> respondWithFailure(ErrorCode.OUTCOME_UNKNOWN, end.name());
+            case UNKNOWN -> respondWithUnknownOutcome(ErrorCode.OUTCOME_UNKNOWN, end.name());
             case BREAK -> abortStream();
             default -> throw new AssertionError(next);
         }
@@ -764,6 +767,11 @@
         dispatch();
     }
 
+    // The failure that a target has answered tells the caller more than an unknown outcome.
+    private void respondWithUnknownOutcome(ErrorCode code, String reason) {
+        targetFailure.ifPresentOrElse(this::forwardFailure, () -> respondWithFailure(code, reason));
+    }
+
     private void forwardFailure(TargetAttempt.TargetFailure failure) {
         finish("target_failed", failure.status());
         response.sendWhole(failure.status(), failure.headers(), failure.body());
@@ -782,7 +790,7 @@
         if (response.hasBegun()) {
             abortStream();
         } else if (history.possibleExecutions() > 0) {
-            respondWithFailure(ErrorCode.OUTCOME_UNKNOWN, reason);
+            respondWithUnknownOutcome(ErrorCode.OUTCOME_UNKNOWN, reason);
         } else {
             respondWithFailure(refusal, reason);
         }
