Count requests of which only a part was sent

A send that stops between two parts of a body ended as LOST, like a lost answer, so that neither logs nor metrics could tell how often it happens. event=send-stopped and tamaracktrack_gateway_sends_stopped_total tell.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -111,6 +111,11 @@
         registry.counter("tamaracktrack.gateway.unanswered", "stage", stage.name()).increment();
     }
 
+    /** Counts a request of which a part was sent to a target, and the rest was not. */
+    void recordStoppedSend() {
+        registry.counter("tamaracktrack.gateway.sends.stopped").increment();
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
 import org.tamaracktrack.core.dispatch.TargetLoad;
@@ -23,6 +24,8 @@
  * and keeps the target's load up to date. Owned by the traffic thread.
  */
 final class TargetAttempt implements HttpListener {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
+
     /** The largest response that is buffered before it is forwarded. */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
@@ -217,6 +220,10 @@
             return false;
         }
         withheld = !listener.isStillAllowed() || (sendingBegun ? mustStop() : mustNotBegin());
+        if (withheld && sendingBegun) {
+            LOG.info("event=send-stopped request=" + attemptId + " target=" + entry.incarnation());
+            context.metrics().recordStoppedSend();
+        }
         sendingBegun = true;
         if (!withheld) {
             listener.onSending();
