--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetReachability.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetReachability.java
@@ -18,17 +18,19 @@
 
     private static final long PROBE_INTERVAL_MILLIS = 1_000;
     private static final int MAX_TARGETS = 256;
+    private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final GatewayContext context;
     private final Map<TargetIncarnation, Probe> probes = LruMap.of(MAX_TARGETS);
 
-    private enum State {
-        PENDING,
-        REACHABLE,
-        ENDED
-    }
+    /** A single connection attempt may be lost. */
+    private static final int FAILURES_OF_ENDED_TARGET = 2;
 
-    private record Probe(State state, long atMillis) {}
+    private record Probe(boolean pending, int failures, long atMillis) {
+        private boolean hasEnded() {
+            return failures >= FAILURES_OF_ENDED_TARGET;
+        }
+    }
 
     TargetReachability(GatewayContext context) {
         this.context = context;
@@ -40,25 +42,19 @@
      * if that is not known yet.
      */
     boolean hasEnded(TargetEntry entry) {
-        Probe known = probes.get(entry.incarnation());
-        if (known == null || isOutdated(known)) {
-            probe(entry);
-            return known != null && known.state() == State.ENDED;
+        Probe known = probes.getOrDefault(entry.incarnation(), new Probe(false, 0, NEVER));
+        if (!known.pending() && context.nowMillis() - known.atMillis() >= PROBE_INTERVAL_MILLIS) {
+            probe(entry, known.failures());
         }
-        return known.state() == State.ENDED;
-    }
-
-    private boolean isOutdated(Probe probe) {
-        return probe.state() != State.PENDING
-                && context.nowMillis() - probe.atMillis() >= PROBE_INTERVAL_MILLIS;
+        return known.hasEnded();
     }
 
-    private void probe(TargetEntry entry) {
+    private void probe(TargetEntry entry, int failures) {
         if (isTaken(entry.address())) {
-            record(entry, State.ENDED);
+            record(entry, new Probe(false, FAILURES_OF_ENDED_TARGET, context.nowMillis()));
             return;
         }
-        record(entry, State.PENDING);
+        record(entry, new Probe(true, failures, context.nowMillis()));
         InetSocketAddress address =
                 new InetSocketAddress(entry.address().ip(), entry.address().port());
         HttpCaller http = context.http();
@@ -72,16 +68,17 @@
                                         () ->
                                                 record(
                                                         entry,
-                                                        reachable
-                                                                ? State.REACHABLE
-                                                                : State.ENDED)));
+                                                        new Probe(
+                                                                false,
+                                                                reachable ? 0 : failures + 1,
+                                                                context.nowMillis()))));
     }
 
     private boolean isTaken(TargetAddress address) {
         return context.view().fleet().all().anyMatch(other -> other.address().equals(address));
     }
 
-    private void record(TargetEntry entry, State state) {
-        probes.put(entry.incarnation(), new Probe(state, context.nowMillis()));
+    private void record(TargetEntry entry, Probe probe) {
+        probes.put(entry.incarnation(), probe);
     }
 }
