--- a/core/src/main/java/org/tamaracktrack/core/dispatch/HedgePolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/HedgePolicy.java
@@ -28,7 +28,8 @@
      * allowance yet.
      *
      * @param route the route of the request
-     * @param history the attempts without the one at the silent target
+     * @param history the attempts that have ended
+     * @param pendingHedges the attempts under way beside the one at the silent target
      * @param allowance the retry allowance of the service at this daemon
      * @param hasTarget whether another target could answer in the remaining time
      * @param nowMillis the monotonic time in milliseconds
@@ -37,13 +38,14 @@
     public static Decision decide(
             Route route,
             FailurePolicy.History history,
+            int pendingHedges,
             RetryAllowance allowance,
             boolean hasTarget,
             long nowMillis) {
         if (!route.repeatable()) {
             return Decision.NOT_REPEATABLE;
         }
-        if (history.possibleExecutions() + 1 >= route.maximumAttempts()
+        if (history.possibleExecutions() + pendingHedges + 1 >= route.maximumAttempts()
                 || history.refusals() >= FailurePolicy.MAX_REFUSALS
                 || history.connectionFailures() >= FailurePolicy.MAX_CONNECTION_FAILURES) {
             return Decision.ATTEMPTS_EXHAUSTED;
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/HedgePolicyTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/HedgePolicyTest.java
@@ -34,7 +34,7 @@
     }
 
     private Decision decide(Route route, History history) {
-        return HedgePolicy.decide(route, history, ampleAllowance, true, 0);
+        return HedgePolicy.decide(route, history, 0, ampleAllowance, true, 0);
     }
 
     @Nested
@@ -56,6 +56,18 @@
             assertThat(decide(route(RouteKind.IDEMPOTENT, 3), once)).isEqualTo(Decision.SEND);
         }
 
+        // Guards against a request that runs at more targets than its route allows, since those
+        // that have not answered yet don't count.
+        @Test
+        void shouldCountAttemptsThatAreUnderWay() {
+            Route three = route(RouteKind.IDEMPOTENT, 3);
+
+            assertThat(HedgePolicy.decide(three, History.none(), 1, ampleAllowance, true, 0))
+                    .isEqualTo(Decision.SEND);
+            assertThat(HedgePolicy.decide(three, History.none(), 2, ampleAllowance, true, 0))
+                    .isEqualTo(Decision.ATTEMPTS_EXHAUSTED);
+        }
+
         @Test
         void shouldNotSendWhenOtherTargetsRefuse() {
             assertThat(decide(route, new History(0, 3, 0, false)))
@@ -66,13 +78,13 @@
 
         @Test
         void shouldNotSendWhenThereIsNoOtherTarget() {
-            assertThat(HedgePolicy.decide(route, History.none(), ampleAllowance, false, 0))
+            assertThat(HedgePolicy.decide(route, History.none(), 0, ampleAllowance, false, 0))
                     .isEqualTo(Decision.NO_TARGET);
         }
 
         @Test
         void shouldNotSendWhenAllowanceIsExhausted() {
-            assertThat(HedgePolicy.decide(route, History.none(), emptyAllowance, true, 0))
+            assertThat(HedgePolicy.decide(route, History.none(), 0, emptyAllowance, true, 0))
                     .isEqualTo(Decision.DENIED);
         }
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -413,7 +413,8 @@
         HedgePolicy.Decision decision =
                 HedgePolicy.decide(
                         route,
-                        historyWithHedges(),
+                        history,
+                        hedges.size(),
                         context.retryAllowance(service()),
                         other.isPresent(),
                         context.nowMillis());
@@ -426,14 +427,6 @@
         }
     }
 
-    private FailurePolicy.History historyWithHedges() {
-        return hedges.stream()
-                .reduce(
-                        history,
-                        (before, pending) -> before.after(AttemptEnd.LOST),
-                        (first, second) -> second);
-    }
-
     private boolean isSilent(TargetAttempt pending) {
         boolean silent = SilentTargetMonitor.isSilent(pending, context.nowMillis());
         if (silent) {
