--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -235,7 +235,7 @@
     }
 
     /**
-     * Returns whether the target should receive a request only if no other target can.
+     * Returns whether the target is silent, so that a request is better sent to another one.
      *
      * @param nowMillis the monotonic time in milliseconds
      * @return true for some time after a silence, until the target sends something
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetReachability.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetReachability.java
@@ -17,15 +17,16 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 1_500;
 
     private static final long PROBE_INTERVAL_MILLIS = 1_000;
+
+    /** A single connection attempt may be lost. */
+    private static final int FAILURES_OF_ENDED_TARGET = 2;
+
     private static final int MAX_TARGETS = 256;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final GatewayContext context;
     private final Map<TargetIncarnation, Probe> probes = LruMap.of(MAX_TARGETS);
 
-    /** A single connection attempt may be lost. */
-    private static final int FAILURES_OF_ENDED_TARGET = 2;
-
     private record Probe(boolean pending, int failures, long atMillis) {
         private boolean hasEnded() {
             return failures >= FAILURES_OF_ENDED_TARGET;
