--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -184,6 +184,34 @@
         knownRequestsAtReport = knownShare(nowMillis).outstanding();
     }
 
+    /**
+     * Returns by which factor work at the target currently takes longer than usual.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the factor; 1 when the target states none
+     */
+    public double workFactor(long nowMillis) {
+        return 1;
+    }
+
+    /**
+     * Returns the long-run mean of the factor by which work at the target takes longer than usual.
+     *
+     * @return the factor; 1 when the target states none
+     */
+    public double meanWorkFactor() {
+        return 1;
+    }
+
+    /**
+     * Returns whether the target has stated how long work takes there.
+     *
+     * @return false before the first such report
+     */
+    public boolean reportsWorkTime() {
+        return false;
+    }
+
     /**
      * Records an attempt whose outcome indicates the health of the target.
      *
