Weigh how long work takes at a target when a request is sent

Cause: targets on shared machines report a fourth figure, how long work takes at this moment. The decoder accepted exactly three figures, so each such report was dropped and targets that differ almost three times in speed got equal work.

Waits and costs of the target selection follow the factor, which returns to the long-run mean of the target within a second or two. Peers pass new reports on in their load datagrams, behind the part that earlier versions read. Targets without the figure are treated as before.

--- a/core/src/main/java/org/tamaracktrack/core/admission/AccountUsage.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/AccountUsage.java
@@ -7,8 +7,8 @@
 public interface AccountUsage {
 
     /**
-     * Returns the part of all outstanding tokens of a service that belongs to an account, divided by
-     * an equal part among the accounts that have any.
+     * Returns the part of all outstanding tokens of a service that belongs to an account, divided
+     * by an equal part among the accounts that have any.
      *
      * @param service the service
      * @param account the client account
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -4,6 +4,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
 
 /**
  * The load of one incarnation of a target as known to one daemon: its own requests there, the last
@@ -23,6 +25,9 @@
     /** Assumed duration of an answer before one was observed. */
     private static final double INITIAL_ANSWER_MILLIS = 2_000;
 
+    /** Assumed duration of an answer of a plain service before one was observed. */
+    private static final double INITIAL_WORK_MILLIS = 42;
+
     /** Weight of the newest answer duration, so that about the last 10 determine the average. */
     private static final double NEWEST_ANSWER_WEIGHT = 0.1;
 
@@ -42,11 +47,15 @@
     private final PromptRateEstimator promptRate = PromptRateEstimator.create();
     private final StreamStallEstimator streamStalls = StreamStallEstimator.create();
     private final Map<String, Integer> cachedParts = LruMap.of(MAX_CACHED_PARTS);
-    private ReportedLoad reported = new ReportedLoad(0, 0);
+    private final WorkFactorEstimator workFactor = WorkFactorEstimator.create();
+    private ReportedLoad reported = ReportedLoad.empty();
+    private long reportedAtMillis = Long.MIN_VALUE / 2;
+    private boolean hasNewReport;
     private final Deque<Long> unansweredSentMillis = new ArrayDeque<>();
     private double firstPieceMillis;
     private long firstPieceAtMillis;
     private double answerMillis = INITIAL_ANSWER_MILLIS;
+    private double workMillis = INITIAL_WORK_MILLIS;
     private LoadShare peerShare = LoadShare.empty();
     private long peerShareAtMillis = Long.MIN_VALUE / 2;
     private int ownRequests;
@@ -80,7 +89,12 @@
             int promptTokens, long startedAtMillis, int pendingTokensBefore, long nowMillis) {
         removeUnanswered(promptTokens, startedAtMillis);
         double elapsedMillis = nowMillis - startedAtMillis;
-        promptRate.recordSample(pendingTokensBefore + promptTokens, elapsedMillis, nowMillis);
+        // Divided by the mean and not by the current factor: a factor that is no longer true would
+        // show as a rate that the target never reaches.
+        promptRate.recordSample(
+                pendingTokensBefore + promptTokens,
+                elapsedMillis / meanWorkFactor(nowMillis),
+                nowMillis);
         firstPieceMillis =
                 (1 - NEWEST_FIRST_PIECE_WEIGHT) * decayedFirstPieceMillis(nowMillis)
                         + NEWEST_FIRST_PIECE_WEIGHT * elapsedMillis;
@@ -137,6 +151,28 @@
         answerMillis += NEWEST_ANSWER_WEIGHT * (elapsedMillis - answerMillis);
     }
 
+    /**
+     * Records the answer to a request that was sent while the target had a free slot, so that its
+     * duration shows the work and no wait.
+     *
+     * @param elapsedMillis the time from the sending of the request to the end of the answer
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordUnqueuedAnswer(long elapsedMillis, long nowMillis) {
+        workMillis +=
+                NEWEST_ANSWER_WEIGHT * (elapsedMillis / meanWorkFactor(nowMillis) - workMillis);
+    }
+
+    /**
+     * Returns how long the target works on a request, without the wait for a slot.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the time in milliseconds at the current work time of the target
+     */
+    public double workMillis(long nowMillis) {
+        return workMillis * workFactor(nowMillis);
+    }
+
     /**
      * Returns the moving average of the time from the sending of a request to the end of its
      * answer.
@@ -149,13 +185,13 @@
 
     /**
      * Returns the estimated number of prompt tokens that the target processes per millisecond when
-     * it does no other work.
+     * it does no other work, at its current work time.
      *
      * @param nowMillis the monotonic time in milliseconds
      * @return tokens per millisecond
      */
     public double tokensPerMilli(long nowMillis) {
-        return promptRate.tokensPerMilli(nowMillis);
+        return promptRate.tokensPerMilli(nowMillis) / workFactor(nowMillis);
     }
 
     /**
@@ -174,42 +210,82 @@
     }
 
     /**
-     * Records a load report of the target.
+     * Records a load report in an answer of the target.
      *
      * @param load the reported load
      * @param nowMillis the monotonic time in milliseconds
      */
     public void recordReport(ReportedLoad load, long nowMillis) {
+        applyReport(load, nowMillis, nowMillis);
+        hasNewReport = load.workTime().isPresent();
+    }
+
+    /**
+     * Records a load report that another daemon passed on.
+     *
+     * @param load the reported load
+     * @param ageMillis the time since the target sent it, in milliseconds
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordRelayedReport(ReportedLoad load, long ageMillis, long nowMillis) {
+        long atMillis = nowMillis - ageMillis;
+        if (atMillis > reportedAtMillis) {
+            applyReport(load, atMillis, nowMillis);
+            hasNewReport = false;
+        }
+    }
+
+    private void applyReport(ReportedLoad load, long atMillis, long nowMillis) {
         reported = load;
+        reportedAtMillis = atMillis;
         knownRequestsAtReport = knownShare(nowMillis).outstanding();
+        load.workTime().ifPresent(workTime -> workFactor.record(workTime, atMillis));
+    }
+
+    /**
+     * Returns the last report if this daemon received it from the target itself and has not passed
+     * it on, and marks it as passed on.
+     *
+     * @param target the target of this load
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the report; empty for targets that do not report how long work takes
+     */
+    public Optional<RelayedReport> takeNewReport(TargetIncarnation target, long nowMillis) {
+        if (!hasNewReport) {
+            return Optional.empty();
+        }
+        hasNewReport = false;
+        return Optional.of(
+                new RelayedReport(target, reported, Math.max(0, nowMillis - reportedAtMillis)));
     }
 
     /**
      * Returns by which factor work at the target currently takes longer than usual.
      *
      * @param nowMillis the monotonic time in milliseconds
-     * @return the factor; 1 when the target states none
+     * @return the factor; 1 when the target does not report it
      */
     public double workFactor(long nowMillis) {
-        return 1;
+        return workFactor.factor(nowMillis);
     }
 
     /**
      * Returns the long-run mean of the factor by which work at the target takes longer than usual.
      *
-     * @return the factor; 1 when the target states none
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the factor; 1 when the target does not report it
      */
-    public double meanWorkFactor() {
-        return 1;
+    public double meanWorkFactor(long nowMillis) {
+        return workFactor.mean(nowMillis);
     }
 
     /**
-     * Returns whether the target has stated how long work takes there.
+     * Returns whether the target has reported how long work takes there.
      *
      * @return false before the first such report
      */
     public boolean reportsWorkTime() {
-        return false;
+        return workFactor.isKnown();
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
@@ -65,6 +65,9 @@
     /** Counterpart of {@link #ENGINE_SPREAD_MILLIS} for plain services. */
     private static final double SERVICE_SPREAD_MILLIS = 1;
 
+    /** Noise relative to the expected wait at targets that report how long work takes. */
+    private static final double REPORTED_SPREAD_RATIO = 0.1;
+
     /** Lower bound of a random draw, which keeps its logarithm finite. */
     private static final double MIN_DRAW = 1e-9;
 
@@ -171,18 +174,37 @@
         double firstPieceMillis =
                 request.need().isPresent()
                         ? engineMillis(request, load, entry.slots(), nowMillis)
-                        : load.outstanding(nowMillis) * SERVICE_REQUEST_MILLIS;
+                        : serviceMillis(load, entry.slots(), nowMillis);
         double distance = entry.dataCentre().equals(ownDataCentre) ? 0 : distanceMillis(request);
         double failurePenalty = load.failureShare(nowMillis) * FAILURE_PENALTY_MILLIS;
         double crowding = request.need().isPresent() ? crowdingMillis(load, entry, nowMillis) : 0;
         double silencePenalty = load.isSilent(nowMillis) ? SILENCE_PENALTY_MILLIS : 0;
         double cost = firstPieceMillis + crowding + distance + failurePenalty + silencePenalty;
         return new Selection(
-                entry, firstPieceMillis, cost + spreadMillis(request) * gumbelNoise(draw));
+                entry,
+                firstPieceMillis,
+                cost + spreadMillis(request, load, firstPieceMillis) * gumbelNoise(draw));
+    }
+
+    // Daemons hear of a target that has become fast at the same moment, so the noise grows with the
+    // differences that reported work times cause.
+    private static double spreadMillis(
+            DispatchRequest request, TargetLoad load, double firstPieceMillis) {
+        double spread = request.need().isPresent() ? ENGINE_SPREAD_MILLIS : SERVICE_SPREAD_MILLIS;
+        return load.reportsWorkTime()
+                ? Math.max(spread, REPORTED_SPREAD_RATIO * firstPieceMillis)
+                : spread;
     }
 
-    private static double spreadMillis(DispatchRequest request) {
-        return request.need().isPresent() ? ENGINE_SPREAD_MILLIS : SERVICE_SPREAD_MILLIS;
+    private static double serviceMillis(TargetLoad load, int slots, long nowMillis) {
+        int outstanding = load.outstanding(nowMillis);
+        if (!load.reportsWorkTime()) {
+            return outstanding * SERVICE_REQUEST_MILLIS;
+        }
+        // Slots take turns in becoming free, so each request in a slot costs a part of its work.
+        double workMillis = load.workMillis(nowMillis);
+        double usedSlots = outstanding / (double) Math.max(1, slots);
+        return workMillis * (1 + usedSlots);
     }
 
     // With Gumbel-distributed noise, the probability that a target is selected falls exponentially
@@ -201,7 +223,8 @@
     private static double crowdingMillis(TargetLoad load, TargetEntry entry, long nowMillis) {
         double excessRequests =
                 Math.max(0, load.outstanding(nowMillis) - EFFICIENT_SLOT_SHARE * entry.slots());
-        return excessRequests * CROWDING_REQUEST_MILLIS + load.stallMillis(nowMillis);
+        return excessRequests * CROWDING_REQUEST_MILLIS * load.workFactor(nowMillis)
+                + load.stallMillis(nowMillis);
     }
 
     private static double engineMillis(
@@ -216,7 +239,7 @@
         // but the observed waiting times do.
         double observedMillis = load.waiting() == 0 ? 0 : load.firstPieceMillis(nowMillis);
         return Math.max(promptMillis + queueMillis, observedMillis)
-                + load.outstanding(nowMillis) * ENGINE_REQUEST_MILLIS;
+                + load.outstanding(nowMillis) * ENGINE_REQUEST_MILLIS * load.workFactor(nowMillis);
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/PeerLoadExchangeTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/PeerLoadExchangeTest.java
@@ -21,7 +21,16 @@
     private static final double HEAVY_REQUESTS_PER_SECOND = 6.5;
 
     private static final SimulatedFleet.Parameters LARGE =
-            new SimulatedFleet.Parameters(33, 42, 5, 16, 8, 3, HEAVY_REQUESTS_PER_SECOND, 0);
+            new SimulatedFleet.Parameters(
+                    33,
+                    42,
+                    5,
+                    16,
+                    8,
+                    3,
+                    HEAVY_REQUESTS_PER_SECOND,
+                    0,
+                    SimulatedFleet.Machines.EQUAL);
 
     private static List<SimulatedFleet.Outcome> simulate(SimulatedFleet.Parameters parameters) {
         return IntStream.range(0, SEEDS)
@@ -69,7 +78,15 @@
     class FewDaemons {
         private final SimulatedFleet.Parameters small =
                 new SimulatedFleet.Parameters(
-                        4, 8, 3, 64, 8, 3, 1.5 * HEAVY_REQUESTS_PER_SECOND, 0);
+                        4,
+                        8,
+                        3,
+                        64,
+                        8,
+                        3,
+                        1.5 * HEAVY_REQUESTS_PER_SECOND,
+                        0,
+                        SimulatedFleet.Machines.EQUAL);
 
         @Test
         void shouldMakeFewerRequestsLateWhenPeersExchangeLoads() {
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
@@ -74,6 +74,7 @@
      * @param copies number of models that an engine holds
      * @param requestsPerSecond average requests per second at each engine
      * @param exchangeMillis interval at which peers exchange loads; 0 for no exchange
+     * @param machines the machines of the engines
      */
     record Parameters(
             int daemons,
@@ -83,7 +84,8 @@
             int models,
             int copies,
             double requestsPerSecond,
-            long exchangeMillis) {
+            long exchangeMillis,
+            Machines machines) {
 
         Parameters exchanging(long everyMillis) {
             return new Parameters(
@@ -94,7 +96,47 @@
                     models,
                     copies,
                     requestsPerSecond,
-                    everyMillis);
+                    everyMillis,
+                    machines);
+        }
+
+        Parameters on(Machines others) {
+            return new Parameters(
+                    daemons,
+                    engines,
+                    dataCentres,
+                    slots,
+                    models,
+                    copies,
+                    requestsPerSecond,
+                    exchangeMillis,
+                    others);
+        }
+    }
+
+    /**
+     * The machines of the engines, which other programs share.
+     *
+     * @param workFactors how much longer than usual work takes, for the engines in turn
+     * @param disturbed whether work takes longer still for short intervals
+     * @param reported whether engines report how long work takes
+     */
+    record Machines(List<Double> workFactors, boolean disturbed, boolean reported) {
+        static final Machines EQUAL = new Machines(List.of(1.0), false, false);
+
+        private static final double DISTURBED_SHARE = 0.15;
+        private static final double DISTURBED_FACTOR = 2.5;
+        private static final double DISTURBED_MILLIS = 600;
+
+        Machines reporting() {
+            return new Machines(workFactors, disturbed, true);
+        }
+
+        double workFactor(int engine, double nowMillis) {
+            double factor = workFactors.get(engine % workFactors.size());
+            long interval = (long) (nowMillis / DISTURBED_MILLIS);
+            double draw = new SplittableRandom(interval * 1_000 + engine).nextDouble();
+            return disturbed && draw < DISTURBED_SHARE ? DISTURBED_FACTOR * factor : factor;
         }
     }
 
@@ -119,6 +161,7 @@
         private final PeerLoadShares shares = PeerLoadShares.empty();
         private List<Daemon> peers = List.of();
         private Map<TargetIncarnation, LoadShare> reportedShares = Map.of();
+        private List<RelayedReport> newReports = List.of();
 
         Daemon(Peer self) {
             this.self = self;
@@ -132,7 +175,16 @@
                             .collect(Collectors.toList());
         }
 
-        void snapshotLoads() {
+        void snapshotLoads(long nowMillis) {
+            newReports =
+                    loads.entrySet().stream()
+                            .flatMap(
+                                    load ->
+                                            load
+                                                    .getValue()
+                                                    .takeNewReport(load.getKey(), nowMillis)
+                                                    .stream())
+                            .collect(Collectors.toList());
             reportedShares = new HashMap<>();
             loads.forEach((name, load) -> reportedShares.put(name, load.ownShare()));
         }
@@ -140,6 +192,13 @@
         void receiveLoads(Daemon peer, long nowMillis) {
             shares.update(peer.self.process(), peer.reportedShares, nowMillis)
                     .forEach((name, sum) -> load(name).recordPeerShare(sum, nowMillis));
+            peer.newReports.forEach(
+                    report ->
+                            load(report.target())
+                                    .recordRelayedReport(
+                                            report.load(),
+                                            report.ageMillis() + parameters.exchangeMillis(),
+                                            nowMillis));
         }
 
         TargetLoad load(TargetIncarnation engine) {
@@ -210,9 +269,27 @@
     private final class Engine {
         private final List<Request> running = new ArrayList<>();
         private final Deque<Request> waiting = new ArrayDeque<>();
+        private final int index;
         private double stepEndsMillis;
         private boolean stepping;
 
+        Engine(int index) {
+            this.index = index;
+        }
+
+        private double workFactor(double nowMillis) {
+            return parameters.machines().workFactor(index, nowMillis);
+        }
+
+        private ReportedLoad report(long nowMillis) {
+            return new ReportedLoad(
+                    running.size(),
+                    waiting.size(),
+                    parameters.machines().reported()
+                            ? WorkTime.ofPercent(100 * workFactor(nowMillis))
+                            : Optional.empty());
+        }
+
         void enqueue(Request request, long nowMillis) {
             waiting.addLast(request);
             mostOutstanding = Math.max(mostOutstanding, running.size() + waiting.size());
@@ -235,7 +312,8 @@
                 request.pendingPromptTokens -= read;
                 chunk -= read;
             }
-            stepEndsMillis = now + STEP_MILLIS + (CHUNK_TOKENS - chunk) / TOKENS_PER_MILLI;
+            double usualMillis = STEP_MILLIS + (CHUNK_TOKENS - chunk) / TOKENS_PER_MILLI;
+            stepEndsMillis = now + usualMillis * workFactor(now);
             steps.add(this);
         }
 
@@ -250,8 +328,7 @@
 
         private void emitToken(Request request, long nowMillis) {
             if (request.emittedTokens == 0) {
-                request.load.recordReport(
-                        new ReportedLoad(running.size(), waiting.size()), nowMillis);
+                request.load.recordReport(report(nowMillis), nowMillis);
                 request.load.recordFirstPiece(
                         request.promptTokens,
                         request.sentMillis,
@@ -302,7 +379,12 @@
                                         Collectors.toMap(
                                                 entry -> entry.incarnation().target(),
                                                 entry -> entry)));
-        fleet.all().forEach(entry -> engines.put(entry.incarnation(), new Engine()));
+        IntStream.range(0, parameters.engines())
+                .forEach(index -> engines.put(incarnation(index), new Engine(index)));
+    }
+
+    private static TargetIncarnation incarnation(int index) {
+        return new TargetIncarnation(TargetId.of("engine-" + index), 0);
     }
 
     private Peer peer(int index) {
@@ -324,7 +406,7 @@
                         .mapToObj(model -> new HeldModel(ModelId.of("model-" + model), Set.of()))
                         .collect(Collectors.toList());
         return new TargetEntry(
-                new TargetIncarnation(TargetId.of("engine-" + index), 0),
+                incarnation(index),
                 TargetEntries.ENGINES,
                 SoftwareVersion.of("v1"),
                 new TargetAddress("10.0.0.1", 80),
@@ -390,6 +472,6 @@
     private void exchange(long nowMillis) {
         daemons.forEach(
                 daemon -> daemon.peers.forEach(peer -> daemon.receiveLoads(peer, nowMillis)));
-        daemons.forEach(Daemon::snapshotLoads);
+        daemons.forEach(daemon -> daemon.snapshotLoads(nowMillis));
     }
 }
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -196,7 +196,7 @@
         @Test
         void shouldNotAddCrowdingToExpectedFirstPieceTime() {
             int slots = TargetEntries.engine("near", TargetEntries.HOME, "model").slots();
-            load("near").recordReport(new ReportedLoad(slots, 0), NOW);
+            load("near").recordReport(ReportedLoad.of(slots, 0), NOW);
 
             TargetSelector.Selection choice =
                     selector.select(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -315,16 +315,7 @@
      * @return receives the addresses of the other daemons whenever they change
      */
     public Consumer<List<InetSocketAddress>> exchangeLoads(String process, Datagrams datagrams) {
-        LoadExchange exchange =
-                LoadExchange.of(
-                        process,
-                        datagrams,
-                        context,
-                        context.loads()::ownShares,
-                        (target, share) ->
-                                context.loads()
-                                        .of(target)
-                                        .recordPeerShare(share, context.nowMillis()));
+        LoadExchange exchange = LoadExchange.of(process, datagrams, context, context.loads());
         thread.execute(() -> context.exchangesLoads(exchange));
         return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -77,7 +77,7 @@
     private final GatewayMetrics metrics;
     private final BooleanSupplier leaving;
     private final RandomGenerator random;
-    private final TargetLoads loads = TargetLoads.empty();
+    private final TargetLoads loads = TargetLoads.empty(ControlThread::nowMillis);
     private final WaitingRequests waiting = WaitingRequests.empty();
     private final DemandMeter demand = DemandMeter.empty();
     private final Map<String, ReturningCallerDetector> returningCallers =
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.daemon.gateway;
 
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
@@ -30,12 +31,15 @@
                     .mapToObj(Duration::ofMillis)
                     .toArray(Duration[]::new);
 
+    private static final double[] WORK_FACTOR_BUCKETS = {0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0};
+
     private static final int MAX_LABELLED_ACCOUNTS = 64;
     private static final String OTHER_ACCOUNTS = "other";
 
     private final MeterRegistry registry;
     private final Set<ClientAccountId> labelledAccounts = new HashSet<>();
     private final Map<String, Timer> timers = new HashMap<>();
+    private final Map<ServiceId, DistributionSummary> workFactors = new HashMap<>();
     private final Map<ServiceId, AtomicInteger> remainingRetries = new HashMap<>();
 
     private GatewayMetrics(MeterRegistry registry) {
@@ -116,6 +120,19 @@
         registry.counter("tamaracktrack.gateway.sends.stopped").increment();
     }
 
+    /** Records by which factor work takes longer than usual at a target, as it reports. */
+    void recordWorkFactor(ServiceId service, double factor) {
+        workFactors
+                .computeIfAbsent(
+                        service,
+                        name ->
+                                DistributionSummary.builder("tamaracktrack.gateway.work.factor")
+                                        .tag("service", name.value())
+                                        .serviceLevelObjectives(WORK_FACTOR_BUCKETS)
+                                        .register(registry))
+                .record(factor);
+    }
+
     void recordAttemptEnd(String end) {
         registry.counter("tamaracktrack.gateway.attempts", "end", end).increment();
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -9,6 +9,7 @@
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
+import org.tamaracktrack.core.dispatch.ReportedLoad;
 import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
@@ -77,6 +78,7 @@
     private boolean withheld;
     private boolean sendingBegun;
     private boolean paused;
+    private boolean sentToFreeSlot;
 
     private enum Mode {
         NO_HEAD,
@@ -190,6 +192,7 @@
         startedMillis = context.nowMillis();
         lastContactMillis = startedMillis;
         pendingPromptTokens = load.pendingPromptTokens(startedMillis);
+        sentToFreeSlot = load.outstanding(startedMillis) < entry.slots();
         load.recordSent(dispatchRequest.promptTokens(), startedMillis);
         context.notifyLoadsChanged();
         InetSocketAddress address =
@@ -392,7 +395,7 @@
         if (metadata.restMillis().isEmpty()) {
             context.restingTargets().recordAnswer(entry);
         }
-        metadata.load().ifPresent(report -> load.recordReport(report, lastContactMillis));
+        metadata.load().ifPresent(this::recordReport);
         if (metadata.closesConnection()) {
             context.recordClosing(entry.incarnation().target());
         }
@@ -407,6 +410,22 @@
         }
     }
 
+    private void recordReport(ReportedLoad report) {
+        load.recordReport(report, lastContactMillis);
+        report.workTime()
+                .ifPresent(
+                        workTime ->
+                                context.metrics()
+                                        .recordWorkFactor(entry.service(), workTime.factor()));
+    }
+
+    private void recordCompleteAnswer(long nowMillis) {
+        load.recordCompleteAnswer(nowMillis - startedMillis);
+        if (sentToFreeSlot) {
+            load.recordUnqueuedAnswer(nowMillis - startedMillis, nowMillis);
+        }
+    }
+
     private void accept(int responseStatus) {
         recordFirstPiece();
         load.recordCachedParts(TargetSelector.cacheScope(dispatchRequest), dispatchRequest.parts());
@@ -455,7 +474,7 @@
         }
         load.recordOutcome(mode == Mode.FAILURE, context.nowMillis());
         if (mode != Mode.FAILURE) {
-            load.recordCompleteAnswer(context.nowMillis() - startedMillis);
+            recordCompleteAnswer(context.nowMillis());
         }
         switch (mode) {
             case STREAMING -> listener.onStreamEnd();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/LoadExchange.java
@@ -6,11 +6,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.function.BiConsumer;
-import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.LoadShare;
 import org.tamaracktrack.core.dispatch.PeerLoadShares;
+import org.tamaracktrack.core.dispatch.RelayedReport;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 
@@ -34,8 +33,7 @@
     private final String process;
     private final Datagrams datagrams;
     private final Timer timer;
-    private final Supplier<Map<TargetIncarnation, LoadShare>> ownShares;
-    private final BiConsumer<TargetIncarnation, LoadShare> peerShareListener;
+    private final Loads loads;
     private final PeerLoadShares peerShares = PeerLoadShares.empty();
     private Set<InetSocketAddress> peers = Set.of();
     private boolean sendScheduled;
@@ -59,17 +57,44 @@
         long nowMillis();
     }
 
-    private LoadExchange(
-            String process,
-            Datagrams datagrams,
-            Timer timer,
-            Supplier<Map<TargetIncarnation, LoadShare>> ownShares,
-            BiConsumer<TargetIncarnation, LoadShare> peerShareListener) {
+    /** What this daemon knows of the load of targets. */
+    public interface Loads {
+        /**
+         * Returns the load of this daemon.
+         *
+         * @return the load by target, without targets at which it has none
+         */
+        Map<TargetIncarnation, LoadShare> ownShares();
+
+        /**
+         * Returns the reports of targets that this daemon has received itself since the previous
+         * call.
+         *
+         * @return the reports of targets that state how long work takes
+         */
+        List<RelayedReport> takeNewReports();
+
+        /**
+         * Records the total load of all peers at a target.
+         *
+         * @param target the target
+         * @param share their load
+         */
+        void recordPeerShare(TargetIncarnation target, LoadShare share);
+
+        /**
+         * Records a report of a target that a peer has received.
+         *
+         * @param report the report
+         */
+        void recordPeerReport(RelayedReport report);
+    }
+
+    private LoadExchange(String process, Datagrams datagrams, Timer timer, Loads loads) {
         this.process = process;
         this.datagrams = datagrams;
         this.timer = timer;
-        this.ownShares = ownShares;
-        this.peerShareListener = peerShareListener;
+        this.loads = loads;
     }
 
     /**
@@ -78,23 +103,15 @@
      * @param process the name of this run of the process
      * @param datagrams sends and receives the messages
      * @param timer schedules messages
-     * @param ownShares returns the load of this daemon by target
-     * @param peerShareListener receives the total load of all peers at a target when it changes
+     * @param loads the load of targets as this daemon knows it
      * @return the exchange
      */
-    public static LoadExchange of(
-            String process,
-            Datagrams datagrams,
-            Timer timer,
-            Supplier<Map<TargetIncarnation, LoadShare>> ownShares,
-            BiConsumer<TargetIncarnation, LoadShare> peerShareListener) {
+    public static LoadExchange of(String process, Datagrams datagrams, Timer timer, Loads loads) {
         Objects.requireNonNull(process, "process is null");
         Objects.requireNonNull(datagrams, "datagrams is null");
         Objects.requireNonNull(timer, "timer is null");
-        Objects.requireNonNull(ownShares, "ownShares is null");
-        Objects.requireNonNull(peerShareListener, "peerShareListener is null");
-        LoadExchange exchange =
-                new LoadExchange(process, datagrams, timer, ownShares, peerShareListener);
+        Objects.requireNonNull(loads, "loads is null");
+        LoadExchange exchange = new LoadExchange(process, datagrams, timer, loads);
         datagrams.onReceived(exchange::receive);
         return exchange;
     }
@@ -154,8 +171,8 @@
     }
 
     private boolean sendShares() {
-        Map<TargetIncarnation, LoadShare> currentShares = ownShares.get();
-        byte[] message = new LoadRecord(process, currentShares).encode();
+        Map<TargetIncarnation, LoadShare> currentShares = loads.ownShares();
+        byte[] message = new LoadRecord(process, currentShares, loads.takeNewReports()).encode();
         peers.forEach(peer -> datagrams.send(peer, message));
         return !currentShares.isEmpty();
     }
@@ -168,7 +185,8 @@
             LoadRecord record = LoadRecord.decode(message);
             peerShares
                     .update(record.process(), record.shares(), timer.nowMillis())
-                    .forEach(peerShareListener);
+                    .forEach(loads::recordPeerShare);
+            record.reports().forEach(loads::recordPeerReport);
         } catch (TamaracktrackException unreadable) {
             // The peer runs another version; its load is still included in the targets' load
             // reports.
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadExchangeTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.dispatch.LoadShare;
+import org.tamaracktrack.core.dispatch.RelayedReport;
+import org.tamaracktrack.core.dispatch.ReportedLoad;
+import org.tamaracktrack.core.dispatch.WorkTime;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.TargetId;
 
@@ -29,8 +32,33 @@
     private final VirtualTime time = new VirtualTime();
     private final Map<TargetIncarnation, LoadShare> ownShares = new HashMap<>();
     private final Map<TargetIncarnation, LoadShare> peerShares = new HashMap<>();
-    private final LoadExchange exchange =
-            LoadExchange.of("self", datagrams, time, () -> Map.copyOf(ownShares), peerShares::put);
+    private final List<RelayedReport> newReports = new ArrayList<>();
+    private final List<RelayedReport> peerReports = new ArrayList<>();
+    private final LoadExchange exchange = LoadExchange.of("self", datagrams, time, new FakeLoads());
+
+    private final class FakeLoads implements LoadExchange.Loads {
+        @Override
+        public Map<TargetIncarnation, LoadShare> ownShares() {
+            return Map.copyOf(ownShares);
+        }
+
+        @Override
+        public List<RelayedReport> takeNewReports() {
+            List<RelayedReport> taken = List.copyOf(newReports);
+            newReports.clear();
+            return taken;
+        }
+
+        @Override
+        public void recordPeerShare(TargetIncarnation target, LoadShare share) {
+            peerShares.put(target, share);
+        }
+
+        @Override
+        public void recordPeerReport(RelayedReport report) {
+            peerReports.add(report);
+        }
+    }
 
     /** Records the messages sent and lets a test inject received ones. */
     private static final class FakeDatagrams implements Datagrams {
@@ -87,7 +115,7 @@
 
     private void receive(
             InetSocketAddress from, String process, Map<TargetIncarnation, LoadShare> shares) {
-        datagrams.receiver.accept(from, new LoadRecord(process, shares).encode());
+        datagrams.receiver.accept(from, new LoadRecord(process, shares, List.of()).encode());
     }
 
     @BeforeEach
@@ -97,6 +125,34 @@
         datagrams.sent.clear();
     }
 
+    @Nested
+    class Reports {
+        private static final RelayedReport SLOW =
+                new RelayedReport(ENGINE, new ReportedLoad(3, 1, WorkTime.ofPercent(250)), 12);
+
+        // Guards against a peer that learns from its own answers alone that a target is slow.
+        @Test
+        void shouldSendNewReportOnceWhenLoadIsSent() {
+            ownShares.put(ENGINE, SMALL_SHARE);
+            newReports.add(SLOW);
+            exchange.onLoadChanged();
+            time.advance(100);
+            assertThat(datagrams.lastSent().reports()).containsExactly(SLOW);
+
+            exchange.onLoadChanged();
+            time.advance(100);
+            assertThat(datagrams.lastSent().reports()).isEmpty();
+        }
+
+        @Test
+        void shouldPassOnReportsWhenPeerSendsThem() {
+            datagrams.receiver.accept(
+                    PEER, new LoadRecord("peer", Map.of(), List.of(SLOW)).encode());
+
+            assertThat(peerReports).containsExactly(SLOW);
+        }
+    }
+
     @Nested
     class Sending {
 
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadRecordTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadRecordTest.java
@@ -3,15 +3,20 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.dispatch.LoadShare;
 import org.tamaracktrack.core.dispatch.Peer;
+import org.tamaracktrack.core.dispatch.RelayedReport;
+import org.tamaracktrack.core.dispatch.ReportedLoad;
+import org.tamaracktrack.core.dispatch.WorkTime;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.id.DataCentreId;
@@ -22,13 +27,19 @@
     @Property(tries = 100, seed = "31")
     void shouldDecodeEncodedRecord(
             @ForAll @IntRange(min = 0, max = 1_000) int outstanding,
-            @ForAll @IntRange(min = 0) int tokens) {
+            @ForAll @IntRange(min = 0) int tokens,
+            @ForAll @DoubleRange(min = 0.1, max = WorkTime.MAX_PERCENT) double percent) {
+        TargetIncarnation engine = new TargetIncarnation(TargetId.of("engine"), 7);
         LoadRecord record =
                 new LoadRecord(
                         "process",
-                        Map.of(
-                                new TargetIncarnation(TargetId.of("engine"), 7),
-                                new LoadShare(outstanding, tokens)));
+                        Map.of(engine, new LoadShare(outstanding, tokens)),
+                        List.of(
+                                new RelayedReport(
+                                        engine,
+                                        new ReportedLoad(
+                                                outstanding, 2, WorkTime.ofPercent(percent)),
+                                        30)));
 
         assertThat(LoadRecord.decode(record.encode())).isEqualTo(record);
     }
