--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/DatagramKinds.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/DatagramKinds.java
@@ -5,18 +5,22 @@
 import java.util.function.BiConsumer;
 
 /**
- * Shares one socket between the messages about load, about quotas and about streams. All are
- * MessagePack; the first value is a string, a short array or a small integer, respectively.
+ * Shares one socket between the messages about load, about quotas, about streams and about the usage
+ * of client accounts. All are MessagePack; the first value is a string, a short array, a small
+ * integer or nil, respectively. Daemons that do not know a kind take it for a load and drop it as
+ * unreadable.
  */
 public final class DatagramKinds {
     private static final int SHORT_ARRAY_MASK = 0xf0;
     private static final int SHORT_ARRAY = 0x90;
     private static final int SMALL_INTEGER_MASK = 0x80;
+    private static final byte NIL = (byte) 0xc0;
 
     private final Datagrams socket;
     private BiConsumer<InetSocketAddress, byte[]> loadReceiver = (from, message) -> {};
     private BiConsumer<InetSocketAddress, byte[]> quotaReceiver = (from, message) -> {};
     private BiConsumer<InetSocketAddress, byte[]> streamReceiver = (from, message) -> {};
+    private BiConsumer<InetSocketAddress, byte[]> usageReceiver = (from, message) -> {};
 
     private DatagramKinds(Datagrams socket) {
         this.socket = socket;
@@ -77,6 +81,20 @@
         };
     }
 
+    /**
+     * Returns the messages about the usage of client accounts.
+     *
+     * @return sends and receives them
+     */
+    public Datagrams usages() {
+        return new Kind() {
+            @Override
+            public void onReceived(BiConsumer<InetSocketAddress, byte[]> receiver) {
+                usageReceiver = receiver;
+            }
+        };
+    }
+
     private abstract class Kind implements Datagrams {
         @Override
         public void send(InetSocketAddress address, byte[] message) {
@@ -94,6 +112,9 @@
         if ((first & SMALL_INTEGER_MASK) == 0) {
             return streamReceiver;
         }
+        if (first == NIL) {
+            return usageReceiver;
+        }
         return (first & SHORT_ARRAY_MASK) == SHORT_ARRAY ? quotaReceiver : loadReceiver;
     }
 }
