Exchange the usage of client accounts between daemons

Cause: each daemon knows the outstanding tokens of the requests that it sent itself, so an account that spreads its callers over all daemons looks like any other.

Change: requests with a client account are counted from their first send to their end. A usage datagram goes to the peers 67 ms after a change, again every 450 ms, and once when the usage becomes empty; changes wait for the next refresh where the messages would exceed 6 KB/s.

--- a/core/src/main/java/org/tamaracktrack/core/admission/ServiceUsage.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ServiceUsage.java
@@ -17,6 +17,9 @@
     /** Limit of tokens in one figure, so that sums over all peers can't overflow. */
     public static final long MAX_TOKENS = 1_000_000_000_000L;
 
+    /** Limit of the number of client accounts that are reported together. */
+    public static final int MAX_OTHER_ACCOUNTS = 1_000_000;
+
     /**
      * Checks the arguments.
      *
@@ -28,6 +31,7 @@
         boolean inRange =
                 tokens.values().stream().allMatch(count -> count >= 1 && count <= MAX_TOKENS)
                         && otherAccounts >= 0
+                        && otherAccounts <= MAX_OTHER_ACCOUNTS
                         && otherTokens >= otherAccounts
                         && otherTokens <= MAX_TOKENS;
         if (!inRange) {
--- a/core/src/main/java/org/tamaracktrack/core/admission/UsageSummary.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/UsageSummary.java
@@ -54,7 +54,7 @@
             Map<ClientAccountId, Long> named, int accounts, long totalTokens) {
         return new ServiceUsage(
                 named,
-                accounts - named.size(),
+                Math.min(ServiceUsage.MAX_OTHER_ACCOUNTS, accounts - named.size()),
                 Math.min(ServiceUsage.MAX_TOKENS, totalTokens - total(named)));
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -45,6 +45,9 @@
     private static final int SUCCESS = 200;
     private static final int FIRST_NON_SUCCESS = 300;
 
+    /** Callers state the tokens of a request, so a false figure must not make sums overflow. */
+    private static final long MAX_COUNTED_TOKENS = 1_000_000;
+
     /**
      * A caller's first try is refused when its expected wait exceeds this fraction of its timeout.
      */
@@ -81,6 +84,7 @@
     private Map<String, String> streamHeaders = Map.of();
     private FailurePolicy.History history = FailurePolicy.History.none();
     private long registryAgeMillis = -1;
+    private Optional<Runnable> endOfUsage = Optional.empty();
     private boolean done;
 
     private ForwardedRequest(
@@ -268,7 +272,26 @@
         return callerReturned ? 1 : NEW_CALLER_WAIT_RATIO;
     }
 
+    // Counted once, however many targets the request is sent to.
+    private void beginUsage() {
+        if (endOfUsage.isEmpty()) {
+            long tokens = metadata.totalTokens().orElse(metadata.promptTokens());
+            endOfUsage =
+                    authorization
+                            .account()
+                            .map(
+                                    account ->
+                                            context.beginUsage(
+                                                    service(),
+                                                    account.id(),
+                                                    Math.min(
+                                                            MAX_COUNTED_TOKENS,
+                                                            Math.max(1, tokens))));
+        }
+    }
+
     private void send(TargetEntry entry) {
+        beginUsage();
         guard.enter(AnswerGuard.Stage.TARGET);
         TargetAttempt.OutgoingRequest outgoing = outgoingRequest(entry);
         TargetAttempt next = newAttempt(entry, this);
@@ -830,6 +853,7 @@
         attempt = Optional.empty();
         retryProgress.recordEnd();
         stopWaiting();
+        endOfUsage.ifPresent(Runnable::run);
         connection.onClosed(() -> {});
         guard.runSafely(() -> record(outcome, status));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -38,6 +38,7 @@
 import org.tamaracktrack.daemon.connection.CallersListener;
 import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
+import org.tamaracktrack.daemon.load.UsageExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.stream.OriginExchange;
@@ -183,6 +184,7 @@
                         .build();
         listen(server, options);
         context.limitConnections();
+        context.monitorUsage();
         return new Gateway(context, handler, callers, server, thread, leaving);
     }
 
@@ -320,6 +322,18 @@
         return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
     }
 
+    /**
+     * Starts to exchange with other daemons what each client account uses.
+     *
+     * @param process identifies this run of the process
+     * @param datagrams carries the messages, on the traffic thread
+     * @return receives the addresses of the other daemons whenever they change
+     */
+    public Consumer<List<InetSocketAddress>> exchangeUsage(String process, Datagrams datagrams) {
+        UsageExchange exchange = context.startUsageExchange(process, datagrams);
+        return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
+    }
+
     /**
      * Starts to enforce the quotas of client accounts together with other daemons.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -17,6 +17,8 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
+import org.tamaracktrack.core.admission.AccountUsage;
+import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.ConnectionShare;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
@@ -29,6 +31,7 @@
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
@@ -46,7 +49,9 @@
 import org.tamaracktrack.core.shedding.ConnectionShedder;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.StreamOrigin;
+import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
+import org.tamaracktrack.daemon.load.UsageExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.stream.OriginExchange;
@@ -93,6 +98,9 @@
     private final RestingTargets restingTargets;
     private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
     private Runnable loadsChangeListener = () -> {};
+    private final SharedAccountUsage accountUsage = SharedAccountUsage.empty();
+    private Runnable usageChangeListener = () -> {};
+    private BooleanSupplier admissionControl = this::anyTargetReportsWorkTime;
     private Supplier<LoadExchange.PeerLoad> peerLoad = () -> LoadExchange.PeerLoad.NONE;
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
@@ -165,6 +173,54 @@
         return peerLoad.get();
     }
 
+    /** Returns how much each client account uses, at this daemon and its peers. */
+    AccountUsage accountUsage() {
+        return accountUsage;
+    }
+
+    /** Sets what returns whether admission control is on for any service. */
+    void admissionControl(BooleanSupplier newer) {
+        admissionControl = newer;
+    }
+
+    /** Returns whether daemons tell each other the usage of client accounts at present. */
+    boolean exchangesUsage() {
+        return keysRequired() && admissionControl.getAsBoolean();
+    }
+
+    private boolean anyTargetReportsWorkTime() {
+        return view.fleet()
+                .all()
+                .anyMatch(entry -> loads.of(entry.incarnation()).reportsWorkTime());
+    }
+
+    /** Starts to exchange the usage of client accounts with other daemons. */
+    UsageExchange startUsageExchange(String process, Datagrams datagrams) {
+        UsageExchange exchange =
+                UsageExchange.of(process, datagrams, this, accountUsage, this::exchangesUsage);
+        usageChangeListener = exchange::onUsageChanged;
+        return exchange;
+    }
+
+    /** Starts to publish the usage of client accounts. */
+    void monitorUsage() {
+        AccountShareMonitor.start(this, accountUsage);
+    }
+
+    /**
+     * Records the usage of a request that is sent to a target.
+     *
+     * @return to be run once, at the end of the request
+     */
+    Runnable beginUsage(ServiceId service, ClientAccountId account, long tokens) {
+        accountUsage.recordSent(service, account, tokens);
+        usageChangeListener.run();
+        return () -> {
+            accountUsage.recordEnd(service, account, tokens);
+            usageChangeListener.run();
+        };
+    }
+
     WaitingRequests waiting() {
         return waiting;
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
@@ -15,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Collectors;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
 import org.tamaracktrack.core.dispatch.HedgePolicy;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -42,8 +44,14 @@
     private final Map<ServiceId, DistributionSummary> workFactors = new HashMap<>();
     private final Map<ServiceId, AtomicInteger> remainingRetries = new HashMap<>();
 
+    private final MultiGauge accountExcess;
+
     private GatewayMetrics(MeterRegistry registry) {
         this.registry = registry;
+        this.accountExcess =
+                MultiGauge.builder("tamaracktrack.gateway.account.excess")
+                        .description("part of the outstanding tokens, 1 for an equal part")
+                        .register(registry);
     }
 
     static GatewayMetrics of(MeterRegistry registry) {
@@ -83,6 +91,31 @@
         return labelledAccounts.contains(account) ? account.value() : OTHER_ACCOUNTS;
     }
 
+    /**
+     * Publishes how much client accounts use of a service, compared with an equal part. Of the
+     * accounts without a label of their own, the largest counts.
+     */
+    void publishAccountExcess(Map<ServiceId, Map<ClientAccountId, Double>> excess) {
+        Map<Tags, Double> largest = new HashMap<>();
+        excess.forEach(
+                (service, accounts) ->
+                        accounts.forEach(
+                                (account, value) ->
+                                        largest.merge(
+                                                Tags.of(
+                                                        "service",
+                                                        service.value(),
+                                                        "account",
+                                                        label(account)),
+                                                value,
+                                                Math::max)));
+        accountExcess.register(
+                largest.entrySet().stream()
+                        .map(entry -> MultiGauge.Row.of(entry.getKey(), entry.getValue()))
+                        .collect(Collectors.toList()),
+                true);
+    }
+
     /** Publishes this daemon's authority over the quotas of client accounts. */
     void registerQuotaAuthority(DoubleSupplier authority) {
         Gauge.builder("tamaracktrack.quota.authority", authority::getAsDouble)
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/DatagramKinds.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/DatagramKinds.java
@@ -5,10 +5,10 @@
 import java.util.function.BiConsumer;
 
 /**
- * Shares one socket between the messages about load, about quotas, about streams and about the usage
- * of client accounts. All are MessagePack; the first value is a string, a short array, a small
- * integer or nil, respectively. Daemons that do not know a kind take it for a load and drop it as
- * unreadable.
+ * Shares one socket between the messages about load, about quotas, about streams and about the
+ * usage of client accounts. All are MessagePack; the first value is a string, a short array, a
+ * small integer or nil, respectively. Daemons that do not know a kind take it for a load and drop
+ * it as unreadable.
  */
 public final class DatagramKinds {
     private static final int SHORT_ARRAY_MASK = 0xf0;
--- a/daemon/src/main/java/org/tamaracktrack/daemon/load/UsageExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/load/UsageExchange.java
@@ -13,6 +13,7 @@
 import org.tamaracktrack.core.admission.UsageReport;
 import org.tamaracktrack.core.error.TamaracktrackException;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.daemon.settings.IpAddresses;
 
 /**
  * Sends the usage of client accounts at this daemon to its peers when it changes, and receives
@@ -22,14 +23,16 @@
 public final class UsageExchange {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.load");
 
-    /** Shortest delay before a message is sent, so that changes are sent together. */
+    private static final long NOT_DUE = Long.MAX_VALUE;
+
+    /** Delay before a message is sent, so that changes close together are sent in one message. */
     private static final long BATCH_DELAY_MILLIS = 67;
 
     /** Period after which a usage is sent again, so that peers do not let it expire. */
     private static final long REFRESH_MILLIS = 450;
 
     /**
-     * Rate at which the delay between messages grows with their size and the number of peers. It
+     * Rate of sending beyond which changes are sent later, at the latest with the next refresh. It
      * leaves most of a daemon's 15 KB/s of control traffic to the other kinds of message.
      */
     private static final int BYTES_PER_MILLI = 6;
@@ -43,8 +46,8 @@
     private long sequence;
     private int lastMessageBytes;
     private boolean peersKnowUsage;
-    private boolean sendScheduled;
-    private boolean refreshScheduled;
+    private long sentAtMillis;
+    private long dueAtMillis = NOT_DUE;
 
     private UsageExchange(
             String process,
@@ -57,6 +60,7 @@
         this.timer = timer;
         this.usage = usage;
         this.sends = sends;
+        this.sentAtMillis = timer.nowMillis();
     }
 
     /**
@@ -92,45 +96,47 @@
      */
     public void updatePeers(List<InetSocketAddress> newPeers) {
         peers = Set.copyOf(newPeers);
-        usage.retainPeers(
-                peers.stream().map(InetSocketAddress::toString).collect(Collectors.toSet()));
+        usage.retainPeers(peers.stream().map(IpAddresses::format).collect(Collectors.toSet()));
         onUsageChanged();
     }
 
     /** Schedules a message, because the usage of a client account at this daemon has changed. */
     public void onUsageChanged() {
-        if (!sendScheduled && !peers.isEmpty()) {
-            sendScheduled = true;
-            timer.after(delayMillis(), this::sendAndScheduleRefresh);
-        }
+        long nowMillis = timer.nowMillis();
+        schedule(Math.max(nowMillis + BATCH_DELAY_MILLIS, sentAtMillis + shortestIntervalMillis()));
     }
 
-    private long delayMillis() {
-        long bytes = (long) lastMessageBytes * peers.size();
-        return Math.min(REFRESH_MILLIS, Math.max(BATCH_DELAY_MILLIS, bytes / BYTES_PER_MILLI));
+    private long shortestIntervalMillis() {
+        return Math.min(REFRESH_MILLIS, (long) lastMessageBytes * peers.size() / BYTES_PER_MILLI);
+    }
+
+    private void schedule(long atMillis) {
+        if (!peers.isEmpty() && atMillis < dueAtMillis) {
+            dueAtMillis = atMillis;
+            timer.after(atMillis - timer.nowMillis(), () -> sendIfDue(atMillis));
+        }
     }
 
-    // The period also finds out that sending has been switched on while long requests run.
-    private void sendAndScheduleRefresh() {
-        sendScheduled = false;
+    // Timers can't be cancelled; those that an earlier one has replaced do nothing.
+    private void sendIfDue(long atMillis) {
+        if (atMillis != dueAtMillis) {
+            return;
+        }
+        dueAtMillis = NOT_DUE;
         Map<ServiceId, ServiceUsage> current = usage.ownUsage();
         if ((peersKnowUsage || !current.isEmpty()) && sends.getAsBoolean()) {
             send(current);
         }
-        if (!current.isEmpty() && !refreshScheduled) {
-            refreshScheduled = true;
-            timer.after(REFRESH_MILLIS - BATCH_DELAY_MILLIS, this::refresh);
+        // While nothing may be sent, this finds out that sending has been switched on.
+        if (!current.isEmpty()) {
+            schedule(timer.nowMillis() + REFRESH_MILLIS);
         }
     }
 
-    private void refresh() {
-        refreshScheduled = false;
-        onUsageChanged();
-    }
-
     private void send(Map<ServiceId, ServiceUsage> current) {
         sequence++;
         byte[] message = UsageRecord.encode(new UsageReport(process, sequence, current));
+        sentAtMillis = timer.nowMillis();
         lastMessageBytes = message.length;
         peersKnowUsage = !current.isEmpty();
         peers.forEach(peer -> datagrams.send(peer, message));
@@ -141,7 +147,8 @@
             return;
         }
         try {
-            usage.recordReport(from.toString(), UsageRecord.decode(message), timer.nowMillis());
+            usage.recordReport(
+                    IpAddresses.format(from), UsageRecord.decode(message), timer.nowMillis());
         } catch (TamaracktrackException unreadable) {
             // The peer runs another version; this daemon goes on with what it knows itself.
             LOG.info("event=usage-unreadable from=" + from);
