--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AccountShareMonitor.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AccountShareMonitor.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.id.ClientAccountId;
@@ -19,45 +20,50 @@
     /** Excess above which held requests of an account wait behind those of others. */
     private static final double EXCESS_LIMIT = 2;
 
-    /** Also bounds the log to one line for each account and service in this interval. */
-    private static final long INTERVAL_MILLIS = 1_000;
+    /** Interval of the checks; each logs at most one line for an account and service. */
+    static final long INTERVAL_MILLIS = 1_000;
 
     private static final double HUNDREDTHS = 100;
 
-    private final GatewayContext context;
     private final SharedAccountUsage usage;
+    private final GatewayMetrics metrics;
+    private final BooleanSupplier exchanged;
     private final Set<Subject> above = new HashSet<>();
     private boolean published;
 
     private record Subject(ServiceId service, ClientAccountId account) {}
 
-    private AccountShareMonitor(GatewayContext context, SharedAccountUsage usage) {
-        this.context = context;
+    private AccountShareMonitor(
+            SharedAccountUsage usage, GatewayMetrics metrics, BooleanSupplier exchanged) {
         this.usage = usage;
+        this.metrics = metrics;
+        this.exchanged = exchanged;
     }
 
-    /** Starts to check the usage at a fixed interval. */
-    static void start(GatewayContext context, SharedAccountUsage usage) {
-        context.execute(new AccountShareMonitor(context, usage)::scheduleCheck);
+    /**
+     * Creates a monitor.
+     *
+     * @param usage the usage of client accounts
+     * @param metrics publishes it
+     * @param exchanged returns whether daemons exchange usage at present
+     */
+    static AccountShareMonitor of(
+            SharedAccountUsage usage, GatewayMetrics metrics, BooleanSupplier exchanged) {
+        return new AccountShareMonitor(usage, metrics, exchanged);
     }
 
-    private void scheduleCheck() {
-        context.after(INTERVAL_MILLIS, this::check);
-    }
-
-    private void check() {
-        scheduleCheck();
+    /** Publishes the usage and logs which accounts are newly above or within their share. */
+    void check(long nowMillis) {
         Map<ServiceId, Map<ClientAccountId, Double>> excess =
-                context.exchangesUsage() ? currentExcess() : Map.of();
+                exchanged.getAsBoolean() ? currentExcess(nowMillis) : Map.of();
         if (published || !excess.isEmpty()) {
-            context.metrics().publishAccountExcess(excess);
+            metrics.publishAccountExcess(excess);
             published = !excess.isEmpty();
         }
-        logChanges(excess);
+        logChanges(excess, nowMillis);
     }
 
-    private Map<ServiceId, Map<ClientAccountId, Double>> currentExcess() {
-        long nowMillis = context.nowMillis();
+    private Map<ServiceId, Map<ClientAccountId, Double>> currentExcess(long nowMillis) {
         Map<ServiceId, Map<ClientAccountId, Double>> excess = new HashMap<>();
         usage.accountsInUse(nowMillis)
                 .forEach(
@@ -74,7 +80,7 @@
         return excess;
     }
 
-    private void logChanges(Map<ServiceId, Map<ClientAccountId, Double>> excess) {
+    private void logChanges(Map<ServiceId, Map<ClientAccountId, Double>> excess, long nowMillis) {
         Set<Subject> nowAbove = new HashSet<>();
         excess.forEach(
                 (service, accounts) ->
@@ -86,16 +92,19 @@
                                 }));
         nowAbove.stream()
                 .filter(subject -> !above.contains(subject))
-                .forEach(subject -> log("account-over-share", subject, excess));
+                .forEach(subject -> log("account-over-share", subject, excess, nowMillis));
         above.stream()
                 .filter(subject -> !nowAbove.contains(subject))
-                .forEach(subject -> log("account-within-share", subject, excess));
+                .forEach(subject -> log("account-within-share", subject, excess, nowMillis));
         above.clear();
         above.addAll(nowAbove);
     }
 
     private void log(
-            String event, Subject subject, Map<ServiceId, Map<ClientAccountId, Double>> excess) {
+            String event,
+            Subject subject,
+            Map<ServiceId, Map<ClientAccountId, Double>> excess,
+            long nowMillis) {
         double value =
                 excess.getOrDefault(subject.service(), Map.of())
                         .getOrDefault(subject.account(), 0.0);
@@ -111,7 +120,6 @@
                         + " own_tokens="
                         + usage.ownTokens(subject.service(), subject.account())
                         + " peer_tokens="
-                        + usage.peerTokens(
-                                subject.service(), subject.account(), context.nowMillis()));
+                        + usage.peerTokens(subject.service(), subject.account(), nowMillis));
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -204,7 +204,16 @@
 
     /** Starts to publish the usage of client accounts. */
     void monitorUsage() {
-        AccountShareMonitor.start(this, accountUsage);
+        scheduleUsageCheck(AccountShareMonitor.of(accountUsage, metrics, this::exchangesUsage));
+    }
+
+    private void scheduleUsageCheck(AccountShareMonitor monitor) {
+        after(
+                AccountShareMonitor.INTERVAL_MILLIS,
+                () -> {
+                    scheduleUsageCheck(monitor);
+                    monitor.check(nowMillis());
+                });
     }
 
     /**
