Place models by the speed of engines and keep what urgent requests use

Cause: the planner took all engines for equally fast, so a busy model was as likely placed on an engine whose work takes 1.6 times as long as on one at 0.6. Requests that can wait for rare models displaced replicas of models with urgent requests.

Change: EngineLoads fills engines to the same level relative to their work factor, and EngineCapacity estimates the residence time at usual speed. Under admission control, which is on for services with a known factor and can be set on the duty, a model without urgent requests of the last seconds displaces no replica whose urgent requests the other replicas cannot take in time, and patient demand has less weight while urgent requests are late. Without factors, records are the same bytes.

--- a/core/src/main/java/org/tamaracktrack/core/copies/DemandTracker.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/DemandTracker.java
@@ -45,6 +45,7 @@
 
     private static final class Rate {
         private double shortTerm;
+        private double urgentShortTerm;
         private double longTerm;
         private long atMillis;
 
@@ -54,9 +55,15 @@
             longTerm += count * MILLIS_PER_SECOND / LONG_TERM_MILLIS;
         }
 
+        void addUrgent(double count, long nowMillis) {
+            add(count, nowMillis);
+            urgentShortTerm += count * MILLIS_PER_SECOND / SHORT_TERM_MILLIS;
+        }
+
         void decay(long nowMillis) {
             double elapsedMillis = Math.max(0, nowMillis - atMillis);
             shortTerm *= Math.exp(-elapsedMillis / SHORT_TERM_MILLIS);
+            urgentShortTerm *= Math.exp(-elapsedMillis / SHORT_TERM_MILLIS);
             longTerm *= Math.exp(-elapsedMillis / LONG_TERM_MILLIS);
             atMillis = nowMillis;
         }
@@ -105,7 +112,7 @@
         if (!counts.urgent().isEmpty()) {
             firstUrgentMillis = Math.min(firstUrgentMillis, nowMillis);
         }
-        counts.urgent().forEach((need, count) -> rate(need).add(count, nowMillis));
+        counts.urgent().forEach((need, count) -> rate(need).addUrgent(count, nowMillis));
         counts.patient()
                 .forEach((need, count) -> rate(need).add(PATIENT_WEIGHT * count, nowMillis));
         waitingByHost.put(host, new WaitingRequests(counts.waiting(), nowMillis));
@@ -217,6 +224,21 @@
                                 Collectors.summingDouble(entry -> entry.getValue().shortTerm)));
     }
 
+    /**
+     * Returns the short-term average of urgent requests per second by model, over about 2.5 s.
+     *
+     * @return the rates
+     */
+    public Map<ModelId, Double> urgentShortTermDemand() {
+        return rates.entrySet().stream()
+                .filter(entry -> entry.getValue().urgentShortTerm > 0)
+                .collect(
+                        Collectors.groupingBy(
+                                entry -> entry.getKey().model(),
+                                Collectors.summingDouble(
+                                        entry -> entry.getValue().urgentShortTerm)));
+    }
+
     /**
      * Returns the long-term average of requests per second by model, over about 15 s.
      *
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineCapacity.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineCapacity.java
@@ -45,11 +45,13 @@
     /**
      * Updates the residence time with the current use of the engines.
      *
-     * @param running requests that run at all engines together
+     * @param running requests that run at all engines together, those of each engine divided by the
+     *     factor by which work takes longer there, so that the residence time is that at usual
+     *     speed
      * @param perSecond requests per second that they receive together
      * @param nowMillis the monotonic time in milliseconds
      */
-    public void update(int running, double perSecond, long nowMillis) {
+    public void update(double running, double perSecond, long nowMillis) {
         double elapsedMillis =
                 updatedAtMillis == Long.MIN_VALUE ? 0 : Math.max(0, nowMillis - updatedAtMillis);
         updatedAtMillis = nowMillis;
@@ -66,7 +68,7 @@
     }
 
     /**
-     * Returns the requests per second at which an engine answers 70 % in time.
+     * Returns the requests per second at which an engine of usual speed answers 70 % in time.
      *
      * @param slots the number of requests that it runs at the same time
      * @return the rate in requests per second
--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
@@ -1,6 +1,6 @@
 package org.tamaracktrack.core.copies;
 
-import java.util.Arrays;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -13,7 +13,7 @@
 /**
  * Models how the requests of each model are distributed over the engines that hold it, and how many
  * of them are answered in time. Requests go to the engine with the shortest wait, so the requests
- * of a model fill its engines up to the same level.
+ * of a model fill its engines up to the same level, relative to what each engine can do.
  *
  * <p>When load was estimated by model only, an engine with four rarely requested models appeared as
  * loaded as one with the two busiest models, and stayed idle while other engines refused requests.
@@ -22,16 +22,37 @@
     /** Rounds of rebalancing all models. Two rounds come within a few percent of an even level. */
     private static final int BALANCING_ROUNDS = 2;
 
+    /** Share of requests in time at which replicas are considered to take additional requests. */
+    private static final double SUFFICIENT_IN_TIME_SHARE = 0.9;
+
+    /** Work factor of an engine that is not known to be slower or faster than usual. */
+    private static final double USUAL_WORK_FACTOR = 1;
+
     private final Map<ModelId, Map<TargetIncarnation, Double>> shares = new HashMap<>();
     private final Map<TargetIncarnation, Double> loads = new HashMap<>();
     private final Map<ModelId, Baseline> baselines = new HashMap<>();
     private final double saturationRate;
+    private final Map<TargetIncarnation, Double> workFactors;
+
+    /**
+     * The load of an engine without the requests that are distributed.
+     *
+     * @param level its requests per second, multiplied by its work factor
+     * @param workFactor by which factor work takes longer than usual
+     */
+    private record Base(double level, double workFactor) {
+
+        double load() {
+            return level / workFactor;
+        }
+    }
 
     /** The part of a gain that does not depend on the engine of the additional replica. */
-    private record Baseline(double[] bases, double inTime) {}
+    private record Baseline(List<Base> bases, double inTime) {}
 
-    private EngineLoads(double saturationRate) {
+    private EngineLoads(double saturationRate, Map<TargetIncarnation, Double> workFactors) {
         this.saturationRate = saturationRate;
+        this.workFactors = workFactors;
     }
 
     /**
@@ -39,16 +60,20 @@
      *
      * @param replicas the engines that hold each model
      * @param rates requests per second by model
-     * @param saturationRate requests per second at which an engine answers 70 % in time
+     * @param saturationRate requests per second at which an engine of usual speed answers 70 % in
+     *     time
+     * @param workFactors by which factor work takes longer than usual, by engine; 1 when absent
      * @return the loads
      */
     static EngineLoads of(
             Map<ModelId, List<TargetIncarnation>> replicas,
             Map<ModelId, Double> rates,
-            double saturationRate) {
+            double saturationRate,
+            Map<TargetIncarnation, Double> workFactors) {
         Objects.requireNonNull(replicas, "replicas is null");
         Objects.requireNonNull(rates, "rates is null");
-        EngineLoads engineLoads = new EngineLoads(saturationRate);
+        Objects.requireNonNull(workFactors, "workFactors is null");
+        EngineLoads engineLoads = new EngineLoads(saturationRate, workFactors);
         replicas.forEach(
                 (model, engines) ->
                         engineLoads.spreadEvenly(model, engines, rates.getOrDefault(model, 0.0)));
@@ -81,7 +106,7 @@
         share.replaceAll(
                 (engine, part) -> {
                     double base = loads.get(engine) - part;
-                    double newPart = Math.max(0, level - base);
+                    double newPart = Math.max(0, level / workFactor(engine) - base);
                     loads.put(engine, base + newPart);
                     return newPart;
                 });
@@ -91,30 +116,40 @@
         return share.values().stream().mapToDouble(Double::doubleValue).sum();
     }
 
-    /** Returns the loads of a model's engines without its own requests, in ascending order. */
-    private double[] bases(Map<TargetIncarnation, Double> share) {
-        double[] bases = new double[share.size()];
-        int count = 0;
-        for (Map.Entry<TargetIncarnation, Double> entry : share.entrySet()) {
-            bases[count++] = loads.get(entry.getKey()) - entry.getValue();
-        }
-        Arrays.sort(bases);
-        return bases;
+    /** Returns the bases of a model's engines without its own requests, lowest level first. */
+    private List<Base> bases(Map<TargetIncarnation, Double> share) {
+        return share.entrySet().stream()
+                .map(entry -> base(entry.getKey(), loads.get(entry.getKey()) - entry.getValue()))
+                .sorted(Comparator.comparingDouble(Base::level))
+                .collect(Collectors.toList());
+    }
+
+    private Base base(TargetIncarnation engine, double load) {
+        double workFactor = workFactor(engine);
+        return new Base(load * workFactor, workFactor);
     }
 
     /**
-     * Returns the load up to which requests fill engines that already have the given base loads.
+     * Returns the level up to which requests fill engines that already have the given base loads.
      */
-    private static double fillLevel(double amount, double[] leastFirst) {
+    private static double fillLevel(double amount, List<Base> lowestFirst) {
+        int lastIndex = lowestFirst.size() - 1;
         double below = 0;
-        for (int count = 1; count < leastFirst.length; count++) {
-            below += leastFirst[count - 1];
-            double level = (amount + below) / count;
-            if (level <= leastFirst[count]) {
+        double speed = 0;
+        for (int index = 0; index < lastIndex; index++) {
+            below += lowestFirst.get(index).load();
+            speed += 1 / lowestFirst.get(index).workFactor();
+            double level = (amount + below) / speed;
+            if (level <= lowestFirst.get(index + 1).level()) {
                 return level;
             }
         }
-        return (amount + below + leastFirst[leastFirst.length - 1]) / leastFirst.length;
+        Base last = lowestFirst.get(lastIndex);
+        return (amount + below + last.load()) / (speed + 1 / last.workFactor());
+    }
+
+    private double workFactor(TargetIncarnation engine) {
+        return workFactors.getOrDefault(engine, USUAL_WORK_FACTOR);
     }
 
     private double load(TargetIncarnation engine) {
@@ -141,7 +176,7 @@
      */
     double lateRate(ModelId model) {
         return shares.getOrDefault(model, Map.of()).keySet().stream()
-                .mapToDouble(engine -> load(engine) - inTimeRate(load(engine)))
+                .mapToDouble(engine -> load(engine) - inTimeRate(engine, load(engine)))
                 .sum();
     }
 
@@ -157,11 +192,22 @@
      */
     double gain(ModelId model, double rate, TargetIncarnation engine, double freed) {
         Baseline baseline = baselines.computeIfAbsent(model, this::baseline);
-        double base = Math.max(0, load(engine) - freed);
-        double[] bases = Arrays.copyOf(baseline.bases(), baseline.bases().length + 1);
-        bases[bases.length - 1] = base;
-        Arrays.sort(bases);
-        return inTimeAtLevel(fillLevel(rate, bases), bases) - inTimeRate(base) - baseline.inTime();
+        double baseLoad = Math.max(0, load(engine) - freed);
+        List<Base> bases = with(baseline.bases(), base(engine, baseLoad));
+        return inTimeAtLevel(fillLevel(rate, bases), bases)
+                - inTimeRate(engine, baseLoad)
+                - baseline.inTime();
+    }
+
+    private static List<Base> with(List<Base> lowestFirst, Base added) {
+        List<Base> bases = new ArrayList<>(lowestFirst.size() + 1);
+        bases.addAll(lowestFirst);
+        int position = bases.size();
+        while (position > 0 && bases.get(position - 1).level() > added.level()) {
+            position--;
+        }
+        bases.add(position, added);
+        return bases;
     }
 
     private Baseline baseline(ModelId model) {
@@ -170,7 +216,7 @@
     }
 
     private double inTimeRate(Map<TargetIncarnation, Double> share) {
-        return share.keySet().stream().mapToDouble(other -> inTimeRate(load(other))).sum();
+        return share.keySet().stream().mapToDouble(other -> inTimeRate(other, load(other))).sum();
     }
 
     /**
@@ -185,22 +231,90 @@
         Map<TargetIncarnation, Double> share = shares.getOrDefault(model, Map.of());
         double before = inTimeRate(share);
         Map<TargetIncarnation, Double> others = new HashMap<>(share);
-        double remaining = inTimeRate(load(engine) - share(model, engine));
+        double remaining = inTimeRate(engine, load(engine) - share(model, engine));
         others.remove(engine);
         if (others.isEmpty()) {
             return before - remaining;
         }
-        double[] bases = bases(others);
+        List<Base> bases = bases(others);
         return before - remaining - inTimeAtLevel(fillLevel(sum(share), bases), bases);
     }
 
-    private double inTimeAtLevel(double level, double[] bases) {
-        return Arrays.stream(bases).map(base -> inTimeRate(Math.max(level, base))).sum();
+    /**
+     * Returns whether the other replicas of a model can answer its requests in time without one of
+     * the replicas.
+     *
+     * @param model the model
+     * @param engine the engine of the replica
+     * @return false when there is no other replica or the others become too busy
+     */
+    boolean othersSuffice(ModelId model, TargetIncarnation engine) {
+        Map<TargetIncarnation, Double> share = shares.getOrDefault(model, Map.of());
+        Map<TargetIncarnation, Double> others = new HashMap<>(share);
+        others.remove(engine);
+        return !others.isEmpty()
+                && inTimeShare(fillLevel(sum(share), bases(others))) >= SUFFICIENT_IN_TIME_SHARE;
+    }
+
+    /**
+     * Returns which share of the given requests is late, if the requests of a model are late as
+     * often as all requests at its engines. Requests for models without a replica are late.
+     *
+     * @param rates requests per second by model
+     * @return the share, from 0 to 1; 0 without requests
+     */
+    double lateShare(Map<ModelId, Double> rates) {
+        double total = rates.values().stream().mapToDouble(Double::doubleValue).sum();
+        return total <= 0
+                ? 0
+                : rates.entrySet().stream()
+                                .mapToDouble(rate -> rate.getValue() * lateShare(rate.getKey()))
+                                .sum()
+                        / total;
+    }
+
+    private double lateShare(ModelId model) {
+        Map<TargetIncarnation, Double> share = shares.getOrDefault(model, Map.of());
+        double rate = sum(share);
+        return rate <= 0
+                ? (share.isEmpty() ? 1 : 0)
+                : share.entrySet().stream()
+                                .mapToDouble(
+                                        part ->
+                                                part.getValue()
+                                                        * (1 - inTimeShare(level(part.getKey()))))
+                                .sum()
+                        / rate;
+    }
+
+    private double level(TargetIncarnation engine) {
+        return load(engine) * workFactor(engine);
+    }
+
+    private double inTimeAtLevel(double level, List<Base> bases) {
+        return bases.stream()
+                .mapToDouble(
+                        base ->
+                                inTimeRateAtLevel(Math.max(level, base.level()))
+                                        / base.workFactor())
+                .sum();
     }
 
     /** Returns how many requests per second an engine answers in time at a given load. */
-    private double inTimeRate(double load) {
-        double relativeLoad = load / saturationRate;
-        return load / Math.sqrt(1 + relativeLoad * relativeLoad);
+    private double inTimeRate(TargetIncarnation engine, double load) {
+        double workFactor = workFactor(engine);
+        return inTimeRateAtLevel(load * workFactor) / workFactor;
+    }
+
+    /** Returns how many requests per second an engine of usual speed answers in time. */
+    private double inTimeRateAtLevel(double level) {
+        double relativeLoad = level / saturationRate;
+        return level / Math.sqrt(1 + relativeLoad * relativeLoad);
+    }
+
+    /** Returns which share of its requests an engine answers in time at a given level. */
+    private double inTimeShare(double level) {
+        double relativeLoad = level / saturationRate;
+        return 1 / Math.sqrt(1 + relativeLoad * relativeLoad);
     }
 }
--- a/core/src/main/java/org/tamaracktrack/core/copies/ReplicaPlanner.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/ReplicaPlanner.java
@@ -85,6 +85,12 @@
      */
     private static final double MIN_IDLE_SHARE = 0.2;
 
+    /**
+     * Rate from which a model counts as used by urgent requests. The short-term average falls to
+     * this value 7.5 s after a single request.
+     */
+    private static final double MIN_URGENT_RATE = 0.02;
+
     private ReplicaPlanner() {}
 
     /**
@@ -99,7 +105,12 @@
      * @param demandSettled whether demand has been observed for long enough to identify unrequested
      *     models
      * @param storeLoadAllowed whether a load from the weight store may begin
-     * @param saturationRate requests per second at which an engine answers 70 % in time
+     * @param saturationRate requests per second at which an engine of usual speed answers 70 % in
+     *     time
+     * @param workFactors the long-run mean of the factor by which work takes longer than usual, by
+     *     engine; 1 when absent
+     * @param admissionControl whether patient requests give way to urgent ones
+     * @param urgentRates urgent requests per second by model, over the last seconds
      * @param nowMillis the monotonic time in milliseconds
      */
     public record View(
@@ -112,7 +123,21 @@
             boolean demandSettled,
             boolean storeLoadAllowed,
             double saturationRate,
-            long nowMillis) {}
+            Map<TargetIncarnation, Double> workFactors,
+            boolean admissionControl,
+            Map<ModelId, Double> urgentRates,
+            long nowMillis) {
+
+        /** Copies the factors. */
+        public View {
+            workFactors = Map.copyOf(workFactors);
+        }
+
+        /** Returns whether urgent requests of the last seconds use a model. */
+        boolean isUsedUrgently(ModelId model) {
+            return urgentRates.getOrDefault(model, 0.0) >= MIN_URGENT_RATE;
+        }
+    }
 
     /**
      * Describes the load of a model.
@@ -186,7 +211,8 @@
         }
         ReplicaValue replicaValue =
                 ReplicaValue.of(view, ReplicaIndex.of(view.engines()).replicas());
-        return evictionsFor(candidate(view, replicaValue, Relocations.none(view), engine), model)
+        return evictionsFor(
+                        view, candidate(view, replicaValue, Relocations.none(view), engine), model)
                 .flatMap(Evictions::firstModel)
                 .map(victim -> new Move(engine.getKey(), model.model(), Optional.of(victim), 0));
     }
@@ -260,6 +286,7 @@
      * @param megabytes the memory that it frees
      * @param loss the loss when it is unloaded, in requests per second
      * @param share the requests per second that it serves
+     * @param neededUrgently whether urgent requests use it that other replicas can't take
      * @param relocation the engine to which the model's only replica can move first
      */
     private record Victim(
@@ -267,6 +294,7 @@
             double megabytes,
             double loss,
             double share,
+            boolean neededUrgently,
             Optional<TargetIncarnation> relocation) {}
 
     /**
@@ -322,6 +350,7 @@
                 megabytes,
                 loss,
                 replicaValue.share(held.getKey(), engine),
+                replicaValue.isNeededUrgently(held.getKey(), engine),
                 relocation);
     }
 
@@ -404,7 +433,7 @@
                                         || isLocallyAvailable(candidate.tracker(), modelId))
                 .flatMap(
                         candidate ->
-                                evictionsFor(candidate, model)
+                                evictionsFor(view, candidate, model)
                                         .filter(
                                                 evictions ->
                                                         maxValue
@@ -476,15 +505,18 @@
 
     // Models differ in size, so one load may need several unloads.
     private static Optional<Evictions> evictionsFor(
-            EngineCandidate candidate, ModelSpecification model) {
+            View view, EngineCandidate candidate, ModelSpecification model) {
+        boolean mayTakeNeeded = view.isUsedUrgently(model.model());
         double missing = model.megabytes() - candidate.freeMegabytes();
         List<Victim> taken = new ArrayList<>();
         for (Victim victim : candidate.victims()) {
             if (missing <= 0) {
                 break;
             }
-            missing -= victim.megabytes();
-            taken.add(victim);
+            if (mayTakeNeeded || !victim.neededUrgently()) {
+                missing -= victim.megabytes();
+                taken.add(victim);
+            }
         }
         if (missing > 0) {
             return Optional.empty();
--- a/core/src/main/java/org/tamaracktrack/core/copies/ReplicaValue.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/ReplicaValue.java
@@ -61,10 +61,17 @@
      */
     private static final double UNLOAD_COST_FACTOR = 0.3;
 
+    /** Share of late urgent requests from which patient requests have their minimum weight. */
+    private static final double LATE_SHARE_OF_SHORTAGE = 0.25;
+
+    /** Minimum weight of patient requests, so that they still differ from no requests. */
+    private static final double MIN_PATIENT_WEIGHT = 0.2;
+
     private final ReplicaPlanner.View view;
     private final Map<ModelId, List<TargetIncarnation>> replicas;
     private final Map<ModelId, Double> rates = new HashMap<>();
     private final EngineLoads loads;
+    private final double patientWeight;
 
     private ReplicaValue(ReplicaPlanner.View view, Map<ModelId, List<TargetIncarnation>> replicas) {
         this.view = view;
@@ -74,7 +81,13 @@
                 .forEach(
                         (model, rate) ->
                                 rates.merge(model, RETURNING_DEMAND_FACTOR * rate, Math::max));
-        this.loads = EngineLoads.of(replicas, rates, view.saturationRate());
+        this.loads = EngineLoads.of(replicas, rates, view.saturationRate(), view.workFactors());
+        this.patientWeight =
+                view.admissionControl() ? patientWeight(loads.lateShare(view.urgentRates())) : 1;
+    }
+
+    private static double patientWeight(double lateShare) {
+        return Math.max(MIN_PATIENT_WEIGHT, 1 - lateShare / LATE_SHARE_OF_SHORTAGE);
     }
 
     static ReplicaValue of(
@@ -102,9 +115,33 @@
      * requests per second.
      */
     double maxSpreadGain(ModelId model) {
-        return replicaCount(model) == 0
-                ? rate(model)
-                : Math.min(rate(model), loads.lateRate(model));
+        return spreadWeight(model)
+                * (replicaCount(model) == 0
+                        ? rate(model)
+                        : Math.min(rate(model), loads.lateRate(model)));
+    }
+
+    /**
+     * Returns the weight of the requests of a model in the gain of one more replica: less than 1
+     * for patient requests while urgent requests are late.
+     */
+    private double spreadWeight(ModelId model) {
+        double patientRate =
+                view.shortTermRates().getOrDefault(model, 0.0)
+                        - view.urgentRates().getOrDefault(model, 0.0);
+        return patientWeight == 1 || patientRate <= 0
+                ? 1
+                : 1 - (1 - patientWeight) * patientRate / rate(model);
+    }
+
+    /**
+     * Returns whether a replica must stay for urgent requests of the last seconds, which the other
+     * replicas of the model can't take in time. Always false without admission control.
+     */
+    boolean isNeededUrgently(ModelId model, TargetIncarnation engine) {
+        return view.admissionControl()
+                && view.isUsedUrgently(model)
+                && !loads.othersSuffice(model, engine);
     }
 
     /**
@@ -118,7 +155,7 @@
      * @return the gain in requests per second
      */
     double spreadGain(ModelId model, TargetIncarnation engine, double freed) {
-        return loads.gain(model, rate(model), engine, freed);
+        return spreadWeight(model) * loads.gain(model, rate(model), engine, freed);
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/copies/EngineLoadsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/EngineLoadsTest.java
@@ -37,19 +37,37 @@
                 EngineLoads.of(
                         Map.of(HOT, List.of(ONE, TWO), RARE, List.of(ONE)),
                         Map.of(HOT, 10.0, RARE, 4.0),
-                        BUSY_RATE);
+                        BUSY_RATE,
+                        Map.of());
 
         assertThat(loads.share(HOT, ONE)).isWithin(TOLERANCE).of(3);
         assertThat(loads.share(HOT, TWO)).isWithin(TOLERANCE).of(7);
     }
 
+    // Guards against equal shares for engines whose work takes 0.6 and 1.6 times the usual time.
+    @Test
+    void shouldFillEnginesToTheSameLevelRelativeToTheirSpeed() {
+        EngineLoads loads =
+                EngineLoads.of(
+                        Map.of(HOT, List.of(ONE, TWO, IDLE), RARE, List.of(ONE)),
+                        Map.of(HOT, 10.0, RARE, 1.0),
+                        BUSY_RATE,
+                        Map.of(ONE, 0.6, TWO, 1.6));
+
+        double level = 11 / (1 / 0.6 + 1 / 1.6 + 1);
+        assertThat(loads.share(HOT, ONE)).isWithin(TOLERANCE).of(level / 0.6 - 1);
+        assertThat(loads.share(HOT, TWO)).isWithin(TOLERANCE).of(level / 1.6);
+        assertThat(loads.share(HOT, IDLE)).isWithin(TOLERANCE).of(level);
+    }
+
     @Test
     void shouldGainMoreOnAnIdleEngineThanOnABusyOne() {
         EngineLoads loads =
                 EngineLoads.of(
                         Map.of(HOT, List.of(ONE), RARE, List.of(TWO)),
                         Map.of(HOT, 20.0, RARE, 8.0),
-                        BUSY_RATE);
+                        BUSY_RATE,
+                        Map.of());
 
         assertThat(loads.gain(HOT, 20, IDLE, 0)).isGreaterThan(loads.gain(HOT, 20, TWO, 0));
         assertThat(loads.gain(HOT, 20, TWO, 0)).isGreaterThan(0.0);
@@ -57,7 +75,8 @@
 
     @Test
     void shouldLoseNothingWithoutAnUnusedReplica() {
-        EngineLoads loads = EngineLoads.of(Map.of(HOT, List.of(ONE, TWO)), Map.of(), BUSY_RATE);
+        EngineLoads loads =
+                EngineLoads.of(Map.of(HOT, List.of(ONE, TWO)), Map.of(), BUSY_RATE, Map.of());
 
         assertThat(loads.loss(HOT, ONE)).isWithin(TOLERANCE).of(0);
     }
@@ -74,8 +93,10 @@
                 IntStream.rangeClosed(0, replicas)
                         .mapToObj(number -> engine("engine" + number))
                         .collect(Collectors.toList());
-        EngineLoads before = EngineLoads.of(Map.of(HOT, engines), Map.of(HOT, rate), BUSY_RATE);
-        EngineLoads after = EngineLoads.of(Map.of(HOT, more), Map.of(HOT, rate), BUSY_RATE);
+        EngineLoads before =
+                EngineLoads.of(Map.of(HOT, engines), Map.of(HOT, rate), BUSY_RATE, Map.of());
+        EngineLoads after =
+                EngineLoads.of(Map.of(HOT, more), Map.of(HOT, rate), BUSY_RATE, Map.of());
 
         double gain = before.gain(HOT, rate, more.get(replicas), 0);
         assertThat(gain).isAtLeast(-TOLERANCE);
--- a/core/src/test/java/org/tamaracktrack/core/copies/ReplicaPlannerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/copies/ReplicaPlannerTest.java
@@ -88,6 +88,9 @@
                         demandSettled,
                         storeLoadAllowed,
                         saturationRate,
+                        Map.of(),
+                        false,
+                        Map.of(),
                         NOW));
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/CopyDuty.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/CopyDuty.java
@@ -1,11 +1,14 @@
 package org.tamaracktrack.daemon.copies;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.tamaracktrack.core.copies.DemandTracker;
+import org.tamaracktrack.core.copies.EngineWorkFactors;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
 import org.tamaracktrack.core.lease.ConditionalLease;
 import org.tamaracktrack.core.route.ServingConfiguration;
 import org.tamaracktrack.daemon.relay.RecordRelay;
@@ -56,6 +59,8 @@
      * @param orders sends orders to engines
      * @param control the thread that runs the duty
      * @param demandCounts returns the request counts of this daemon since the previous call
+     * @param workFactors returns by which factor work takes longer than usual at each target that
+     *     reports it to this daemon
      * @param fleetListener receives the targets with the most recent information on the models that
      *     they hold, on the control thread
      * @return the duty
@@ -67,6 +72,7 @@
             EngineOrders orders,
             ControlThread control,
             Supplier<CompletableFuture<DemandTracker.DemandCounts>> demandCounts,
+            Supplier<CompletableFuture<Map<TargetIncarnation, Double>>> workFactors,
             Consumer<FleetSnapshot> fleetListener) {
         Objects.requireNonNull(member, "member is null");
         ConditionalLease.Terms terms =
@@ -80,6 +86,7 @@
                                 member.process(), relay.address(), relay::contact, terms),
                         relay);
         DemandTracker demand = DemandTracker.empty();
+        EngineWorkFactors engineWorkFactors = EngineWorkFactors.empty();
         DemandExchange.start(
                 member.process(),
                 topics,
@@ -88,13 +95,19 @@
                 lease,
                 relay,
                 demand,
-                demandCounts);
+                engineWorkFactors,
+                new DemandExchange.Source(demandCounts, workFactors));
         HoldingsExchange holdings =
                 HoldingsExchange.start(
                         new TopicPart(member.topic(), 2), relay, control, fleetListener);
         OrderGiver orderGiver =
                 OrderGiver.start(
-                        orders, lease, control, demand, holdings, member.handoverPauseMillis());
+                        orders,
+                        lease,
+                        control,
+                        new OrderGiver.Observations(demand, engineWorkFactors),
+                        holdings,
+                        member.handoverPauseMillis());
         return new CopyDuty(lease, orderGiver, holdings, control);
     }
 
@@ -107,6 +120,17 @@
         orderGiver.configure(configuration);
     }
 
+    /**
+     * Sets whether admission control is on for all services, so that models of patient requests do
+     * not displace those that urgent requests use. It is on as well for services with an engine
+     * that reports its speed. Called on the control thread.
+     *
+     * @param isOn whether it is on; initially false
+     */
+    public void setAdmissionControl(boolean isOn) {
+        orderGiver.setAdmissionControl(isOn);
+    }
+
     /**
      * Applies a new set of targets. Called on the control thread.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DemandExchange.java
@@ -4,12 +4,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.tamaracktrack.core.copies.DemandTracker;
+import org.tamaracktrack.core.copies.EngineWorkFactors;
+import org.tamaracktrack.core.copies.WorkFactorReports;
 import org.tamaracktrack.core.fleet.ModelNeed;
+import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.lease.ConditionalLease;
 import org.tamaracktrack.daemon.relay.RecordRelay;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.topic.RecordBatch;
@@ -31,6 +36,9 @@
      */
     private static final long REPORT_INTERVAL_MILLIS = 1_000;
 
+    /** The interval at which the work factors that this daemon observes are read. */
+    private static final long WORK_FACTOR_INTERVAL_MILLIS = 500;
+
     private static final long WAITING_REPORT_INTERVAL_MILLIS = 700;
     private static final long READ_WAIT_MILLIS = 2_000;
 
@@ -52,9 +60,15 @@
     private final LeaseDriver lease;
     private final RecordRelay relay;
     private final DemandTracker demandTracker;
-    private final Supplier<CompletableFuture<DemandTracker.DemandCounts>> demandCounts;
+    private final EngineWorkFactors workFactors;
+    private final Source source;
+    private final WorkFactorReports workFactorReports = WorkFactorReports.empty();
     private final Map<ModelNeed, Integer> urgent = new HashMap<>();
     private final Map<ModelNeed, Integer> patient = new HashMap<>();
+    private Map<TargetIncarnation, Double> ownWorkFactors = Map.of();
+    private Optional<ConditionalLease.Contact> reportedTo = Optional.empty();
+    private boolean wasConnected;
+    private boolean wasHolder;
     private Set<ModelNeed> reportedWaiting = Set.of();
     private long reportedAtMillis;
     private long requestedModelsAppendedAtMillis;
@@ -62,6 +76,17 @@
     private boolean mustSkipOldRecords;
     private long nextOffset;
 
+    /**
+     * Reads what this daemon observes.
+     *
+     * @param demandCounts returns the request counts since the previous call
+     * @param workFactors returns by which factor work takes longer than usual at each target that
+     *     reports it
+     */
+    record Source(
+            Supplier<CompletableFuture<DemandTracker.DemandCounts>> demandCounts,
+            Supplier<CompletableFuture<Map<TargetIncarnation, Double>>> workFactors) {}
+
     private DemandExchange(
             String process,
             TopicClient topics,
@@ -70,7 +95,8 @@
             LeaseDriver lease,
             RecordRelay relay,
             DemandTracker demandTracker,
-            Supplier<CompletableFuture<DemandTracker.DemandCounts>> demandCounts) {
+            EngineWorkFactors workFactors,
+            Source source) {
         this.process = process;
         this.topics = topics;
         this.part = part;
@@ -78,7 +104,8 @@
         this.lease = lease;
         this.relay = relay;
         this.demandTracker = demandTracker;
-        this.demandCounts = demandCounts;
+        this.workFactors = workFactors;
+        this.source = source;
     }
 
     static DemandExchange start(
@@ -89,14 +116,24 @@
             LeaseDriver lease,
             RecordRelay relay,
             DemandTracker demandTracker,
-            Supplier<CompletableFuture<DemandTracker.DemandCounts>> demandCounts) {
-        Objects.requireNonNull(demandCounts, "demandCounts is null");
+            EngineWorkFactors workFactors,
+            Source source) {
+        Objects.requireNonNull(source, "source is null");
         DemandExchange exchange =
                 new DemandExchange(
-                        process, topics, part, control, lease, relay, demandTracker, demandCounts);
+                        process,
+                        topics,
+                        part,
+                        control,
+                        lease,
+                        relay,
+                        demandTracker,
+                        workFactors,
+                        source);
         topics.era().addRestoreListener(() -> control.post(exchange::handleLogRestored));
         control.post(() -> relay.onFollowerRecord(part, exchange::handleReport));
         control.every(TICK_MILLIS, exchange::tick);
+        control.every(WORK_FACTOR_INTERVAL_MILLIS, exchange::readOwnWorkFactors);
         return exchange;
     }
 
@@ -106,7 +143,10 @@
     }
 
     private void tick() {
-        demandCounts.get().thenAccept(demand -> control.post(() -> handleOwnCounts(demand)));
+        detectHolderChange();
+        source.demandCounts()
+                .get()
+                .thenAccept(demand -> control.post(() -> handleOwnCounts(demand)));
         if (lease.holds() && !reading) {
             reading = true;
             mustSkipOldRecords = true;
@@ -114,6 +154,38 @@
         }
     }
 
+    // Another holder knows no factors, and reports on a lost connection may not have arrived. They
+    // are sent again with the next report.
+    private void detectHolderChange() {
+        Optional<ConditionalLease.Contact> holder = lease.otherHolderContact();
+        boolean isConnected = relay.connected();
+        boolean isHolder = lease.holds();
+        if (!holder.equals(reportedTo) || isConnected && !wasConnected || isHolder != wasHolder) {
+            workFactorReports.clear();
+        }
+        reportedTo = holder;
+        wasConnected = isConnected;
+        wasHolder = isHolder;
+    }
+
+    private void readOwnWorkFactors() {
+        source.workFactors()
+                .get()
+                .thenAccept(factors -> control.post(() -> handleOwnWorkFactors(factors)));
+    }
+
+    private void handleOwnWorkFactors(Map<TargetIncarnation, Double> factors) {
+        ownWorkFactors = factors;
+        if (lease.holds()) {
+            recordOwnWorkFactors();
+        }
+    }
+
+    private void recordOwnWorkFactors() {
+        long nowMillis = ControlThread.nowMillis();
+        workFactors.record(workFactorReports.take(ownWorkFactors, nowMillis), nowMillis);
+    }
+
     private void handleOwnCounts(DemandTracker.DemandCounts counts) {
         long nowMillis = ControlThread.nowMillis();
         if (lease.holds()) {
@@ -123,6 +195,7 @@
             appendRequestedModels(nowMillis);
             return;
         }
+        workFactors.clear();
         counts.urgent().forEach((need, count) -> urgent.merge(need, count, Integer::sum));
         counts.patient().forEach((need, count) -> patient.merge(need, count, Integer::sum));
         boolean newlyWaiting = !reportedWaiting.containsAll(counts.waiting().keySet());
@@ -131,10 +204,13 @@
                         ? REPORT_INTERVAL_MILLIS
                         : WAITING_REPORT_INTERVAL_MILLIS;
         boolean hasDemand = !urgent.isEmpty() || !patient.isEmpty() || !counts.waiting().isEmpty();
-        if (newlyWaiting || hasDemand && nowMillis - reportedAtMillis >= intervalMillis) {
+        boolean hasReport = hasDemand || workFactorReports.isDue(ownWorkFactors, nowMillis);
+        if (newlyWaiting || hasReport && nowMillis - reportedAtMillis >= intervalMillis) {
             reportedAtMillis = nowMillis;
             reportedWaiting = counts.waiting().keySet();
-            sendReport(new DemandTracker.DemandCounts(urgent, patient, counts.waiting()));
+            sendReport(
+                    new DemandTracker.DemandCounts(urgent, patient, counts.waiting()),
+                    workFactorReports.take(ownWorkFactors, nowMillis));
             urgent.clear();
             patient.clear();
         }
@@ -148,7 +224,7 @@
             return;
         }
         requestedModelsAppendedAtMillis = nowMillis;
-        append(DutyRecords.encode(new DutyRecords.DemandRecord(process, requested)));
+        append(DutyRecords.encode(new DutyRecords.DemandRecord(process, requested, Map.of())));
     }
 
     private void append(byte[] record) {
@@ -157,8 +233,9 @@
 
     // A lost report is not sent again: the next one contains the requests that wait then, and the
     // averages recover within seconds.
-    private void sendReport(DemandTracker.DemandCounts counts) {
-        byte[] record = DutyRecords.encode(new DutyRecords.DemandRecord(process, counts));
+    private void sendReport(
+            DemandTracker.DemandCounts counts, Map<TargetIncarnation, Double> factors) {
+        byte[] record = DutyRecords.encode(new DutyRecords.DemandRecord(process, counts, factors));
         if (!relay.sendToHolder(part, record)) {
             append(record);
         }
@@ -174,7 +251,10 @@
         DutyRecords.decodeDemand(bytes)
                 .filter(record -> !record.process().equals(process))
                 .ifPresent(
-                        record -> demandTracker.add(record.process(), record.counts(), nowMillis));
+                        record -> {
+                            demandTracker.add(record.process(), record.counts(), nowMillis);
+                            workFactors.record(record.workFactors(), nowMillis);
+                        });
     }
 
     private void read() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/DutyRecords.java
@@ -27,8 +27,19 @@
      *
      * @param process the unique name of the daemon's process
      * @param counts the request counts
+     * @param workFactors by which factor work takes longer than usual at engines; only those that
+     *     the daemon reports this time
      */
-    record DemandRecord(String process, DemandTracker.DemandCounts counts) {}
+    record DemandRecord(
+            String process,
+            DemandTracker.DemandCounts counts,
+            Map<TargetIncarnation, Double> workFactors) {
+
+        /** Copies the factors. */
+        DemandRecord {
+            workFactors = Map.copyOf(workFactors);
+        }
+    }
 
     /**
      * Holds the models that an engine has loaded.
@@ -144,12 +155,31 @@
     }
 
     static byte[] encode(DemandRecord content) {
-        return JsonFields.write(
-                Map.of(
-                        "process", content.process(),
-                        "urgent", encodeCounts(content.counts().urgent()),
-                        "patient", encodeCounts(content.counts().patient()),
-                        "waiting", encodeCounts(content.counts().waiting())));
+        Map<String, Object> fields =
+                new LinkedHashMap<>(
+                        Map.of(
+                                "process", content.process(),
+                                "urgent", encodeCounts(content.counts().urgent()),
+                                "patient", encodeCounts(content.counts().patient()),
+                                "waiting", encodeCounts(content.counts().waiting())));
+        if (!content.workFactors().isEmpty()) {
+            fields.put("factors", encodeWorkFactors(content.workFactors()));
+        }
+        return JsonFields.write(fields);
+    }
+
+    // Each is an array of target, start time and factor, which takes about half the bytes of an
+    // object with named fields.
+    private static List<List<Object>> encodeWorkFactors(
+            Map<TargetIncarnation, Double> workFactors) {
+        return workFactors.entrySet().stream()
+                .map(
+                        entry ->
+                                List.<Object>of(
+                                        entry.getKey().target().value(),
+                                        entry.getKey().startedAtMillis(),
+                                        entry.getValue()))
+                .collect(Collectors.toList());
     }
 
     private static Map<String, Integer> encodeCounts(Map<ModelNeed, Integer> counts) {
@@ -166,7 +196,42 @@
                                         .map(
                                                 process ->
                                                         new DemandRecord(
-                                                                process, decodeCounts(tree))));
+                                                                process,
+                                                                decodeCounts(tree),
+                                                                decodeWorkFactors(tree))));
+    }
+
+    private static Map<TargetIncarnation, Double> decodeWorkFactors(JsonNode tree) {
+        Map<TargetIncarnation, Double> workFactors = new LinkedHashMap<>();
+        JsonFields.elements(tree, "factors")
+                .filter(DutyRecords::isWorkFactor)
+                .forEach(
+                        factor ->
+                                decodeTarget(factor.get(0).textValue())
+                                        .ifPresent(
+                                                target ->
+                                                        workFactors.put(
+                                                                new TargetIncarnation(
+                                                                        target,
+                                                                        factor.get(1).longValue()),
+                                                                factor.get(2).doubleValue())));
+        return workFactors;
+    }
+
+    private static boolean isWorkFactor(JsonNode factor) {
+        return factor.path(0).isTextual()
+                && factor.path(1).isIntegralNumber()
+                && factor.path(1).canConvertToLong()
+                && factor.path(2).isNumber();
+    }
+
+    private static Optional<TargetId> decodeTarget(String text) {
+        try {
+            return Optional.of(TargetId.of(text));
+        } catch (TamaracktrackException unreadable) {
+            // Only daemons write these records; a name that a newer version allows is omitted.
+            return Optional.empty();
+        }
     }
 
     private static DemandTracker.DemandCounts decodeCounts(JsonNode tree) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/LeaseDriver.java
@@ -122,6 +122,11 @@
                                 term.getAsLong() == FIRST_TERM && topics.era().restores() == 0));
     }
 
+    /** Returns how to reach the holder of the lease if it is another process. */
+    Optional<ConditionalLease.Contact> otherHolderContact() {
+        return lease.otherHolderContact();
+    }
+
     boolean holds() {
         detectFreeze();
         return lease.holds(ControlThread.nowMillis());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/copies/OrderGiver.java
@@ -15,6 +15,7 @@
 import org.tamaracktrack.core.copies.EngineReport;
 import org.tamaracktrack.core.copies.EngineState;
 import org.tamaracktrack.core.copies.EngineTracker;
+import org.tamaracktrack.core.copies.EngineWorkFactors;
 import org.tamaracktrack.core.copies.PlacementOrder;
 import org.tamaracktrack.core.copies.ReplicaPlanner;
 import org.tamaracktrack.core.copies.StoreLoadLimiter;
@@ -58,10 +59,14 @@
      */
     private static final long PLANNING_PAUSE_FACTOR = 20;
 
+    /** Work factor of an engine that is not known to be slower or faster than usual. */
+    private static final double USUAL_WORK_FACTOR = 1;
+
     private final EngineOrders orders;
     private final LeaseDriver lease;
     private final ControlThread control;
     private final DemandTracker demand;
+    private final EngineWorkFactors workFactors;
     private final HoldingsExchange holdings;
     private final long handoverPauseMillis;
     private final StoreLoadLimiter storeLoadLimiter = StoreLoadLimiter.empty();
@@ -72,21 +77,31 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private FleetSnapshot fleet = FleetSnapshot.empty();
     private long lastTerm = -1;
-    private Map<EngineState, Long> loggedStates = Map.of();
+    private boolean admissionControl;
+    private String loggedStates = "";
     private long statesLoggedMillis;
     private final Map<ServiceId, Long> nextPlanningMillis = new HashMap<>();
 
+    /**
+     * Holds what all daemons together report to the holder of the lease.
+     *
+     * @param demand the demand for models
+     * @param workFactors by which factor work takes longer than usual at engines
+     */
+    record Observations(DemandTracker demand, EngineWorkFactors workFactors) {}
+
     private OrderGiver(
             EngineOrders orders,
             LeaseDriver lease,
             ControlThread control,
-            DemandTracker demand,
+            Observations observations,
             HoldingsExchange holdings,
             long handoverPauseMillis) {
         this.orders = orders;
         this.lease = lease;
         this.control = control;
-        this.demand = demand;
+        this.demand = observations.demand();
+        this.workFactors = observations.workFactors();
         this.holdings = holdings;
         this.handoverPauseMillis = handoverPauseMillis;
     }
@@ -95,12 +110,12 @@
             EngineOrders orders,
             LeaseDriver lease,
             ControlThread control,
-            DemandTracker demand,
+            Observations observations,
             HoldingsExchange holdings,
             long handoverPauseMillis) {
         Objects.requireNonNull(orders, "orders is null");
         OrderGiver giver =
-                new OrderGiver(orders, lease, control, demand, holdings, handoverPauseMillis);
+                new OrderGiver(orders, lease, control, observations, holdings, handoverPauseMillis);
         control.every(TICK_MILLIS, giver::tick);
         return giver;
     }
@@ -109,6 +124,10 @@
         configuration = Optional.of(newer);
     }
 
+    void setAdmissionControl(boolean isOn) {
+        admissionControl = isOn;
+    }
+
     void updateFleet(FleetSnapshot newer) {
         fleet = newer;
         Set<TargetIncarnation> known =
@@ -133,7 +152,8 @@
             LOG.info("event=order-duty-begins term=" + lastTerm);
         }
         demand.decay(ControlThread.nowMillis());
-        DemandSnapshot snapshot = DemandSnapshot.of(demand);
+        DemandSnapshot snapshot =
+                DemandSnapshot.of(demand, workFactors.current(ControlThread.nowMillis()));
         configuration.stream()
                 .flatMap(inForce -> inForce.services().values().stream())
                 .forEach(service -> placeModels(service, snapshot, permit.get()));
@@ -153,9 +173,15 @@
                                         EngineTracker::state,
                                         () -> new EnumMap<>(EngineState.class),
                                         Collectors.counting()));
-        if (!counts.equals(loggedStates)) {
-            LOG.info("event=engines states=" + counts);
-            loggedStates = counts;
+        long knownFactors =
+                workFactors.current(nowMillis).keySet().stream()
+                        .filter(trackers::containsKey)
+                        .count();
+        String states =
+                "states=" + counts + (knownFactors == 0 ? "" : " known_factors=" + knownFactors);
+        if (!states.equals(loggedStates)) {
+            LOG.info("event=engines " + states);
+            loggedStates = states;
             statesLoggedMillis = nowMillis;
         }
     }
@@ -181,18 +207,24 @@
                                         ControlThread.nowMillis() - handoverPauseMillis));
     }
 
-    /** The demand at the start of a tick, on which all orders of the tick are based. */
+    /**
+     * The demand and the work factors at the start of a tick, on which all orders of the tick are
+     * based.
+     */
     private record DemandSnapshot(
             Map<ModelId, Double> shortTerm,
+            Map<ModelId, Double> urgentShortTerm,
             Map<ModelId, Double> longTerm,
             Map<ModelId, Double> expected,
             Map<ModelNeed, Integer> waiting,
-            Map<ModelId, Integer> waitingByModel) {
+            Map<ModelId, Integer> waitingByModel,
+            Map<TargetIncarnation, Double> workFactors) {
 
-        static DemandSnapshot of(DemandTracker demand) {
+        static DemandSnapshot of(DemandTracker demand, Map<TargetIncarnation, Double> workFactors) {
             Map<ModelNeed, Integer> waiting = demand.waiting();
             return new DemandSnapshot(
                     demand.shortTermDemand(),
+                    demand.urgentShortTermDemand(),
                     demand.longTermDemand(),
                     demand.expectedDemand(),
                     waiting,
@@ -200,7 +232,12 @@
                             .collect(
                                     Collectors.groupingBy(
                                             entry -> entry.getKey().model(),
-                                            Collectors.summingInt(Map.Entry::getValue))));
+                                            Collectors.summingInt(Map.Entry::getValue))),
+                    workFactors);
+        }
+
+        double workFactor(TargetIncarnation engine) {
+            return workFactors.getOrDefault(engine, USUAL_WORK_FACTOR);
         }
 
         double totalPerSecond() {
@@ -229,7 +266,12 @@
                         .collect(Collectors.toMap(Function.identity(), trackers::get));
         capacity(service)
                 .update(
-                        engines.values().stream().mapToInt(EngineTracker::running).sum(),
+                        engines.entrySet().stream()
+                                .mapToDouble(
+                                        entry ->
+                                                entry.getValue().running()
+                                                        / snapshot.workFactor(entry.getKey()))
+                                .sum(),
                         snapshot.totalPerSecond(),
                         ControlThread.nowMillis());
         for (int count = 0; count < MAXIMUM_ORDERS_PER_TICK; count++) {
@@ -299,6 +341,10 @@
                 demand.settled(ControlThread.nowMillis()),
                 storeLoadLimiter.allows(engine.loadsPerSecond(), ControlThread.nowMillis()),
                 capacity(service).saturationRate(engine.slots()),
+                snapshot.workFactors(),
+                admissionControl
+                        || engines.keySet().stream().anyMatch(snapshot.workFactors()::containsKey),
+                snapshot.urgentShortTerm(),
                 ControlThread.nowMillis());
     }
 
@@ -369,7 +415,10 @@
                         + " holds="
                         + tracker.held()
                         + " demand="
-                        + snapshot.shortTerm().getOrDefault(order.model(), 0.0));
+                        + snapshot.shortTerm().getOrDefault(order.model(), 0.0)
+                        + Optional.ofNullable(snapshot.workFactors().get(order.engine()))
+                                .map(factor -> " factor=" + factor)
+                                .orElse(""));
         orders.send(target, order, authority, permit::isValid)
                 .thenAccept(outcome -> control.post(() -> handleOutcome(order, outcome)));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -307,6 +307,18 @@
         return reading;
     }
 
+    /**
+     * Returns by which factor work takes longer than usual at each target that reports it to this
+     * daemon.
+     *
+     * @return the long-run mean of the factors, completed on the traffic thread
+     */
+    public CompletableFuture<Map<TargetIncarnation, Double>> workFactors() {
+        CompletableFuture<Map<TargetIncarnation, Double>> reading = new CompletableFuture<>();
+        thread.execute(() -> reading.complete(context.loads().workFactors()));
+        return reading;
+    }
+
     /**
      * Starts to exchange with other daemons the load that each has placed on targets.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetLoads.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetLoads.java
@@ -16,6 +16,12 @@
 
 /** The load of each target as this daemon knows it. Owned by the traffic thread. */
 final class TargetLoads implements LoadExchange.Loads {
+    /**
+     * Time since the last contact after which this daemon no longer states the work factor of a
+     * target, because other daemons know it better.
+     */
+    private static final long CONTACT_VALIDITY_MILLIS = 10_000;
+
     private final Map<TargetIncarnation, TargetLoad> loads = new HashMap<>();
     private final LongSupplier nowMillis;
 
@@ -72,6 +78,20 @@
         return loads.values().stream().mapToInt(load -> load.ownShare().outstanding()).sum();
     }
 
+    /**
+     * Returns the long-run mean of the work factor of each target that reports it and has recently
+     * sent this daemon anything.
+     */
+    Map<TargetIncarnation, Double> workFactors() {
+        long now = nowMillis.getAsLong();
+        return loads.entrySet().stream()
+                .filter(load -> load.getValue().reportsWorkTime())
+                .filter(load -> load.getValue().millisSinceContact(now) <= CONTACT_VALIDITY_MILLIS)
+                .collect(
+                        Collectors.toUnmodifiableMap(
+                                Map.Entry::getKey, load -> load.getValue().meanWorkFactor(now)));
+    }
+
     /** Removes targets that are no longer in the fleet. */
     void retainTargets(FleetSnapshot fleet) {
         Set<TargetIncarnation> known =
--- a/daemon/src/test/java/org/tamaracktrack/daemon/copies/DutyRecordsTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/copies/DutyRecordsTest.java
@@ -21,10 +21,14 @@
 import org.tamaracktrack.core.id.TargetId;
 import org.tamaracktrack.core.lease.ConditionalLease.Contact;
 import org.tamaracktrack.core.lease.ConditionalLease.LeaseRecord;
+import org.tamaracktrack.link.codec.JsonFields;
 
 class DutyRecordsTest {
     private static final ModelId MODEL = ModelId.of("model");
 
+    private static final DemandTracker.DemandCounts NO_COUNTS =
+            new DemandTracker.DemandCounts(Map.of(), Map.of(), Map.of());
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
@@ -59,12 +63,73 @@
                     new DutyRecords.DemandRecord(
                             "host",
                             new DemandTracker.DemandCounts(
-                                    Map.of(need, 2), Map.of(), Map.of(need, 1)));
+                                    Map.of(need, 2), Map.of(), Map.of(need, 1)),
+                            Map.of());
 
             assertThat(DutyRecords.decodeDemand(DutyRecords.encode(record)))
                     .isEqualTo(Optional.of(record));
         }
 
+        @Test
+        void shouldDecodeAnEncodedRecordWithWorkFactors() {
+            DutyRecords.DemandRecord record =
+                    new DutyRecords.DemandRecord(
+                            "host",
+                            NO_COUNTS,
+                            Map.of(
+                                    new TargetIncarnation(TargetId.of("one"), 5), 1.6,
+                                    new TargetIncarnation(TargetId.of("one"), 6), 0.65));
+
+            assertThat(DutyRecords.decodeDemand(DutyRecords.encode(record)))
+                    .isEqualTo(Optional.of(record));
+        }
+
+        // Guards against larger records in deployments whose targets report no work time.
+        @Test
+        void shouldEncodeNoAdditionalFieldWithoutWorkFactors() {
+            Map<String, Object> fields =
+                    Map.of(
+                            "process", "host",
+                            "urgent", Map.of(),
+                            "patient", Map.of(),
+                            "waiting", Map.of());
+
+            assertThat(
+                            DutyRecords.encode(
+                                    new DutyRecords.DemandRecord("host", NO_COUNTS, Map.of())))
+                    .isEqualTo(JsonFields.write(fields));
+        }
+
+        // Guards against a record whose request counts are lost because of one unreadable factor.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "1",
+                    "{}",
+                    "[1]",
+                    "[[]]",
+                    "[[\"one\"]]",
+                    "[[\"one\",5]]",
+                    "[[\"\",5,1.6]]",
+                    "[[\"one\",1.5,1.6]]",
+                    "[[\"one\",5,\"1.6\"]]",
+                    "[[\"one\",1e40,1.6]]"
+                })
+        void shouldOmitUnreadableWorkFactors(String factors) {
+            DutyRecords.DemandRecord record =
+                    DutyRecords.decodeDemand(
+                                    bytes(
+                                            "{\"process\":\"p\",\"urgent\":{\"model\":2},"
+                                                    + "\"factors\":"
+                                                    + factors
+                                                    + "}"))
+                            .orElseThrow();
+
+            assertThat(record.workFactors()).isEmpty();
+            assertThat(record.counts().urgent())
+                    .containsExactly(new ModelNeed(MODEL, Optional.empty()), 2);
+        }
+
         @Test
         void shouldOmitAnInvalidName() {
             DutyRecords.DemandRecord record =
