--- a/core/src/test/java/org/tamaracktrack/core/fleet/FleetTrackerTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/fleet/FleetTrackerTest.java
@@ -39,6 +39,21 @@
                     .isEqualTo(200);
         }
 
+        // Guards against models and an address of the earlier run that outlive a restart, since the
+        // numbers of entries begin again with each run.
+        @Test
+        void shouldReplaceEverythingWhenLaterIncarnationHasSmallerRevision() {
+            tracker.accept(TargetEntries.entry("one", 100, 9, true, TargetEntries.HOME, "old"));
+            TargetEntry restarted =
+                    TargetEntries.entry("one", 200, 1, false, TargetEntries.HOME, "new");
+
+            boolean changed = tracker.accept(restarted);
+
+            assertThat(changed).isTrue();
+            assertThat(tracker.entry(ONE)).hasValue(restarted);
+            assertThat(tracker.fleet().entry(ONE)).hasValue(restarted);
+        }
+
         // Guards against new requests to a leaving target when an older entry without the
         // departure is read again because records were lost.
         @Test
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -50,6 +50,7 @@
 
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
     private static final int FIRST_FAILURE_STATUS = 500;
+    private static final int REQUEST_TIMEOUT_STATUS = 408;
     private static final int MISDIRECTED_STATUS = 421;
 
     /** Names of headers in lower case. */
@@ -405,7 +406,7 @@
         }
         status = responseStatus;
         headers = responseHeaders;
-        if (metadata.notRun() || responseStatus == MISDIRECTED_STATUS) {
+        if (metadata.notRun() || statesNotRun(responseStatus)) {
             failAndClose(AttemptEnd.REFUSED);
         } else if (!metadata.verified()) {
             failAndClose(AttemptEnd.LOST);
@@ -414,6 +415,12 @@
         }
     }
 
+    // These statuses guarantee that the request was not run. One target's guarantee doesn't cover
+    // earlier attempts at others, so it isn't passed on to the caller.
+    private static boolean statesNotRun(int responseStatus) {
+        return responseStatus == REQUEST_TIMEOUT_STATUS || responseStatus == MISDIRECTED_STATUS;
+    }
+
     private void recordReport(ReportedLoad report) {
         load.recordReport(report, lastContactMillis);
         report.workTime()
