--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -14,6 +14,8 @@
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.quarantine.AnswerProgress;
+import org.tamaracktrack.link.http.AnswerMemory;
+import org.tamaracktrack.link.http.AnswerRejection;
 import org.tamaracktrack.link.http.CallLimits;
 import org.tamaracktrack.link.http.HttpCall;
 import org.tamaracktrack.link.http.HttpFailure;
@@ -48,6 +50,7 @@
 
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
     private static final int FIRST_FAILURE_STATUS = 500;
+    private static final int REQUEST_TIMEOUT_STATUS = 408;
     private static final int MISDIRECTED_STATUS = 421;
 
     /** Names of headers in lower case. */
@@ -62,6 +65,7 @@
     private final boolean streamed;
     private final Listener listener;
     private final TargetLoad load;
+    private final AnswerMemory memory = AnswerMemory.ofProcess();
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
     private Optional<HttpStream> stream = Optional.empty();
     private Mode mode = Mode.NO_HEAD;
@@ -302,6 +306,7 @@
             firstPieceRecorded = true;
             load.removeUnanswered(dispatchRequest.promptTokens(), startedMillis);
         }
+        memory.release(bufferedBody.size());
         load.recordEnd();
         context.notifyLoadsChanged();
         return true;
@@ -401,7 +406,7 @@
         }
         status = responseStatus;
         headers = responseHeaders;
-        if (metadata.notRun() || responseStatus == MISDIRECTED_STATUS) {
+        if (metadata.notRun() || statesNotRun(responseStatus)) {
             failAndClose(AttemptEnd.REFUSED);
         } else if (!metadata.verified()) {
             failAndClose(AttemptEnd.LOST);
@@ -410,6 +415,12 @@
         }
     }
 
+    // These statuses guarantee that the request was not run. One target's guarantee doesn't cover
+    // earlier attempts at others, so it isn't passed on to the caller.
+    private static boolean statesNotRun(int responseStatus) {
+        return responseStatus == REQUEST_TIMEOUT_STATUS || responseStatus == MISDIRECTED_STATUS;
+    }
+
     private void recordReport(ReportedLoad report) {
         load.recordReport(report, lastContactMillis);
         report.workTime()
@@ -456,10 +467,37 @@
             return;
         }
         recordPiece();
-        bufferedBody.writeBytes(bytes);
-        if (bufferedBody.size() > MAX_BUFFERED_BYTES) {
-            failAndClose(AttemptEnd.CUT);
+        if (bufferedBody.size() + bytes.length > MAX_BUFFERED_BYTES) {
+            reject(AnswerRejection.Reason.BODY_BYTES);
+        } else if (!memory.tryReserve(bytes.length)) {
+            reject(AnswerRejection.Reason.BUFFERED_BYTES);
+        } else {
+            bufferedBody.writeBytes(bytes);
+        }
+    }
+
+    private void reject(AnswerRejection.Reason reason) {
+        InetSocketAddress address =
+                new InetSocketAddress(entry.address().ip(), entry.address().port());
+        onRejected(new AnswerRejection(address, reason, bufferedBody.size()));
+        failAndClose(AttemptEnd.CUT);
+    }
+
+    @Override
+    public void onRejected(AnswerRejection rejection) {
+        if (ended) {
+            return;
         }
+        LOG.warn(
+                "event=answer-rejected request="
+                        + attemptId
+                        + " target="
+                        + entry.incarnation()
+                        + " reason="
+                        + rejection.reason().text()
+                        + " bytes="
+                        + rejection.bytes());
+        context.metrics().recordRejectedAnswer(rejection.reason().text());
     }
 
     @Override
@@ -519,10 +557,11 @@
         return dispatchRequest.need().isEmpty() || mode != Mode.NO_HEAD;
     }
 
-    private static AttemptEnd kind(HttpFailure failure) {
+    private AttemptEnd kind(HttpFailure failure) {
         return switch (failure) {
             case NOT_SENT -> AttemptEnd.NOT_SENT;
             case ANSWER_CUT -> AttemptEnd.CUT;
+            case ANSWER_INVALID -> mode == Mode.NO_HEAD ? AttemptEnd.LOST : AttemptEnd.CUT;
             default -> AttemptEnd.LOST;
         };
     }
