Add a policy that holds work at the daemon while targets have no room

Cause: a daemon sends each request at once unless its caller would leave first. When callers compete for too little capacity, patient and late work queues at targets ahead of urgent work that can still be in time.

The gateway does not use it yet.

--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HoldPolicy.java
@@ -0,0 +1,24 @@
+package org.tamaracktrack.core.admission;
+
+/** Decides whether a request is sent to its best target, waits at the daemon or is refused. */
+public interface HoldPolicy {
+
+    /**
+     * Decides on a request that has not been sent to any target.
+     *
+     * @param request the request
+     * @param outlook what is expected at its best target
+     * @param nowMillis the monotonic time in milliseconds
+     * @return the decision
+     */
+    HoldDecision decide(RequestTerms request, Outlook outlook, long nowMillis);
+
+    /**
+     * What a request can expect.
+     *
+     * @param firstPieceMillis the time to the first piece at its best target, in milliseconds
+     * @param moreUrgentHeld whether a more urgent request for the same model is held
+     * @param excessive whether its client account uses far more than an equal part of the service
+     */
+    record Outlook(double firstPieceMillis, boolean moreUrgentHeld, boolean excessive) {}
+}
