Hold requests at the daemon while their targets have no room

Cause: requests were sent at once unless their caller would leave first, so patient and late work queued at targets, and requests that had waited for a model were all sent in the order of arrival.

Passes over held requests follow changes of load, at most one every 5 ms, and run at least every 50 ms. Held requests end with their caller, a planned stop, a changed configuration, a quarantine or stale information, as those that wait for a model do. Late work is one step less urgent. Each end of a hold and each refusal is logged and counted. Other services keep their path.

--- a/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
@@ -212,12 +212,15 @@
      *
      * @param terms its terms
      * @param firstPieceMillis the time to the first piece at its best target, in milliseconds
+     * @param unqueued whether that target would begin with it at once
      * @param nowMillis the monotonic time in milliseconds
      * @return its outlook
      */
-    public HoldPolicy.Outlook outlook(RequestTerms terms, double firstPieceMillis, long nowMillis) {
+    public HoldPolicy.Outlook outlook(
+            RequestTerms terms, double firstPieceMillis, boolean unqueued, long nowMillis) {
         return new HoldPolicy.Outlook(
                 firstPieceMillis,
+                unqueued,
                 holdsMoreUrgent(terms),
                 isExcessive(AccountKey.of(terms), nowMillis));
     }
--- a/core/src/main/java/org/tamaracktrack/core/admission/HoldPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HoldPolicy.java
@@ -17,8 +17,10 @@
      * What a request can expect.
      *
      * @param firstPieceMillis the time to the first piece at its best target, in milliseconds
+     * @param unqueued whether that target would begin with it at once, however long it takes
      * @param moreUrgentHeld whether a more urgent request for the same model is held
      * @param excessive whether its client account uses far more than an equal part of the service
      */
-    record Outlook(double firstPieceMillis, boolean moreUrgentHeld, boolean excessive) {}
+    record Outlook(
+            double firstPieceMillis, boolean unqueued, boolean moreUrgentHeld, boolean excessive) {}
 }
--- a/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
@@ -74,13 +74,15 @@
                 outlook.excessive()
                         ? objectives.shortestMillis(request, nowMillis)
                         : objectives.shortestMoreUrgentMillis(request, nowMillis);
-        return outlook.firstPieceMillis() <= ratio * yieldsToMillis;
+        return outlook.unqueued() || outlook.firstPieceMillis() <= ratio * yieldsToMillis;
     }
 
     private HoldDecision decideLate(RequestTerms request, Outlook outlook, long nowMillis) {
         boolean room =
-                outlook.firstPieceMillis()
-                        <= LITTLE_PENDING_RATIO * objectives.shortestMillis(request, nowMillis);
+                outlook.unqueued()
+                        || outlook.firstPieceMillis()
+                                <= LITTLE_PENDING_RATIO
+                                        * objectives.shortestMillis(request, nowMillis);
         return room && !outlook.moreUrgentHeld()
                 ? new HoldDecision.Send(true)
                 : holdUntilCallerLeaves(request, outlook, nowMillis);
--- a/core/src/test/java/org/tamaracktrack/core/admission/HeldLoad.java
+++ b/core/src/test/java/org/tamaracktrack/core/admission/HeldLoad.java
@@ -127,7 +127,11 @@
         HoldDecision decision =
                 policy.decide(
                         job.terms,
-                        waiting.outlook(job.terms, firstPieceMillis, nowMillis),
+                        waiting.outlook(
+                                job.terms,
+                                firstPieceMillis,
+                                queued.isEmpty() && running == null,
+                                nowMillis),
                         nowMillis);
         job.late = decision.late();
         if (decision instanceof HoldDecision.Hold hold) {
--- a/core/src/test/java/org/tamaracktrack/core/admission/HeldRequestsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/admission/HeldRequestsTest.java
@@ -106,6 +106,7 @@
                                 new HoldPolicy.Outlook(
                                         firstPieceMillis,
                                         random.nextBoolean(),
+                                        random.nextBoolean(),
                                         random.nextBoolean()),
                                 nowMillis);
 
--- /dev/null
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
@@ -0,0 +1,189 @@
+package org.tamaracktrack.daemon.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.tamaracktrack.core.admission.AccountUsage;
+import org.tamaracktrack.core.admission.HeldRequests;
+import org.tamaracktrack.core.admission.HoldDecision;
+import org.tamaracktrack.core.admission.HoldPolicy;
+import org.tamaracktrack.core.admission.ObjectiveHoldPolicy;
+import org.tamaracktrack.core.admission.RefusalSpread;
+import org.tamaracktrack.core.admission.ReleasePass;
+import org.tamaracktrack.core.admission.RequestTerms;
+import org.tamaracktrack.core.admission.ServiceObjectives;
+import org.tamaracktrack.core.dispatch.TargetLoad;
+import org.tamaracktrack.core.dispatch.TargetSelector;
+import org.tamaracktrack.core.fleet.TargetEntry;
+import org.tamaracktrack.core.id.ServiceId;
+
+/**
+ * Holds requests of services under admission control until a target has room for them. Owned by the
+ * traffic thread.
+ */
+final class AdmissionControl {
+    private static final int MAX_HELD_REQUESTS = 512;
+
+    /** Half of the memory that control may use in a daemon. */
+    private static final long MAX_HELD_BYTES = 16L * 1_024 * 1_024;
+
+    /** Share of its slots up to which a target keeps up with its requests, as in its selection. */
+    private static final double UNQUEUED_SLOT_SHARE = 0.6;
+
+    private static final long MIN_PASS_INTERVAL_MILLIS = 5;
+
+    /**
+     * Interval of passes without a change of the load of this daemon: the load that other daemons
+     * report changes about as often.
+     */
+    private static final long MAX_PASS_INTERVAL_MILLIS = 50;
+
+    private final GatewayContext context;
+    private final ServiceObjectives objectives = ServiceObjectives.empty();
+    private final HoldPolicy policy = ObjectiveHoldPolicy.of(objectives);
+    private final HeldRequests<ForwardedRequest> held =
+            HeldRequests.of(
+                    MAX_HELD_REQUESTS,
+                    MAX_HELD_BYTES,
+                    (service, account, nowMillis) ->
+                            this.usage.excess(service, account, nowMillis));
+    private final ReleasePass passes = ReleasePass.create();
+    private final RefusalSpread refusals = RefusalSpread.empty();
+    private final Set<ServiceId> reporting = new HashSet<>();
+    private AccountUsage usage = AccountUsage.none();
+    private boolean always;
+    private long lastPassMillis = Long.MIN_VALUE / 2;
+    private long nextPassMillis = Long.MAX_VALUE;
+
+    AdmissionControl(GatewayContext context) {
+        this.context = context;
+        context.metrics().registerHeldRequests(held::size);
+    }
+
+    /** Turns admission control on for all services, or only for those that report work times. */
+    void always(boolean newAlways) {
+        always = newAlways;
+    }
+
+    /** Sets the source of how much client accounts use. */
+    void accountUsage(AccountUsage newUsage) {
+        usage = newUsage;
+    }
+
+    /** Returns whether requests to a service are under admission control. */
+    boolean isOn(ServiceId service) {
+        return always || reporting.contains(service);
+    }
+
+    /** As above; a target that reports how long work takes turns it on for its service. */
+    boolean isOn(TargetEntry selected) {
+        if (!isOn(selected.service())
+                && context.loads().of(selected.incarnation()).reportsWorkTime()) {
+            reporting.add(selected.service());
+        }
+        return isOn(selected.service());
+    }
+
+    /** Records a request, whose objective counts for other work of its service from now on. */
+    void recordArrival(RequestTerms terms) {
+        objectives.record(terms, context.nowMillis());
+    }
+
+    /**
+     * Decides on a request that has not been sent. When the result is a hold, the request is held,
+     * unless it was refused for lack of room.
+     */
+    HoldDecision decide(
+            ForwardedRequest request, RequestTerms terms, TargetSelector.Selection selection) {
+        long nowMillis = context.nowMillis();
+        HoldDecision decision =
+                policy.decide(
+                        terms,
+                        held.outlook(
+                                terms,
+                                selection.firstPieceMillis(),
+                                isUnqueued(selection.entry()),
+                                nowMillis),
+                        nowMillis);
+        if (decision instanceof HoldDecision.Hold hold && !context.leaving()) {
+            List<ForwardedRequest> unfit = held.add(request, terms, hold, nowMillis);
+            unfit.forEach(removed -> removed.refuseForLackOfRoom());
+            passAt(Math.min(hold.untilMillis(), nowMillis + MAX_PASS_INTERVAL_MILLIS));
+        }
+        return decision;
+    }
+
+    private boolean isUnqueued(TargetEntry entry) {
+        long nowMillis = context.nowMillis();
+        TargetLoad load = context.loads().of(entry.incarnation());
+        return load.waiting() == 0
+                && load.pendingPromptTokens(nowMillis) == 0
+                && load.outstanding(nowMillis) <= UNQUEUED_SLOT_SHARE * entry.slots();
+    }
+
+    /** Returns when a refused caller should return, in milliseconds from now. */
+    long retryAfterMillis(long roomMillis) {
+        return refusals.retryAfterMillis(roomMillis, context.nowMillis(), context.draw());
+    }
+
+    boolean holds(ForwardedRequest request) {
+        return held.contains(request);
+    }
+
+    /** Removes a request that is sent to a target. */
+    void release(ForwardedRequest request) {
+        held.release(request);
+        passSoon();
+    }
+
+    /** Removes a request that ends or waits for something else. */
+    void remove(ForwardedRequest request) {
+        held.remove(request);
+    }
+
+    /** Decides again soon, because something has changed on which decisions depend. */
+    void passSoon() {
+        passAt(context.nowMillis());
+    }
+
+    private void passAt(long atMillis) {
+        long earliestMillis = Math.max(atMillis, lastPassMillis + MIN_PASS_INTERVAL_MILLIS);
+        if (held.size() == 0 || earliestMillis >= nextPassMillis) {
+            return;
+        }
+        nextPassMillis = earliestMillis;
+        context.after(earliestMillis - context.nowMillis(), () -> passIfNext(earliestMillis));
+    }
+
+    private void passIfNext(long scheduledMillis) {
+        if (scheduledMillis == nextPassMillis) {
+            pass();
+        }
+    }
+
+    private void pass() {
+        long nowMillis = context.nowMillis();
+        lastPassMillis = nowMillis;
+        nextPassMillis = Long.MAX_VALUE;
+        boolean closed = context.gate().isClosed();
+        boolean leftOver =
+                passes.run(
+                        held,
+                        nowMillis,
+                        request -> {
+                            request.decideHeldAgain();
+                            return !held.contains(request);
+                        });
+        long latestMillis = nowMillis + MAX_PASS_INTERVAL_MILLIS;
+        if (closed) {
+            passAt(latestMillis);
+        } else {
+            passAt(leftOver ? nowMillis : Math.min(held.nextMillis(), latestMillis));
+        }
+    }
+
+    /** Refuses all held requests, since this daemon is about to stop. */
+    void refuseAll() {
+        held.ids().forEach(ForwardedRequest::refuseWaiting);
+    }
+}
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerGuard.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerGuard.java
@@ -46,6 +46,7 @@
         ORIGIN,
         GATE,
         MODEL,
+        HELD,
         TARGET
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -12,6 +12,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.tamaracktrack.core.account.Account;
+import org.tamaracktrack.core.admission.HoldDecision;
+import org.tamaracktrack.core.admission.RequestTerms;
 import org.tamaracktrack.core.dispatch.AttemptEnd;
 import org.tamaracktrack.core.dispatch.DispatchRequest;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
@@ -50,6 +52,8 @@
      */
     private static final double NEW_CALLER_WAIT_RATIO = 0.7;
 
+    private static final long NOT_HELD = -1;
+
     private final GatewayContext context;
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
@@ -81,6 +85,11 @@
     private Map<String, String> streamHeaders = Map.of();
     private FailurePolicy.History history = FailurePolicy.History.none();
     private long registryAgeMillis = -1;
+    private Optional<RequestTerms> admissionTerms = Optional.empty();
+    private long heldSinceMillis = NOT_HELD;
+    private double expectedMillis;
+    private boolean late;
+    private boolean admitted;
     private boolean done;
 
     private ForwardedRequest(
@@ -251,6 +260,10 @@
     // A request whose first event would come after its caller has left only delays other requests.
     // Refused at once, the caller can retry while it still has time.
     private void sendUnlessTooLate(TargetSelector.Selection selection) {
+        if (admitted || tried.isEmpty() && context.admission().isOn(selection.entry())) {
+            admit(selection);
+            return;
+        }
         boolean firstAttempt = tried.isEmpty() && dispatchRequest.need().isPresent();
         if (firstAttempt
                 && selection.firstPieceMillis()
@@ -262,6 +275,145 @@
         send(selection.entry());
     }
 
+    // A request that has been admitted is sent on after a failure: it is not held or refused for
+    // its wait again.
+    private void admit(TargetSelector.Selection selection) {
+        if (admitted) {
+            send(selection.entry());
+            return;
+        }
+        RequestTerms terms = terms();
+        expectedMillis = selection.firstPieceMillis();
+        HoldDecision decision = context.admission().decide(this, terms, selection);
+        if (done) {
+            return;
+        }
+        late = decision.late();
+        if (decision instanceof HoldDecision.Send) {
+            admitted = true;
+            context.admission().release(this);
+            endHold("sent", -1);
+            send(selection.entry());
+        } else if (decision instanceof HoldDecision.Refuse refuse) {
+            refuseByAdmission("overloaded", refuse.retryAfterMillis());
+        } else if (context.admission().holds(this)) {
+            guard.enter(AnswerGuard.Stage.HELD);
+            if (heldSinceMillis == NOT_HELD) {
+                heldSinceMillis = context.nowMillis();
+            }
+        } else {
+            refuseByAdmission("leaving", 0);
+        }
+    }
+
+    private RequestTerms terms() {
+        if (admissionTerms.isEmpty()) {
+            RequestTerms terms =
+                    new RequestTerms(
+                            service(),
+                            need().map(ModelNeed::toString).orElse(""),
+                            authorization.account().map(Account::id),
+                            priority(),
+                            dispatchRequest.promptTokens(),
+                            body.length,
+                            route.objectiveMillis(),
+                            deadline.arrivedMillis(),
+                            context.nowMillis() + deadline.firstPieceTimeoutMillis(),
+                            callerReturned);
+            admissionTerms = Optional.of(terms);
+            context.admission().recordArrival(terms);
+        }
+        return admissionTerms.get();
+    }
+
+    private int priority() {
+        return accountPriority().orElse(route.priority());
+    }
+
+    /** Returns the rank among requests that wait for a model; 0 without admission control. */
+    int releasePriority() {
+        return context.admission().isOn(service()) ? priority() : 0;
+    }
+
+    /** Returns the order within a rank; 0 without admission control. */
+    long releaseByMillis() {
+        return context.admission().isOn(service())
+                ? deadline.arrivedMillis() + route.objectiveMillis()
+                : 0;
+    }
+
+    /** Decides again on the request while it is held. */
+    void decideHeldAgain() {
+        guard.run(
+                () -> {
+                    if (done || !context.admission().holds(this)) {
+                        return;
+                    }
+                    if (context.gate().closeIfStale()) {
+                        refuseHeldIfOutdated();
+                    } else if (!refuseIfNotAllowed() && !refuseIfQuarantined()) {
+                        selectTarget().ifPresentOrElse(this::admit, this::onNoTargetWhileHeld);
+                    }
+                });
+    }
+
+    private void refuseHeldIfOutdated() {
+        if (context.gate().refusesRequests() || context.nowMillis() >= terms().leavesAtMillis()) {
+            refuseAsOutdated();
+        }
+    }
+
+    // The last target that holds the model has gone, so the request waits for the model.
+    private void onNoTargetWhileHeld() {
+        context.admission().remove(this);
+        endHold("no_target", -1);
+        onNoTarget();
+    }
+
+    /** Refuses the request because more urgent ones use all room for held requests. */
+    void refuseForLackOfRoom() {
+        guard.run(
+                () -> {
+                    if (!done) {
+                        refuseByAdmission("held_full", 0);
+                    }
+                });
+    }
+
+    private void refuseByAdmission(String reason, long roomMillis) {
+        context.admission().remove(this);
+        retryAfterMillis = context.admission().retryAfterMillis(roomMillis);
+        context.metrics().recordAdmissionRefusal(route.name(), reason);
+        logAdmission(reason, retryAfterMillis);
+        heldSinceMillis = NOT_HELD;
+        refuseOrFail(reason);
+    }
+
+    private void endHold(String outcome, long retryAfter) {
+        if (heldSinceMillis != NOT_HELD) {
+            logAdmission(outcome, retryAfter);
+            heldSinceMillis = NOT_HELD;
+        }
+    }
+
+    private void logAdmission(String outcome, long retryAfter) {
+        long heldMillis = heldSinceMillis == NOT_HELD ? 0 : context.nowMillis() - heldSinceMillis;
+        if (heldSinceMillis != NOT_HELD) {
+            context.metrics().recordHold(route.name(), heldMillis);
+        }
+        RequestLog.logAdmissionEnd(
+                new RequestLog.AdmissionEnd(
+                        metadata.attempt(),
+                        route.name(),
+                        authorization.account().map(Account::id),
+                        priority(),
+                        heldMillis,
+                        (long) expectedMillis,
+                        outcome,
+                        late,
+                        retryAfter));
+    }
+
     // Callers that were refused before return with less time than the route allows. They take
     // precedence over callers that have not been refused yet.
     private double waitRatio() {
@@ -301,7 +453,7 @@
                                 new HeaderProtocol.ForwardingContext(
                                         entry,
                                         remainingMillis,
-                                        Urgency.of(route, accountPriority()),
+                                        Urgency.of(route, accountPriority(), late),
                                         lastEventId(),
                                         authorization.account().map(Account::id),
                                         context.keysRequired()));
@@ -830,6 +982,8 @@
         attempt = Optional.empty();
         retryProgress.recordEnd();
         stopWaiting();
+        context.admission().remove(this);
+        guard.runSafely(() -> endHold(outcome, -1));
         connection.onClosed(() -> {});
         guard.runSafely(() -> record(outcome, status));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -504,6 +504,17 @@
     public void leave() {
         leaving.sinceMillis = ControlThread.nowMillis();
         thread.execute(context.waiting()::refuseAll);
+        thread.execute(context.admission()::refuseAll);
+    }
+
+    /**
+     * Turns admission control on for all services, or only for those whose targets report how long
+     * work takes.
+     *
+     * @param always whether it is on for all services
+     */
+    public void controlAdmission(boolean always) {
+        thread.execute(() -> context.admission().always(always));
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -88,7 +88,8 @@
     private final TargetEndDetector targetEndDetector = new TargetEndDetector(this);
     private final TargetReachability targetReachability = new TargetReachability(this);
     private final StalenessGate gate =
-            new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
+            new StalenessGate(this, GatewayContext::dayMillis, this::retryWaiting);
+    private final AdmissionControl admission;
     private final LinkCheck linkCheck;
     private final RestingTargets restingTargets;
     private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
@@ -120,6 +121,7 @@
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
+        this.admission = new AdmissionControl(this);
         this.linkCheck =
                 new LinkCheck(
                         http,
@@ -152,6 +154,7 @@
     /** Notifies the listener that the load of this daemon at some target has changed. */
     void notifyLoadsChanged() {
         loadsChangeListener.run();
+        admission.passSoon();
     }
 
     /** Sets the exchange by which daemons tell each other their load at targets. */
@@ -165,6 +168,15 @@
         return peerLoad.get();
     }
 
+    AdmissionControl admission() {
+        return admission;
+    }
+
+    private void retryWaiting() {
+        waiting.retryAll();
+        admission.passSoon();
+    }
+
     WaitingRequests waiting() {
         return waiting;
     }
@@ -269,7 +281,7 @@
                             .filter(this::isExcused)
                             .forEach(targetEndDetector::recordAnswer);
                     if (!newer.held().keySet().equals(previous.held().keySet())) {
-                        waiting.retryAll();
+                        retryWaiting();
                     }
                 });
     }
@@ -572,7 +584,7 @@
                     activateQuotas();
                     updateOrigins(view);
                     loads.retainTargets(view.fleet());
-                    waiting.retryAll();
+                    retryWaiting();
                 });
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 import org.tamaracktrack.core.dispatch.FailurePolicy;
 import org.tamaracktrack.core.dispatch.HedgePolicy;
 import org.tamaracktrack.core.error.ErrorCode;
@@ -64,6 +65,36 @@
                 .register(registry);
     }
 
+    /** Publishes how many requests are held until a target has room. */
+    void registerHeldRequests(IntSupplier count) {
+        Gauge.builder("tamaracktrack.gateway.held", count::getAsInt)
+                .description("requests that wait at this daemon for room at a target")
+                .register(registry);
+    }
+
+    /** Records how long a request was held. */
+    void recordHold(String route, long heldMillis) {
+        timers.computeIfAbsent(
+                        "held|" + route,
+                        key ->
+                                Timer.builder("tamaracktrack.gateway.hold")
+                                        .tag("route", route)
+                                        .serviceLevelObjectives(BUCKETS)
+                                        .register(registry))
+                .record(Math.max(0, heldMillis), TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts a refusal by admission control. */
+    void recordAdmissionRefusal(String route, String reason) {
+        registry.counter(
+                        "tamaracktrack.gateway.admission.refusals",
+                        "route",
+                        route,
+                        "reason",
+                        reason)
+                .increment();
+    }
+
     /** Counts a request that was refused before it was passed on. */
     void recordRefusal(ErrorCode code, Optional<ClientAccountId> account) {
         registry.counter(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -71,6 +71,52 @@
             long configuration,
             long registryAgeMillis) {}
 
+    /**
+     * The end of the hold of a request, or its refusal by admission control.
+     *
+     * @param attempt the attempt id that the caller gave the request
+     * @param route its route
+     * @param account the client account of its key; empty without one
+     * @param priority its priority
+     * @param heldMillis how long it was held
+     * @param expectedMillis the expected time to the first piece at the last decision
+     * @param outcome sent, or why it was not
+     * @param late whether it could no longer be in time
+     * @param retryAfterMillis when the caller should return; -1 when it was not refused
+     */
+    record AdmissionEnd(
+            String attempt,
+            String route,
+            Optional<ClientAccountId> account,
+            int priority,
+            long heldMillis,
+            long expectedMillis,
+            String outcome,
+            boolean late,
+            long retryAfterMillis) {}
+
+    static void logAdmissionEnd(AdmissionEnd end) {
+        LOG.info(
+                "event=admission request="
+                        + end.attempt()
+                        + " route="
+                        + end.route()
+                        + " account="
+                        + end.account().map(ClientAccountId::value).orElse("-")
+                        + " priority="
+                        + end.priority()
+                        + " held_ms="
+                        + end.heldMillis()
+                        + " expected_ms="
+                        + end.expectedMillis()
+                        + " outcome="
+                        + end.outcome()
+                        + " late="
+                        + end.late()
+                        + " retry_after_ms="
+                        + end.retryAfterMillis());
+    }
+
     /**
      * What a caller states about the stream that it takes up again.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Urgency.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Urgency.java
@@ -15,7 +15,13 @@
     // Within a priority, a request with seconds to spare ranks
     // behind one that has half a second.
     static int of(Route route, OptionalInt accountPriority) {
-        int patient = route.objectiveMillis() > PATIENT_OBJECTIVE_MILLIS ? 1 : 0;
+        return of(route, accountPriority, false);
+    }
+
+    // Work that can no longer be in time ranks behind that which can, and ahead of lower
+    // priorities.
+    static int of(Route route, OptionalInt accountPriority, boolean late) {
+        int patient = late || route.objectiveMillis() > PATIENT_OBJECTIVE_MILLIS ? 1 : 0;
         return Math.max(
                 0,
                 Math.min(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/WaitingRequests.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/WaitingRequests.java
@@ -1,5 +1,6 @@
 package org.tamaracktrack.daemon.gateway;
 
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,11 @@
  * traffic thread.
  */
 final class WaitingRequests {
+    // The sort keeps the order of arrival among requests that are not under admission control.
+    private static final Comparator<ForwardedRequest> BY_URGENCY =
+            Comparator.comparingInt(ForwardedRequest::releasePriority)
+                    .thenComparingLong(ForwardedRequest::releaseByMillis);
+
     private final Set<ForwardedRequest> requests = new LinkedHashSet<>();
 
     private WaitingRequests() {}
@@ -31,7 +37,10 @@
     /** Retries each request after the fleet has changed. */
     void retryAll() {
         if (!requests.isEmpty()) {
-            List.copyOf(requests).forEach(ForwardedRequest::retryWaiting);
+            requests.stream()
+                    .sorted(BY_URGENCY)
+                    .collect(Collectors.toList())
+                    .forEach(ForwardedRequest::retryWaiting);
         }
     }
 
