--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -17,7 +17,6 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
-import org.tamaracktrack.core.admission.AccountUsage;
 import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.ConnectionShare;
@@ -93,14 +92,14 @@
     private final TargetEndDetector targetEndDetector = new TargetEndDetector(this);
     private final TargetReachability targetReachability = new TargetReachability(this);
     private final StalenessGate gate =
-            new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
+            new StalenessGate(this, GatewayContext::dayMillis, this::retryWaiting);
+    private final AdmissionControl admission;
     private final LinkCheck linkCheck;
     private final RestingTargets restingTargets;
     private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
     private Runnable loadsChangeListener = () -> {};
     private final SharedAccountUsage accountUsage = SharedAccountUsage.empty();
     private Runnable usageChangeListener = () -> {};
-    private BooleanSupplier admissionControl = this::anyTargetReportsWorkTime;
     private Supplier<LoadExchange.PeerLoad> peerLoad = () -> LoadExchange.PeerLoad.NONE;
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
@@ -128,6 +127,7 @@
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
+        this.admission = new AdmissionControl(this, accountUsage);
         this.linkCheck =
                 new LinkCheck(
                         http,
@@ -160,6 +160,7 @@
     /** Notifies the listener that the load of this daemon at some target has changed. */
     void notifyLoadsChanged() {
         loadsChangeListener.run();
+        admission.passSoon();
     }
 
     /** Sets the exchange by which daemons tell each other their load at targets. */
@@ -173,25 +174,9 @@
         return peerLoad.get();
     }
 
-    /** Returns how much each client account uses, at this daemon and its peers. */
-    AccountUsage accountUsage() {
-        return accountUsage;
-    }
-
-    /** Sets what returns whether admission control is on for any service. */
-    void admissionControl(BooleanSupplier newer) {
-        admissionControl = newer;
-    }
-
     /** Returns whether daemons tell each other the usage of client accounts at present. */
     boolean exchangesUsage() {
-        return keysRequired() && admissionControl.getAsBoolean();
-    }
-
-    private boolean anyTargetReportsWorkTime() {
-        return view.fleet()
-                .all()
-                .anyMatch(entry -> loads.of(entry.incarnation()).reportsWorkTime());
+        return keysRequired() && admission.isOnForAny();
     }
 
     /** Starts to exchange the usage of client accounts with other daemons. */
@@ -230,6 +215,15 @@
         };
     }
 
+    AdmissionControl admission() {
+        return admission;
+    }
+
+    private void retryWaiting() {
+        waiting.retryAll();
+        admission.passSoon();
+    }
+
     WaitingRequests waiting() {
         return waiting;
     }
@@ -334,7 +328,7 @@
                             .filter(this::isExcused)
                             .forEach(targetEndDetector::recordAnswer);
                     if (!newer.held().keySet().equals(previous.held().keySet())) {
-                        waiting.retryAll();
+                        retryWaiting();
                     }
                 });
     }
@@ -637,7 +631,7 @@
                     activateQuotas();
                     updateOrigins(view);
                     loads.retainTargets(view.fleet());
-                    waiting.retryAll();
+                    retryWaiting();
                 });
     }
 }
