Set the listener of usage changes on the traffic thread

Cause: it was set by the thread that starts the process, without synchronisation with the traffic thread that reads it.

Change: it is set by a task of the traffic thread.

Measured: ClientAccountProcessTest, UsageExchangeTest, SharedAccountUsageTest and AccountShareMonitorTest pass in one run; verify without tests passes.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -194,11 +194,11 @@
                 .anyMatch(entry -> loads.of(entry.incarnation()).reportsWorkTime());
     }
 
-    /** Starts to exchange the usage of client accounts with other daemons. */
+    /** Starts to exchange the usage of client accounts with other daemons. Safe for any thread. */
     UsageExchange startUsageExchange(String process, Datagrams datagrams) {
         UsageExchange exchange =
                 UsageExchange.of(process, datagrams, this, accountUsage, this::exchangesUsage);
-        usageChangeListener = exchange::onUsageChanged;
+        execute(() -> usageChangeListener = exchange::onUsageChanged);
         return exchange;
     }
 
