--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -179,11 +179,11 @@
         return keysRequired() && admission.isOnForAny();
     }
 
-    /** Starts to exchange the usage of client accounts with other daemons. */
+    /** Starts to exchange the usage of client accounts with other daemons. Safe for any thread. */
     UsageExchange startUsageExchange(String process, Datagrams datagrams) {
         UsageExchange exchange =
                 UsageExchange.of(process, datagrams, this, accountUsage, this::exchangesUsage);
-        usageChangeListener = exchange::onUsageChanged;
+        execute(() -> usageChangeListener = exchange::onUsageChanged);
         return exchange;
     }
 
