Reduce the cost of distributing requests over engines of different speeds

Passes have to be cheap on hosts with a fraction of a core.

Change: sorted arrays instead of lists.

--- a/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
+++ b/core/src/main/java/org/tamaracktrack/core/copies/EngineLoads.java
@@ -1,6 +1,6 @@
 package org.tamaracktrack.core.copies;
 
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -40,7 +40,12 @@
      * @param level its requests per second, multiplied by its work factor
      * @param workFactor by which factor work takes longer than usual
      */
-    private record Base(double level, double workFactor) {
+    private record Base(double level, double workFactor) implements Comparable<Base> {
+
+        @Override
+        public int compareTo(Base other) {
+            return Double.compare(level, other.level);
+        }
 
         double load() {
             return level / workFactor;
@@ -48,7 +53,7 @@
     }
 
     /** The part of a gain that does not depend on the engine of the additional replica. */
-    private record Baseline(List<Base> bases, double inTime) {}
+    private record Baseline(Base[] bases, double inTime) {}
 
     private EngineLoads(double saturationRate, Map<TargetIncarnation, Double> workFactors) {
         this.saturationRate = saturationRate;
@@ -117,11 +122,14 @@
     }
 
     /** Returns the bases of a model's engines without its own requests, lowest level first. */
-    private List<Base> bases(Map<TargetIncarnation, Double> share) {
-        return share.entrySet().stream()
-                .map(entry -> base(entry.getKey(), loads.get(entry.getKey()) - entry.getValue()))
-                .sorted(Comparator.comparingDouble(Base::level))
-                .collect(Collectors.toList());
+    private Base[] bases(Map<TargetIncarnation, Double> share) {
+        Base[] bases = new Base[share.size()];
+        int count = 0;
+        for (Map.Entry<TargetIncarnation, Double> entry : share.entrySet()) {
+            bases[count++] = base(entry.getKey(), loads.get(entry.getKey()) - entry.getValue());
+        }
+        Arrays.sort(bases);
+        return bases;
     }
 
     private Base base(TargetIncarnation engine, double load) {
@@ -132,19 +140,19 @@
     /**
      * Returns the level up to which requests fill engines that already have the given base loads.
      */
-    private static double fillLevel(double amount, List<Base> lowestFirst) {
-        int lastIndex = lowestFirst.size() - 1;
+    private static double fillLevel(double amount, Base[] lowestFirst) {
+        int lastIndex = lowestFirst.length - 1;
         double below = 0;
         double speed = 0;
         for (int index = 0; index < lastIndex; index++) {
-            below += lowestFirst.get(index).load();
-            speed += 1 / lowestFirst.get(index).workFactor();
+            below += lowestFirst[index].load();
+            speed += 1 / lowestFirst[index].workFactor();
             double level = (amount + below) / speed;
-            if (level <= lowestFirst.get(index + 1).level()) {
+            if (level <= lowestFirst[index + 1].level()) {
                 return level;
             }
         }
-        Base last = lowestFirst.get(lastIndex);
+        Base last = lowestFirst[lastIndex];
         return (amount + below + last.load()) / (speed + 1 / last.workFactor());
     }
 
@@ -193,20 +201,20 @@
     double gain(ModelId model, double rate, TargetIncarnation engine, double freed) {
         Baseline baseline = baselines.computeIfAbsent(model, this::baseline);
         double baseLoad = Math.max(0, load(engine) - freed);
-        List<Base> bases = with(baseline.bases(), base(engine, baseLoad));
+        Base[] bases = with(baseline.bases(), base(engine, baseLoad));
         return inTimeAtLevel(fillLevel(rate, bases), bases)
                 - inTimeRate(engine, baseLoad)
                 - baseline.inTime();
     }
 
-    private static List<Base> with(List<Base> lowestFirst, Base added) {
-        List<Base> bases = new ArrayList<>(lowestFirst.size() + 1);
-        bases.addAll(lowestFirst);
-        int position = bases.size();
-        while (position > 0 && bases.get(position - 1).level() > added.level()) {
+    private static Base[] with(Base[] lowestFirst, Base added) {
+        Base[] bases = Arrays.copyOf(lowestFirst, lowestFirst.length + 1);
+        int position = lowestFirst.length;
+        while (position > 0 && bases[position - 1].level() > added.level()) {
+            bases[position] = bases[position - 1];
             position--;
         }
-        bases.add(position, added);
+        bases[position] = added;
         return bases;
     }
 
@@ -236,7 +244,7 @@
         if (others.isEmpty()) {
             return before - remaining;
         }
-        List<Base> bases = bases(others);
+        Base[] bases = bases(others);
         return before - remaining - inTimeAtLevel(fillLevel(sum(share), bases), bases);
     }
 
@@ -291,8 +299,8 @@
         return load(engine) * workFactor(engine);
     }
 
-    private double inTimeAtLevel(double level, List<Base> bases) {
-        return bases.stream()
+    private double inTimeAtLevel(double level, Base[] bases) {
+        return Arrays.stream(bases)
                 .mapToDouble(
                         base ->
                                 inTimeRateAtLevel(Math.max(level, base.level()))
