--- a/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
@@ -225,6 +225,24 @@
                 isExcessive(AccountKey.of(terms), nowMillis));
     }
 
+    /**
+     * Returns the tokens of the held requests of a service that are not less urgent than a request.
+     *
+     * @param terms the terms of the request
+     * @return the number of tokens
+     */
+    public long tokensAhead(RequestTerms terms) {
+        return requests.values().stream()
+                .map(Held::terms)
+                .filter(other -> other.service().equals(terms.service()))
+                .filter(
+                        other ->
+                                !RequestTerms.isMoreUrgent(
+                                        terms.priority(), terms.objectiveMillis(), other))
+                .mapToLong(RequestTerms::tokens)
+                .sum();
+    }
+
     /**
      * Returns whether a more urgent request for the same model of a service is held.
      *
--- a/core/src/test/java/org/tamaracktrack/core/admission/HeldRequestsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/admission/HeldRequestsTest.java
@@ -138,6 +138,17 @@
             assertThat(order(held).subList(0, 4)).containsExactly(10, 1, 11, 2);
         }
 
+        // Guards against callers that return while those before them still wait.
+        @Test
+        void shouldCountTokensOfRequestsThatAreNotLessUrgent() {
+            HeldRequests<Integer> held = HeldRequests.of(100, 1_000_000, AccountUsage.none());
+            held.add(0, terms("a", 0, 400, 0), new HoldDecision.Hold(0, true), 0);
+            held.add(1, terms("a", 1, 400, 0), new HoldDecision.Hold(0, true), 0);
+            held.add(2, terms("a", 2, 12_000, 0), new HoldDecision.Hold(0, false), 0);
+
+            assertThat(held.tokensAhead(terms("b", 1, 400, 5))).isEqualTo(2_000);
+        }
+
         // Guards against an account that takes turns with small ones while it uses most of a
         // service.
         @Test
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
@@ -121,6 +121,17 @@
                 && load.outstanding(nowMillis) <= UNQUEUED_SLOT_SHARE * entry.slots();
     }
 
+    /**
+     * Returns how long the targets of a service work on what is held ahead of a request, in
+     * milliseconds.
+     */
+    long heldAheadMillis(RequestTerms terms, TargetEntry selected) {
+        long targets = Math.max(1, context.view().fleet().ready(terms.service()).count());
+        double tokensPerMilli =
+                context.loads().of(selected.incarnation()).tokensPerMilli(context.nowMillis());
+        return (long) (held.tokensAhead(terms) / (tokensPerMilli * targets));
+    }
+
     /** Returns when a refused caller should return, in milliseconds from now. */
     long retryAfterMillis(long roomMillis) {
         return refusals.retryAfterMillis(roomMillis, context.nowMillis(), context.draw());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -295,7 +295,8 @@
             endHold("sent", -1);
             send(selection.entry());
         } else if (decision instanceof HoldDecision.Refuse refuse) {
-            refuseByAdmission("overloaded", refuse.retryAfterMillis());
+            long aheadMillis = context.admission().heldAheadMillis(terms, selection.entry());
+            refuseByAdmission("overloaded", refuse.retryAfterMillis() + aheadMillis);
         } else if (context.admission().holds(this)) {
             guard.enter(AnswerGuard.Stage.HELD);
             if (heldSinceMillis == NOT_HELD) {
