--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -38,6 +38,7 @@
 import org.tamaracktrack.daemon.connection.CallersListener;
 import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
+import org.tamaracktrack.daemon.load.UsageExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.stream.OriginExchange;
@@ -183,6 +184,7 @@
                         .build();
         listen(server, options);
         context.limitConnections();
+        context.monitorUsage();
         return new Gateway(context, handler, callers, server, thread, leaving);
     }
 
@@ -307,6 +309,18 @@
         return reading;
     }
 
+    /**
+     * Returns by which factor work takes longer than usual at each target that reports it to this
+     * daemon.
+     *
+     * @return the long-run mean of the factors, completed on the traffic thread
+     */
+    public CompletableFuture<Map<TargetIncarnation, Double>> workFactors() {
+        CompletableFuture<Map<TargetIncarnation, Double>> reading = new CompletableFuture<>();
+        thread.execute(() -> reading.complete(context.loads().workFactors()));
+        return reading;
+    }
+
     /**
      * Starts to exchange with other daemons the load that each has placed on targets.
      *
@@ -320,6 +334,18 @@
         return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
     }
 
+    /**
+     * Starts to exchange with other daemons what each client account uses.
+     *
+     * @param process identifies this run of the process
+     * @param datagrams carries the messages, on the traffic thread
+     * @return receives the addresses of the other daemons whenever they change
+     */
+    public Consumer<List<InetSocketAddress>> exchangeUsage(String process, Datagrams datagrams) {
+        UsageExchange exchange = context.startUsageExchange(process, datagrams);
+        return addresses -> thread.execute(() -> exchange.updatePeers(addresses));
+    }
+
     /**
      * Starts to enforce the quotas of client accounts together with other daemons.
      *
@@ -504,6 +530,17 @@
     public void leave() {
         leaving.sinceMillis = ControlThread.nowMillis();
         thread.execute(context.waiting()::refuseAll);
+        thread.execute(context.admission()::refuseAll);
+    }
+
+    /**
+     * Turns admission control on for all services, or only for those whose targets report how long
+     * work takes.
+     *
+     * @param always whether it is on for all services
+     */
+    public void controlAdmission(boolean always) {
+        thread.execute(() -> context.admission().always(always));
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -17,6 +17,7 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.account.Account;
+import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.ConnectionShare;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
@@ -29,6 +30,7 @@
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.id.SoftwareVersion;
 import org.tamaracktrack.core.id.TargetId;
@@ -46,7 +48,9 @@
 import org.tamaracktrack.core.shedding.ConnectionShedder;
 import org.tamaracktrack.core.stream.OriginFinding;
 import org.tamaracktrack.core.stream.StreamOrigin;
+import org.tamaracktrack.daemon.load.Datagrams;
 import org.tamaracktrack.daemon.load.LoadExchange;
+import org.tamaracktrack.daemon.load.UsageExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.stream.OriginExchange;
@@ -88,11 +92,14 @@
     private final TargetEndDetector targetEndDetector = new TargetEndDetector(this);
     private final TargetReachability targetReachability = new TargetReachability(this);
     private final StalenessGate gate =
-            new StalenessGate(this, GatewayContext::dayMillis, waiting::retryAll);
+            new StalenessGate(this, GatewayContext::dayMillis, this::retryWaiting);
+    private final AdmissionControl admission;
     private final LinkCheck linkCheck;
     private final RestingTargets restingTargets;
     private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
     private Runnable loadsChangeListener = () -> {};
+    private final SharedAccountUsage accountUsage = SharedAccountUsage.empty();
+    private Runnable usageChangeListener = () -> {};
     private Supplier<LoadExchange.PeerLoad> peerLoad = () -> LoadExchange.PeerLoad.NONE;
     private volatile Quarantine quarantine = Quarantine.empty();
     private volatile GatewayView view = GatewayView.empty();
@@ -120,6 +127,7 @@
         this.metrics = metrics;
         this.leaving = leaving;
         this.random = random;
+        this.admission = new AdmissionControl(this, accountUsage);
         this.linkCheck =
                 new LinkCheck(
                         http,
@@ -152,6 +160,7 @@
     /** Notifies the listener that the load of this daemon at some target has changed. */
     void notifyLoadsChanged() {
         loadsChangeListener.run();
+        admission.passSoon();
     }
 
     /** Sets the exchange by which daemons tell each other their load at targets. */
@@ -165,6 +174,56 @@
         return peerLoad.get();
     }
 
+    /** Returns whether daemons tell each other the usage of client accounts at present. */
+    boolean exchangesUsage() {
+        return keysRequired() && admission.isOnForAny();
+    }
+
+    /** Starts to exchange the usage of client accounts with other daemons. Safe for any thread. */
+    UsageExchange startUsageExchange(String process, Datagrams datagrams) {
+        UsageExchange exchange =
+                UsageExchange.of(process, datagrams, this, accountUsage, this::exchangesUsage);
+        execute(() -> usageChangeListener = exchange::onUsageChanged);
+        return exchange;
+    }
+
+    /** Starts to publish the usage of client accounts. */
+    void monitorUsage() {
+        scheduleUsageCheck(AccountShareMonitor.of(accountUsage, metrics, this::exchangesUsage));
+    }
+
+    private void scheduleUsageCheck(AccountShareMonitor monitor) {
+        after(
+                AccountShareMonitor.INTERVAL_MILLIS,
+                () -> {
+                    scheduleUsageCheck(monitor);
+                    monitor.check(nowMillis());
+                });
+    }
+
+    /**
+     * Records the usage of a request that is sent to a target.
+     *
+     * @return to be run once, at the end of the request
+     */
+    Runnable beginUsage(ServiceId service, ClientAccountId account, long tokens) {
+        accountUsage.recordSent(service, account, tokens);
+        usageChangeListener.run();
+        return () -> {
+            accountUsage.recordEnd(service, account, tokens);
+            usageChangeListener.run();
+        };
+    }
+
+    AdmissionControl admission() {
+        return admission;
+    }
+
+    private void retryWaiting() {
+        waiting.retryAll();
+        admission.passSoon();
+    }
+
     WaitingRequests waiting() {
         return waiting;
     }
@@ -269,7 +328,7 @@
                             .filter(this::isExcused)
                             .forEach(targetEndDetector::recordAnswer);
                     if (!newer.held().keySet().equals(previous.held().keySet())) {
-                        waiting.retryAll();
+                        retryWaiting();
                     }
                 });
     }
@@ -572,7 +631,7 @@
                     activateQuotas();
                     updateOrigins(view);
                     loads.retainTargets(view.fleet());
-                    waiting.retryAll();
+                    retryWaiting();
                 });
     }
 }
