Treat a target's 408 as an unknown outcome, and give the bounds of answers a name of their own

Cause: a 408 to a caller guarantees that its request was not run. A target's 408 was taken for such a guarantee, though targets state it by another header only, so that a request that must not run twice could have been sent to a second target. The class name AnswerGuard was in use in the gateway already.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -406,21 +406,17 @@
         }
         status = responseStatus;
         headers = responseHeaders;
-        if (metadata.notRun() || statesNotRun(responseStatus)) {
+        if (metadata.notRun() || responseStatus == MISDIRECTED_STATUS) {
             failAndClose(AttemptEnd.REFUSED);
-        } else if (!metadata.verified()) {
+        } else if (!metadata.verified() || responseStatus == REQUEST_TIMEOUT_STATUS) {
+            // To callers, 408 guarantees that a request was not run. Targets give this status no
+            // such meaning, so it isn't passed on.
             failAndClose(AttemptEnd.LOST);
         } else {
             accept(responseStatus);
         }
     }
 
-    // These statuses guarantee that the request was not run. One target's guarantee doesn't cover
-    // earlier attempts at others, so it isn't passed on to the caller.
-    private static boolean statesNotRun(int responseStatus) {
-        return responseStatus == REQUEST_TIMEOUT_STATUS || responseStatus == MISDIRECTED_STATUS;
-    }
-
     private void recordReport(ReportedLoad report) {
         load.recordReport(report, lastContactMillis);
         report.workTime()
--- a/link/src/main/java/org/tamaracktrack/link/http/AnswerGuard.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/BoundedAnswerConduit.java
@@ -18,7 +18,7 @@
  * Checks the bytes of a connection before Undertow's client parses them, because its parser has no
  * bounds: a header line or a trailer without end fills the heap. Used by the connection's thread.
  */
-final class AnswerGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class BoundedAnswerConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private final StreamConnection connection;
     private final AnswerBounds bounds;
     private final AnswerFraming framing;
@@ -28,7 +28,7 @@
     private boolean insideHead;
     private boolean receiving;
 
-    private AnswerGuard(StreamConnection connection, AnswerBounds bounds) {
+    private BoundedAnswerConduit(StreamConnection connection, AnswerBounds bounds) {
         super(connection.getSourceChannel().getConduit());
         this.connection = connection;
         this.bounds = bounds;
@@ -36,8 +36,8 @@
     }
 
     /** Installs a guard below whatever reads from a connection. */
-    static AnswerGuard install(StreamConnection connection, AnswerBounds bounds) {
-        AnswerGuard guard = new AnswerGuard(connection, bounds);
+    static BoundedAnswerConduit install(StreamConnection connection, AnswerBounds bounds) {
+        BoundedAnswerConduit guard = new BoundedAnswerConduit(connection, bounds);
         connection.getSourceChannel().setConduit(guard);
         return guard;
     }
--- a/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
@@ -34,7 +34,7 @@
     private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
     private final Map<InetSocketAddress, AtomicInteger> open = new ConcurrentHashMap<>();
 
-    private final Map<ClientConnection, AnswerGuard> guards = new ConcurrentHashMap<>();
+    private final Map<ClientConnection, BoundedAnswerConduit> guards = new ConcurrentHashMap<>();
 
     private record IdleConnection(
             ClientConnection connection, long idleSinceNanos, long keepAliveMillis) {}
@@ -52,7 +52,7 @@
     }
 
     /** Returns the guard of a connection; empty if the connection is closed. */
-    Optional<AnswerGuard> guard(ClientConnection connection) {
+    Optional<BoundedAnswerConduit> guard(ClientConnection connection) {
         return Optional.ofNullable(guards.get(connection));
     }
 
--- a/link/src/main/java/org/tamaracktrack/link/http/GuardedConnects.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/GuardedConnects.java
@@ -19,7 +19,7 @@
 final class GuardedConnects extends XnioIoThread {
     private final XnioWorker worker;
     private final AnswerBounds bounds;
-    private final ThreadLocal<AnswerGuard> opening = new ThreadLocal<>();
+    private final ThreadLocal<BoundedAnswerConduit> opening = new ThreadLocal<>();
 
     private GuardedConnects(XnioWorker worker, AnswerBounds bounds) {
         super(worker, 0, "guarded-connects");
@@ -32,14 +32,14 @@
     }
 
     /** Returns the guard of the connection that the calling thread is handing to the client. */
-    Optional<AnswerGuard> opening() {
+    Optional<BoundedAnswerConduit> opening() {
         return Optional.ofNullable(opening.get());
     }
 
     private ChannelListener<StreamConnection> guarding(
             ChannelListener<? super StreamConnection> listener) {
         return connection -> {
-            opening.set(AnswerGuard.install(connection, bounds));
+            opening.set(BoundedAnswerConduit.install(connection, bounds));
             try {
                 listener.handleEvent(connection);
             } finally {
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
@@ -51,7 +51,7 @@
     private final ByteBufferPool buffers;
     private volatile XnioIoThread thread;
     private Optional<ClientConnection> connection = Optional.empty();
-    private Optional<AnswerGuard> guard = Optional.empty();
+    private Optional<BoundedAnswerConduit> guard = Optional.empty();
     private Optional<StreamSourceChannel> source = Optional.empty();
     private Optional<XnioExecutor.Key> timer = Optional.empty();
     private HttpFailure currentFailure = HttpFailure.NOT_SENT;
@@ -188,7 +188,7 @@
     // The time is counted from the head's first byte. Without this limit, a server that sends a
     // head a few bytes at a time would hold the request for the whole time of its call.
     private void limitHeadTime() {
-        guard.flatMap(AnswerGuard::remainingHeadMillis)
+        guard.flatMap(BoundedAnswerConduit::remainingHeadMillis)
                 .ifPresent(
                         millis ->
                                 thread.executeAfter(
@@ -210,7 +210,7 @@
                 .ifPresent(installed -> reject(installed, AnswerRejection.Reason.HEAD_TIME));
     }
 
-    private void reject(AnswerGuard installed, AnswerRejection.Reason reason) {
+    private void reject(BoundedAnswerConduit installed, AnswerRejection.Reason reason) {
         installed.reject(reason);
         fail(HttpFailure.ANSWER_INVALID);
     }
@@ -254,7 +254,7 @@
             public void failed(IOException failure) {
                 // Undertow closes the connection when its parser throws, and reports just that.
                 if (currentFailure == HttpFailure.NO_ANSWER && !ended) {
-                    guard.filter(AnswerGuard::isReceiving)
+                    guard.filter(BoundedAnswerConduit::isReceiving)
                             .ifPresent(
                                     installed ->
                                             installed.reject(AnswerRejection.Reason.MALFORMED));
@@ -265,7 +265,7 @@
     }
 
     private void failReading() {
-        boolean rejected = guard.flatMap(AnswerGuard::rejection).isPresent();
+        boolean rejected = guard.flatMap(BoundedAnswerConduit::rejection).isPresent();
         fail(rejected ? HttpFailure.ANSWER_INVALID : currentFailure);
     }
 
@@ -376,7 +376,7 @@
 
     private void complete() {
         if (markEnded()) {
-            guard.ifPresent(AnswerGuard::end);
+            guard.ifPresent(BoundedAnswerConduit::end);
             connection.ifPresent(this::releaseAfterResponse);
             listener.onEnd();
         }
@@ -397,7 +397,7 @@
         if (markEnded()) {
             connection.ifPresent(HttpExchange::reset);
             if (failure == HttpFailure.ANSWER_INVALID) {
-                guard.flatMap(AnswerGuard::rejection).ifPresent(listener::onRejected);
+                guard.flatMap(BoundedAnswerConduit::rejection).ifPresent(listener::onRejected);
             }
             listener.onFailure(failure);
         }
