Count requests that a planned stop refuses while they are held

Cause: the end of such a hold was logged, but not counted as a refusal and without the time to return.

Measured: HeldRequestProcessTest passes; its log shows reason and time.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -533,11 +533,13 @@
         }
     }
 
-    /** Refuses the request while it waits for a target because this daemon is about to stop. */
+    /** Refuses the request while it waits or is held, because this daemon is about to stop. */
     void refuseWaiting() {
         guard.run(
                 () -> {
-                    if (!done) {
+                    if (context.admission().holds(this)) {
+                        refuseByAdmission("leaving", 0);
+                    } else if (!done) {
                         refuseOrFail("leaving");
                     }
                 });
