Release held urgent work newest first while it is in time

Change: urgent work that is in time goes newest first, and is sent at its last moment where it makes nothing more urgent late.

--- a/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
@@ -15,8 +15,9 @@
 /**
  * The requests that wait at a daemon for room at a target, bounded in number and bytes, in the
  * order in which they are released: by priority, in time before late, accounts with far more than
- * an equal part behind the others, fair queueing of tokens by client account, callers that return
- * before new ones, and the earliest deadline first.
+ * an equal part behind the others, fair queueing of tokens by client account, and callers that
+ * return before new ones. Of equals, urgent work that is in time goes newest first, all other work
+ * earliest deadline first.
  *
  * @param <T> identifies a request
  */
@@ -30,14 +31,14 @@
                     .thenComparing(Ranked::excessive)
                     .thenComparingDouble(Ranked::virtualTime)
                     .thenComparing(ranked -> !ranked.held().terms().returned())
-                    .thenComparingLong(ranked -> ranked.held().terms().objectiveAtMillis())
+                    .thenComparingLong(ranked -> ranked.held().dueOrder())
                     .thenComparingLong(ranked -> ranked.held().number());
 
     private static final Comparator<Held<?>> WITHIN_ACCOUNT =
             Comparator.<Held<?>>comparingInt(held -> held.terms().priority())
                     .thenComparing(Held::late)
                     .thenComparing(held -> !held.terms().returned())
-                    .thenComparingLong(held -> held.terms().objectiveAtMillis())
+                    .thenComparingLong(Held::dueOrder)
                     .thenComparingLong(Held::number);
 
     /**
@@ -50,7 +51,15 @@
      * @param number its place in the order of arrival
      * @param <T> identifies a request
      */
-    public record Held<T>(T id, RequestTerms terms, boolean late, long untilMillis, long number) {}
+    public record Held<T>(T id, RequestTerms terms, boolean late, long untilMillis, long number) {
+        // Under a lasting overload, the earliest objective first would send each request just when
+        // it becomes late. Urgent work that is still in time goes newest first instead.
+        private long dueOrder() {
+            return late || terms.isPatient()
+                    ? terms.objectiveAtMillis()
+                    : -terms.objectiveAtMillis();
+        }
+    }
 
     private record Ranked<T>(Held<T> held, boolean excessive, double virtualTime) {}
 
--- a/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
@@ -60,9 +60,13 @@
         if (nowMillis < lastMillis) {
             return new HoldDecision.Hold(lastMillis, false);
         }
-        // Only patient work, which has yielded for seconds, is sent without room. If all were sent,
-        // more urgent work would be late under a lasting overload.
-        return request.isPatient() && !outlook.moreUrgentHeld() && !outlook.excessive()
+        // Work that has yielded up to its last moment is sent without room, unless that would make
+        // more urgent work late.
+        boolean harmless =
+                request.isPatient()
+                        || outlook.firstPieceMillis()
+                                <= objectives.shortestMoreUrgentMillis(request, nowMillis);
+        return harmless && !outlook.moreUrgentHeld() && !outlook.excessive()
                 ? new HoldDecision.Send(false)
                 : holdUntilCallerLeaves(request, outlook, nowMillis);
     }
@@ -88,8 +92,8 @@
                 : holdUntilCallerLeaves(request, outlook, nowMillis);
     }
 
-    // At its last moment, late work is sent unless it would make work late that can be in time. If
-    // it were always sent, targets under a lasting overload would have only late work.
+    // At its last moment, late work is sent where new work of its kind would be in time. If it were
+    // always sent, targets under a lasting overload would have only late work.
     private HoldDecision holdUntilCallerLeaves(
             RequestTerms request, Outlook outlook, long nowMillis) {
         long lastMillis = lastSendMillis(request, request.leavesAtMillis(), outlook);
