--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaBucket.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaBucket.java
@@ -12,6 +12,7 @@
     static final double MAJORITY = 0.5;
 
     private final double tolerance;
+    private final ReturnSchedule returns = ReturnSchedule.empty();
     private QuotaLimit limit;
     private double authority;
     private double level;
@@ -97,6 +98,14 @@
         level = Math.min(level + units, capacity());
     }
 
+    /**
+     * Returns when a refused caller should return, behind those refused before, in milliseconds.
+     */
+    long millisUntilReturn(long cost) {
+        return returns.add(
+                cost, limit.ratePerSecond() * authority, millisUntilRoom(cost), updatedAtMillis);
+    }
+
     /** Returns the time until a request has room, in milliseconds; very long without authority. */
     long millisUntilRoom(long cost) {
         double missing = Math.max(0, needed(cost) - level);
--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaLedger.java
@@ -43,6 +43,7 @@
     private double earnedMillis;
     private long majoritySinceMillis = NEVER;
     private long earnedUntilMillis;
+    private boolean spreadsReturns;
 
     private record Vote(double share, long atMillis) {}
 
@@ -68,6 +69,15 @@
         return new QuotaLedger(tolerance);
     }
 
+    /**
+     * Sets whether callers that are refused together are told different times to return.
+     *
+     * @param spreads whether they are; initially false
+     */
+    public void spreadReturns(boolean spreads) {
+        spreadsReturns = spreads;
+    }
+
     /**
      * Records a vote, which replaces the previous one of the same daemon. A vote that has waited
      * here for longer than votes are valid is ignored: its daemon may follow another coordinator.
@@ -158,16 +168,22 @@
         QuotaMessage.Answer answer =
                 admitted
                         ? new QuotaMessage.Answer(ask.number(), Admission.Outcome.ADMITTED, 0)
-                        : new QuotaMessage.Answer(
-                                ask.number(),
-                                refusal(nowMillis),
-                                bucket.millisUntilRoom(ask.cost()));
+                        : refusal(bucket, ask, nowMillis);
         if (answer.outcome() != Admission.Outcome.UNDECIDED) {
             answers.put(question, new Settled(answer, ask.limit().account(), ask.cost()));
         }
         return answer;
     }
 
+    private QuotaMessage.Answer refusal(QuotaBucket bucket, QuotaMessage.Ask ask, long nowMillis) {
+        Admission.Outcome outcome = refusal(nowMillis);
+        long retryAfterMillis =
+                spreadsReturns && outcome == Admission.Outcome.OVER_LIMIT
+                        ? bucket.millisUntilReturn(ask.cost())
+                        : bucket.millisUntilRoom(ask.cost());
+        return new QuotaMessage.Answer(ask.number(), outcome, retryAfterMillis);
+    }
+
     // With little authority the room is a fraction of the quota, and a new coordinator starts
     // without room, so the account may be within its quota.
     private Admission.Outcome refusal(long nowMillis) {
--- a/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
+++ b/core/src/main/java/org/tamaracktrack/core/quota/QuotaMember.java
@@ -128,6 +128,15 @@
         return new QuotaMember(self, tolerance, firstNumber, transport);
     }
 
+    /**
+     * Sets whether callers that this daemon refuses as the coordinator return at different times.
+     *
+     * @param spreads whether they do; initially false
+     */
+    public void spreadReturns(boolean spreads) {
+        ledger.spreadReturns(spreads);
+    }
+
     /**
      * Applies a list of daemons that includes this one.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
@@ -60,6 +60,11 @@
         always = newAlways;
     }
 
+    /** Returns whether requests to all services are under admission control. */
+    boolean isOnForAll() {
+        return always;
+    }
+
     /** Returns whether requests to any service are under admission control. */
     boolean isOnForAny() {
         return always || !reporting.isEmpty();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -540,7 +540,7 @@
      * @param always whether it is on for all services
      */
     public void controlAdmission(boolean always) {
-        thread.execute(() -> context.admission().always(always));
+        thread.execute(() -> context.controlAdmission(always));
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -215,6 +215,12 @@
         };
     }
 
+    /** Turns admission control on for all services, or only where targets report work times. */
+    void controlAdmission(boolean always) {
+        admission.always(always);
+        quotas.ifPresent(exchange -> exchange.spreadReturns(always));
+    }
+
     AdmissionControl admission() {
         return admission;
     }
@@ -394,6 +400,7 @@
     /** Sets the exchange that enforces quotas. */
     void quotas(QuotaExchange exchange) {
         quotas = Optional.of(exchange);
+        exchange.spreadReturns(admission.isOnForAll());
         activateQuotas();
         metrics.registerQuotaAuthority(exchange::authority);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/quota/QuotaExchange.java
@@ -90,6 +90,15 @@
         return exchange;
     }
 
+    /**
+     * Sets whether callers that are refused together are told different times to return.
+     *
+     * @param spreads whether they are; initially false
+     */
+    public void spreadReturns(boolean spreads) {
+        member.spreadReturns(spreads);
+    }
+
     /**
      * Starts or stops to follow a coordinator. Without quotas in the configuration, messages would
      * cost other daemons processor time for nothing.
