Send patient work at its last moment, and refuse waiting requests in time

Patient work of an account above its share was held on after its objective had passed.

Change: patient work is sent when it has to be, whatever else is held. Under admission control a wait, for room or for a model, ends 200 ms before the caller leaves.

--- a/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
@@ -61,12 +61,14 @@
             return new HoldDecision.Hold(lastMillis, false);
         }
         // Work that has yielded up to its last moment is sent without room, unless that would make
-        // more urgent work late.
+        // more urgent work late. Patient work has yielded for seconds by then and always is sent:
+        // held on, it would fail after the longest wait of all.
         boolean harmless =
-                request.isPatient()
-                        || outlook.firstPieceMillis()
+                !outlook.moreUrgentHeld()
+                        && !outlook.excessive()
+                        && outlook.firstPieceMillis()
                                 <= objectives.shortestMoreUrgentMillis(request, nowMillis);
-        return harmless && !outlook.moreUrgentHeld() && !outlook.excessive()
+        return request.isPatient() || harmless
                 ? new HoldDecision.Send(false)
                 : holdUntilCallerLeaves(request, outlook, nowMillis);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -57,6 +57,9 @@
 
     private static final long NOT_HELD = -1;
 
+    /** Time for a refusal to reach its caller, also when this daemon or its link is busy. */
+    private static final long REFUSAL_MARGIN_MILLIS = 200;
+
     private final GatewayContext context;
     private final HttpServerExchange exchange;
     private final CallerConnection connection;
@@ -323,7 +326,7 @@
                             body.length,
                             route.objectiveMillis(),
                             deadline.arrivedMillis(),
-                            context.nowMillis() + deadline.firstPieceTimeoutMillis(),
+                            context.nowMillis() + admissionTimeoutMillis(),
                             callerReturned);
             admissionTerms = Optional.of(terms);
             context.admission().recordArrival(terms);
@@ -331,6 +334,15 @@
         return admissionTerms.get();
     }
 
+    // The refusal of a request that has waited to its end must reach the caller before it leaves.
+    private long admissionTimeoutMillis() {
+        return Math.max(
+                1,
+                Math.min(
+                        deadline.firstPieceTimeoutMillis(),
+                        deadline.remainingMillis() - REFUSAL_MARGIN_MILLIS));
+    }
+
     private int priority() {
         return accountPriority().orElse(route.priority());
     }
@@ -517,7 +529,10 @@
         if (refuseIfAllTargetsRest()) {
             return;
         }
-        long timeoutMillis = deadline.firstPieceTimeoutMillis();
+        long timeoutMillis =
+                context.admission().isOn(service())
+                        ? admissionTimeoutMillis()
+                        : deadline.firstPieceTimeoutMillis();
         OptionalLong loadMillis =
                 tried.isEmpty()
                         ? ExpectedLoadTime.estimateMillis(dispatchRequest, context.view())
