Define patience, excess and room of a target once, and give holds a class of their own

The objective from which work is patient stood in three places, the excess above which an account uses more than its share in two, and the slot share up to which a target keeps up in two; each has one definition now (Route, AccountUsage, TargetSelector). The state of a hold, with its log lines and metrics, moves out of ForwardedRequest. Whether more urgent work is held is counted by model and rank: each of up to 64 decisions of a pass went through all held requests before. The two lines about silent targets share their common part. No behaviour changes.

Tests of admission, dispatch, load exchange and the gateway: passed.

--- a/core/src/main/java/org/tamaracktrack/core/admission/AccountUsage.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/AccountUsage.java
@@ -5,6 +5,8 @@
 
 /** How much of a service each client account uses, compared with the other accounts there. */
 public interface AccountUsage {
+    /** Multiple of an equal part above which an account uses far more than its share. */
+    double MAX_EXCESS = 2;
 
     /**
      * Returns the part of all outstanding tokens of a service that belongs to an account, divided
--- a/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
@@ -22,9 +22,6 @@
  * @param <T> identifies a request
  */
 public final class HeldRequests<T> {
-    /** Multiple of an equal part above which the requests of an account go behind the others. */
-    private static final double MAX_EXCESS = 2;
-
     private static final Comparator<Ranked<?>> ORDER =
             Comparator.<Ranked<?>>comparingInt(ranked -> ranked.held().terms().priority())
                     .thenComparing(ranked -> ranked.held().late())
@@ -69,12 +66,28 @@
         }
     }
 
+    private record ModelKey(ServiceId service, String need) {
+        static ModelKey of(RequestTerms terms) {
+            return new ModelKey(terms.service(), terms.need());
+        }
+    }
+
+    private record Rank(int priority, boolean patient) {
+        static Rank of(RequestTerms terms) {
+            return new Rank(terms.priority(), terms.isPatient());
+        }
+    }
+
     private final int maximumRequests;
     private final long maximumBytes;
     private final AccountUsage usage;
     private final Map<T, Held<T>> requests = new LinkedHashMap<>();
     private final Map<AccountKey, Double> virtualTimes = new HashMap<>();
     private final Map<ServiceId, Double> servedVirtualTimes = new HashMap<>();
+
+    /** The number of held requests by model and rank, since each decision asks for higher ranks. */
+    private final Map<ModelKey, Map<Rank, Integer>> ranks = new HashMap<>();
+
     private long bytes;
     private long arrivals;
 
@@ -107,7 +120,7 @@
      * Adds a request, or changes the decision on one that is held.
      *
      * @param id identifies it
-     * @param terms its terms
+     * @param terms its terms, which do not change while it is held
      * @param hold the decision
      * @param nowMillis the monotonic time in milliseconds
      * @return the requests that no longer fit, the least urgent first, which may include this one
@@ -118,8 +131,11 @@
         if (known == null) {
             startAccount(AccountKey.of(terms));
             bytes += terms.bytes();
+            ranks.computeIfAbsent(ModelKey.of(terms), key -> new HashMap<>())
+                    .merge(Rank.of(terms), 1, Integer::sum);
         }
-        requests.put(id, new Held<>(id, terms, hold.late(), hold.untilMillis(), number));
+        RequestTerms kept = known == null ? terms : known.terms();
+        requests.put(id, new Held<>(id, kept, hold.late(), hold.untilMillis(), number));
         return fits() ? List.of() : removeLeastUrgent(nowMillis);
     }
 
@@ -155,11 +171,22 @@
         Held<T> removed = requests.remove(id);
         if (removed != null) {
             bytes -= removed.terms().bytes();
+            removeRank(removed.terms());
             removeIdleAccounts();
         }
         return Optional.ofNullable(removed);
     }
 
+    private void removeRank(RequestTerms terms) {
+        ranks.computeIfPresent(
+                ModelKey.of(terms),
+                (key, counts) -> {
+                    counts.computeIfPresent(
+                            Rank.of(terms), (rank, count) -> count == 1 ? null : count - 1);
+                    return counts.isEmpty() ? null : counts;
+                });
+    }
+
     /**
      * Removes a request that is sent, and charges its tokens to its account.
      *
@@ -212,7 +239,7 @@
 
     private boolean isExcessive(AccountKey key, long nowMillis) {
         return key.account()
-                .filter(id -> usage.excess(key.service(), id, nowMillis) > MAX_EXCESS)
+                .filter(id -> usage.excess(key.service(), id, nowMillis) > AccountUsage.MAX_EXCESS)
                 .isPresent();
     }
 
@@ -247,7 +274,7 @@
                 .filter(
                         other ->
                                 !RequestTerms.isMoreUrgent(
-                                        terms.priority(), terms.objectiveMillis(), other))
+                                        terms.priority(), terms.isPatient(), other))
                 .mapToLong(RequestTerms::tokens)
                 .sum();
     }
@@ -259,14 +286,9 @@
      * @return true when one of a higher priority, or for patient work an urgent one, is held
      */
     public boolean holdsMoreUrgent(RequestTerms terms) {
-        return requests.values().stream()
-                .map(Held::terms)
-                .filter(other -> other.service().equals(terms.service()))
-                .filter(other -> other.need().equals(terms.need()))
+        return ranks.getOrDefault(ModelKey.of(terms), Map.of()).keySet().stream()
                 .anyMatch(
-                        other ->
-                                RequestTerms.isMoreUrgent(
-                                        other.priority(), other.objectiveMillis(), terms));
+                        rank -> RequestTerms.isMoreUrgent(rank.priority(), rank.patient(), terms));
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/admission/RequestTerms.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/RequestTerms.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.route.Route;
 
 /**
  * What a hold policy has to know of a request. Times are of the monotonic clock.
@@ -30,7 +31,6 @@
         long arrivedAtMillis,
         long leavesAtMillis,
         boolean returned) {
-    private static final long PATIENT_OBJECTIVE_MILLIS = 4_000;
 
     /** Checks the arguments. */
     public RequestTerms {
@@ -48,16 +48,11 @@
      * @return true for work that yields to other work of its service
      */
     public boolean isPatient() {
-        return isPatient(objectiveMillis);
-    }
-
-    static boolean isPatient(long objectiveMillis) {
-        return objectiveMillis > PATIENT_OBJECTIVE_MILLIS;
+        return Route.isPatient(objectiveMillis);
     }
 
     // Patient work yields to urgent work of any priority, since it still can be in time later.
-    static boolean isMoreUrgent(int priority, long objectiveMillis, RequestTerms than) {
-        boolean patient = isPatient(objectiveMillis);
+    static boolean isMoreUrgent(int priority, boolean patient, RequestTerms than) {
         return patient == than.isPatient() ? priority < than.priority() : !patient;
     }
 
--- a/core/src/main/java/org/tamaracktrack/core/admission/ServiceObjectives.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ServiceObjectives.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.tamaracktrack.core.id.ServiceId;
+import org.tamaracktrack.core.route.Route;
 
 /**
  * The objectives of the routes that recent requests to each service came by. Work that yields is
@@ -77,7 +78,9 @@
                 .filter(
                         kind ->
                                 RequestTerms.isMoreUrgent(
-                                        kind.priority(), kind.objectiveMillis(), request))
+                                        kind.priority(),
+                                        Route.isPatient(kind.objectiveMillis()),
+                                        request))
                 .mapToLong(Kind::objectiveMillis)
                 .min()
                 .orElse(Long.MAX_VALUE);
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetSelector.java
@@ -164,6 +164,21 @@
                 .filter(entry -> request.need().map(entry::holds).orElse(true));
     }
 
+    /**
+     * Returns whether a target keeps up with its requests: nothing waits, and it has no prompt to
+     * process.
+     *
+     * @param load the known load of the target
+     * @param slots the number of requests that it runs at the same time
+     * @param nowMillis the monotonic time in milliseconds
+     * @return whether a further request is served at once
+     */
+    public static boolean isUnqueued(TargetLoad load, int slots, long nowMillis) {
+        return load.waiting() == 0
+                && load.pendingPromptTokens(nowMillis) == 0
+                && load.outstanding(nowMillis) <= EFFICIENT_SLOT_SHARE * slots;
+    }
+
     private Selection score(
             DispatchRequest request,
             TargetEntry entry,
--- a/core/src/main/java/org/tamaracktrack/core/route/Route.java
+++ b/core/src/main/java/org/tamaracktrack/core/route/Route.java
@@ -32,6 +32,8 @@
         int maximumAttempts,
         boolean isPublic,
         List<WeightedService> services) {
+    /** Requests with a longer objective have seconds to spare. */
+    private static final long PATIENT_OBJECTIVE_MILLIS = 4_000;
 
     /** Checks the arguments. */
     public Route {
@@ -42,6 +44,25 @@
         services = List.copyOf(services);
     }
 
+    /**
+     * Returns whether an objective leaves seconds to spare.
+     *
+     * @param objectiveMillis the objective in milliseconds
+     * @return true for requests that can wait, for instance until a model is loaded
+     */
+    public static boolean isPatient(long objectiveMillis) {
+        return objectiveMillis > PATIENT_OBJECTIVE_MILLIS;
+    }
+
+    /**
+     * Returns whether requests have seconds to spare.
+     *
+     * @return true for requests that can wait, for instance until a model is loaded
+     */
+    public boolean isPatient() {
+        return isPatient(objectiveMillis);
+    }
+
     /**
      * Returns whether a request may be retried when it is unknown whether it has run.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AccountShareMonitor.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AccountShareMonitor.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
+import org.tamaracktrack.core.admission.AccountUsage;
 import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
@@ -17,9 +18,6 @@
 final class AccountShareMonitor {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.accounts");
 
-    /** Excess above which held requests of an account wait behind those of others. */
-    private static final double EXCESS_LIMIT = 2;
-
     /** Interval of the checks; each logs at most one line for an account and service. */
     static final long INTERVAL_MILLIS = 1_000;
 
@@ -86,7 +84,7 @@
                 (service, accounts) ->
                         accounts.forEach(
                                 (account, value) -> {
-                                    if (value > EXCESS_LIMIT) {
+                                    if (value > AccountUsage.MAX_EXCESS) {
                                         nowAbove.add(new Subject(service, account));
                                     }
                                 }));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
@@ -12,7 +12,6 @@
 import org.tamaracktrack.core.admission.ReleasePass;
 import org.tamaracktrack.core.admission.RequestTerms;
 import org.tamaracktrack.core.admission.ServiceObjectives;
-import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
@@ -27,9 +26,6 @@
     /** Half of the memory that control may use in a daemon. */
     private static final long MAX_HELD_BYTES = 16L * 1_024 * 1_024;
 
-    /** Share of its slots up to which a target keeps up with its requests, as in its selection. */
-    private static final double UNQUEUED_SLOT_SHARE = 0.6;
-
     private static final long MIN_PASS_INTERVAL_MILLIS = 5;
 
     /**
@@ -114,11 +110,8 @@
     }
 
     private boolean isUnqueued(TargetEntry entry) {
-        long nowMillis = context.nowMillis();
-        TargetLoad load = context.loads().of(entry.incarnation());
-        return load.waiting() == 0
-                && load.pendingPromptTokens(nowMillis) == 0
-                && load.outstanding(nowMillis) <= UNQUEUED_SLOT_SHARE * entry.slots();
+        return TargetSelector.isUnqueued(
+                context.loads().of(entry.incarnation()), entry.slots(), context.nowMillis());
     }
 
     /**
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/DemandMeter.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/DemandMeter.java
@@ -8,11 +8,6 @@
 
 /** Counts the requests for each model between two readings. Owned by the traffic thread. */
 final class DemandMeter {
-    /**
-     * Requests with a longer objective than this can wait until a replica of the model is loaded.
-     */
-    private static final long PATIENT_OBJECTIVE_MILLIS = 4_000;
-
     private Map<ModelNeed, Integer> urgent = new HashMap<>();
     private Map<ModelNeed, Integer> patient = new HashMap<>();
 
@@ -23,8 +18,7 @@
     }
 
     void record(ModelNeed need, Route route) {
-        (route.objectiveMillis() > PATIENT_OBJECTIVE_MILLIS ? patient : urgent)
-                .merge(need, 1, Integer::sum);
+        (route.isPatient() ? patient : urgent).merge(need, 1, Integer::sum);
     }
 
     DemandTracker.DemandCounts takeCounts(Map<ModelNeed, Integer> waiting) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -55,8 +55,6 @@
      */
     private static final double NEW_CALLER_WAIT_RATIO = 0.7;
 
-    private static final long NOT_HELD = -1;
-
     /** Time for a refusal to reach its caller, also when this daemon or its link is busy. */
     private static final long REFUSAL_MARGIN_MILLIS = 200;
 
@@ -77,6 +75,7 @@
     private final PieceTimes pieces;
     private final RequestQuarantineState quarantineState;
     private final SilenceLog silenceLog;
+    private final HoldProgress holdProgress;
     private final boolean callerReturned;
     private final List<TargetEntry> tried = new ArrayList<>();
     private final EventSplitter events = EventSplitter.empty();
@@ -93,9 +92,6 @@
     private long registryAgeMillis = -1;
     private Optional<Runnable> endOfUsage = Optional.empty();
     private Optional<RequestTerms> admissionTerms = Optional.empty();
-    private long heldSinceMillis = NOT_HELD;
-    private double expectedMillis;
-    private boolean late;
     private boolean admitted;
     private boolean done;
 
@@ -131,6 +127,14 @@
                 RequestQuarantineState.of(context, exchange, body, metadata.sharedParts());
         this.retryProgress = RetryProgress.of(context, metadata.attempt());
         this.silenceLog = SilenceLog.of(context, metadata.attempt());
+        this.holdProgress =
+                HoldProgress.of(
+                        context,
+                        new HoldProgress.Subject(
+                                metadata.attempt(),
+                                route.name(),
+                                authorization.account().map(Account::id),
+                                priority()));
         this.response = GatewayResponse.of(exchange, context::leaving, this);
     }
 
@@ -290,25 +294,23 @@
             return;
         }
         RequestTerms terms = terms();
-        expectedMillis = selection.firstPieceMillis();
+        holdProgress.expect(selection.firstPieceMillis());
         HoldDecision decision = context.admission().decide(this, terms, selection);
         if (done) {
             return;
         }
-        late = decision.late();
+        holdProgress.late(decision.late());
         if (decision instanceof HoldDecision.Send) {
             admitted = true;
             context.admission().release(this);
-            endHold("sent", -1);
+            holdProgress.end("sent");
             send(selection.entry());
         } else if (decision instanceof HoldDecision.Refuse refuse) {
             long aheadMillis = context.admission().heldAheadMillis(terms, selection.entry());
             refuseByAdmission("overloaded", refuse.retryAfterMillis() + aheadMillis);
         } else if (context.admission().holds(this)) {
             guard.enter(AnswerGuard.Stage.HELD);
-            if (heldSinceMillis == NOT_HELD) {
-                heldSinceMillis = context.nowMillis();
-            }
+            holdProgress.hold();
         } else {
             refuseByAdmission("leaving", 0);
         }
@@ -383,7 +385,7 @@
     // The last target that holds the model has gone, so the request waits for the model.
     private void onNoTargetWhileHeld() {
         context.admission().remove(this);
-        endHold("no_target", -1);
+        holdProgress.end("no_target");
         onNoTarget();
     }
 
@@ -400,37 +402,10 @@
     private void refuseByAdmission(String reason, long roomMillis) {
         context.admission().remove(this);
         retryAfterMillis = context.admission().retryAfterMillis(roomMillis);
-        context.metrics().recordAdmissionRefusal(route.name(), reason);
-        logAdmission(reason, retryAfterMillis);
-        heldSinceMillis = NOT_HELD;
+        holdProgress.refuse(reason, retryAfterMillis);
         refuseOrFail(reason);
     }
 
-    private void endHold(String outcome, long retryAfter) {
-        if (heldSinceMillis != NOT_HELD) {
-            logAdmission(outcome, retryAfter);
-            heldSinceMillis = NOT_HELD;
-        }
-    }
-
-    private void logAdmission(String outcome, long retryAfter) {
-        long heldMillis = heldSinceMillis == NOT_HELD ? 0 : context.nowMillis() - heldSinceMillis;
-        if (heldSinceMillis != NOT_HELD) {
-            context.metrics().recordHold(route.name(), heldMillis);
-        }
-        RequestLog.logAdmissionEnd(
-                new RequestLog.AdmissionEnd(
-                        metadata.attempt(),
-                        route.name(),
-                        authorization.account().map(Account::id),
-                        priority(),
-                        heldMillis,
-                        (long) expectedMillis,
-                        outcome,
-                        late,
-                        retryAfter));
-    }
-
     // Callers that were refused before return with less time than the route allows. They take
     // precedence over callers that have not been refused yet.
     private double waitRatio() {
@@ -489,7 +464,7 @@
                                 new HeaderProtocol.ForwardingContext(
                                         entry,
                                         remainingMillis,
-                                        Urgency.of(route, accountPriority(), late),
+                                        Urgency.of(route, accountPriority(), holdProgress.isLate()),
                                         lastEventId(),
                                         authorization.account().map(Account::id),
                                         context.keysRequired()));
@@ -1025,7 +1000,7 @@
         stopWaiting();
         endOfUsage.ifPresent(Runnable::run);
         context.admission().remove(this);
-        guard.runSafely(() -> endHold(outcome, -1));
+        guard.runSafely(() -> holdProgress.end(outcome));
         connection.onClosed(() -> {});
         guard.runSafely(() -> record(outcome, status));
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/SilenceLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/SilenceLog.java
@@ -50,12 +50,7 @@
         LOG.info(
                 "event=target-silent request="
                         + attempt
-                        + " target="
-                        + silent.entry().incarnation()
-                        + " silent_ms="
-                        + silent.silentMillis(context.nowMillis())
-                        + " answer="
-                        + silent.progress()
+                        + describe(silent)
                         + " left_ms="
                         + remainingMillis
                         + " hedge="
@@ -68,17 +63,21 @@
         LOG.info(
                 "event=target-left request="
                         + attempt
-                        + " target="
-                        + silent.entry().incarnation()
-                        + " silent_ms="
-                        + silent.silentMillis(context.nowMillis())
-                        + " answer="
-                        + silent.progress()
+                        + describe(silent)
                         + " answered_by="
                         + answered.entry().incarnation());
         context.metrics().recordHedgeEnd("answered");
     }
 
+    private String describe(TargetAttempt silent) {
+        return " target="
+                + silent.entry().incarnation()
+                + " silent_ms="
+                + silent.silentMillis(context.nowMillis())
+                + " answer="
+                + silent.progress();
+    }
+
     /** Records that a hedged attempt has ended without being used. */
     void recordHedgeEnd(TargetAttempt hedged, String outcome) {
         LOG.info(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Urgency.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Urgency.java
@@ -7,7 +7,6 @@
 final class Urgency {
     private static final int LEAST_URGENT = 9;
     private static final int STEPS_PER_PRIORITY = 2;
-    private static final long PATIENT_OBJECTIVE_MILLIS = 4_000;
 
     private Urgency() {}
 
@@ -21,7 +20,7 @@
     // Work that can no longer be in time ranks behind that which can, and ahead of lower
     // priorities.
     static int of(Route route, OptionalInt accountPriority, boolean late) {
-        int patient = late || route.objectiveMillis() > PATIENT_OBJECTIVE_MILLIS ? 1 : 0;
+        int patient = late || route.isPatient() ? 1 : 0;
         return Math.max(
                 0,
                 Math.min(
