Share the fakes of the exchanges and of callers between tests

FakeDatagrams and VirtualTime stood in two tests, the caller that opens no connections in two, the same steps in pairs of tests. Assertions are as before.

--- a/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/SimulatedFleet.java
@@ -99,19 +99,6 @@
                     everyMillis,
                     machines);
         }
-
-        Parameters on(Machines others) {
-            return new Parameters(
-                    daemons,
-                    engines,
-                    dataCentres,
-                    slots,
-                    models,
-                    copies,
-                    requestsPerSecond,
-                    exchangeMillis,
-                    others);
-        }
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/UnevenEnginesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/UnevenEnginesTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -37,31 +36,22 @@
                 .orElseThrow();
     }
 
-    @Nested
-    class UsualLoad {
-        private static final double REQUESTS_PER_SECOND = 4.5;
+    private static void assertFewerLateWhenReported(double requestsPerSecond) {
+        double lateShare = 1 - inTimeShare(requestsPerSecond, SILENT);
 
-        // Guards against equal numbers of requests at engines that differ in speed.
-        @Test
-        void shouldAnswerMoreRequestsInTimeWhenWorkTimesAreReported() {
-            double lateShare = 1 - inTimeShare(REQUESTS_PER_SECOND, SILENT);
-
-            assertThat(1 - inTimeShare(REQUESTS_PER_SECOND, SILENT.reporting()))
-                    .isLessThan(MAX_LATE_RATIO * lateShare);
-        }
+        assertThat(1 - inTimeShare(requestsPerSecond, SILENT.reporting()))
+                .isLessThan(MAX_LATE_RATIO * lateShare);
     }
 
-    @Nested
-    class HeavyLoad {
-        private static final double REQUESTS_PER_SECOND = 6;
-
-        // Guards against work that slow engines get although faster ones could take it.
-        @Test
-        void shouldAnswerMoreRequestsInTimeWhenWorkTimesAreReported() {
-            double lateShare = 1 - inTimeShare(REQUESTS_PER_SECOND, SILENT);
+    // Guards against equal numbers of requests at engines that differ in speed.
+    @Test
+    void shouldAnswerMoreRequestsInTimeWhenWorkTimesAreReportedUnderUsualLoad() {
+        assertFewerLateWhenReported(4.5);
+    }
 
-            assertThat(1 - inTimeShare(REQUESTS_PER_SECOND, SILENT.reporting()))
-                    .isLessThan(MAX_LATE_RATIO * lateShare);
-        }
+    // Guards against work that slow engines get although faster ones could take it.
+    @Test
+    void shouldAnswerMoreRequestsInTimeWhenWorkTimesAreReportedUnderHeavyLoad() {
+        assertFewerLateWhenReported(6);
     }
 }
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/LeavingTargetTest.java
@@ -48,10 +48,8 @@
 import org.tamaracktrack.core.route.WeightedService;
 import org.tamaracktrack.daemon.relay.TestWorker;
 import org.tamaracktrack.link.http.HttpCall;
-import org.tamaracktrack.link.http.HttpCaller;
 import org.tamaracktrack.link.http.HttpFailure;
 import org.tamaracktrack.link.http.HttpListener;
-import org.tamaracktrack.link.http.HttpResponse;
 import org.tamaracktrack.link.http.HttpStream;
 import org.xnio.XnioWorker;
 
@@ -74,54 +72,14 @@
     private record PendingCall(HttpCall call, BooleanSupplier maySend, HttpListener listener) {}
 
     /** Leaves each call waiting for its connection. */
-    private final class WaitingCaller implements HttpCaller {
-        @Override
-        public HttpResponse call(HttpCall call) {
-            throw new AssertionError("unexpected blocking call");
-        }
-
+    private final class WaitingCaller extends StubHttpCaller {
         @Override
         public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
             if (sendsAtOnce) {
                 assertThat(maySend.getAsBoolean()).isTrue();
             }
             pendingCalls.add(new PendingCall(call, maySend, listener));
-            return new HttpStream() {
-                @Override
-                public void pause() {
-                    // No bytes are transferred.
-                }
-
-                @Override
-                public void resume() {
-                    // No bytes are transferred.
-                }
-
-                @Override
-                public void cancel() {
-                    // No bytes are transferred.
-                }
-            };
-        }
-
-        @Override
-        public CompletableFuture<Boolean> answersConnections(
-                InetSocketAddress address, long limitMillis) {
-            return CompletableFuture.completedFuture(true);
-        }
-
-        @Override
-        public CompletableFuture<Boolean> refusesConnections(
-                InetSocketAddress address, long limitMillis) {
-            return CompletableFuture.completedFuture(false);
-        }
-
-        @Override
-        public void limitConnections(InetSocketAddress address, int maximumConnections) {}
-
-        @Override
-        public void close() {
-            // Nothing is open.
+            return IDLE_STREAM;
         }
     }
 
--- a/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/gateway/UnansweredRequestTest.java
@@ -19,7 +19,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -60,10 +59,8 @@
 import org.tamaracktrack.daemon.relay.TestWorker;
 import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.link.http.HttpCall;
-import org.tamaracktrack.link.http.HttpCaller;
 import org.tamaracktrack.link.http.HttpFailure;
 import org.tamaracktrack.link.http.HttpListener;
-import org.tamaracktrack.link.http.HttpResponse;
 import org.tamaracktrack.link.http.HttpStream;
 import org.xnio.XnioWorker;
 
@@ -100,12 +97,7 @@
     }
 
     /** Calls targets that never answer. */
-    private final class FakeCaller implements HttpCaller {
-        @Override
-        public HttpResponse call(HttpCall call) {
-            throw new AssertionError("unexpected blocking call");
-        }
-
+    private final class FakeCaller extends StubHttpCaller {
         @Override
         public HttpStream stream(HttpCall call, BooleanSupplier maySend, HttpListener listener) {
             calls.incrementAndGet();
@@ -119,42 +111,7 @@
             if (target == TargetBehaviour.CONNECTION_BREAKS) {
                 worker.getIoThread().execute(() -> listener.onFailure(HttpFailure.NO_ANSWER));
             }
-            return new HttpStream() {
-                @Override
-                public void pause() {
-                    // No bytes are transferred.
-                }
-
-                @Override
-                public void resume() {
-                    // No bytes are transferred.
-                }
-
-                @Override
-                public void cancel() {
-                    // No bytes are transferred.
-                }
-            };
-        }
-
-        @Override
-        public CompletableFuture<Boolean> answersConnections(
-                InetSocketAddress address, long limitMillis) {
-            return CompletableFuture.completedFuture(true);
-        }
-
-        @Override
-        public CompletableFuture<Boolean> refusesConnections(
-                InetSocketAddress address, long limitMillis) {
-            return CompletableFuture.completedFuture(false);
-        }
-
-        @Override
-        public void limitConnections(InetSocketAddress address, int maximumConnections) {}
-
-        @Override
-        public void close() {
-            // Nothing is open.
+            return IDLE_STREAM;
         }
     }
 
@@ -395,18 +352,24 @@
             assertAnswered(503, NOT_RUN);
         }
 
-        // Guards against a gate that is never checked again because a check has failed.
-        @Test
-        void shouldRefuseWhenTheCheckOfTheGateFails() throws Exception {
+        /** Sends a request that is held by stale information, whose age can't be asked then. */
+        private Socket lookupWhoseAgeCheckFails() throws Exception {
             source.stale = true;
             CountDownLatch held = new CountDownLatch(1);
             source.onRefresh = held::countDown;
-            try (Socket caller = lookup()) {
-                assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
-                source.onAgeAsked =
-                        () -> {
-                            throw new IllegalStateException("age unknown");
-                        };
+            Socket caller = lookup();
+            assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
+            source.onAgeAsked =
+                    () -> {
+                        throw new IllegalStateException("age unknown");
+                    };
+            return caller;
+        }
+
+        // Guards against a gate that is never checked again because a check has failed.
+        @Test
+        void shouldRefuseWhenTheCheckOfTheGateFails() throws Exception {
+            try (Socket caller = lookupWhoseAgeCheckFails()) {
                 assertAnswered(caller, 503, NOT_RUN);
                 assertThat(
                                 metrics.get("tamaracktrack.gateway.unanswered")
@@ -420,15 +383,7 @@
         // Guards against running a request after its caller was told that it did not run.
         @Test
         void shouldNotRunTheRequestWhenTheGateOpensAfterItsAnswer() throws Exception {
-            source.stale = true;
-            CountDownLatch held = new CountDownLatch(1);
-            source.onRefresh = held::countDown;
-            try (Socket caller = lookup()) {
-                assertThat(held.await(5, TimeUnit.SECONDS)).isTrue();
-                source.onAgeAsked =
-                        () -> {
-                            throw new IllegalStateException("age unknown");
-                        };
+            try (Socket caller = lookupWhoseAgeCheckFails()) {
                 assertAnswered(caller, 503, NOT_RUN);
                 source.stale = false;
                 source.onAgeAsked = () -> {};
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/LoadExchangeTest.java
@@ -7,8 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.function.BiConsumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -60,59 +58,6 @@
         }
     }
 
-    /** Records the messages sent and lets a test inject received ones. */
-    private static final class FakeDatagrams implements Datagrams {
-        private final List<byte[]> sent = new ArrayList<>();
-        private BiConsumer<InetSocketAddress, byte[]> receiver = (from, message) -> {};
-
-        @Override
-        public void send(InetSocketAddress address, byte[] message) {
-            sent.add(message);
-        }
-
-        @Override
-        public void onReceived(BiConsumer<InetSocketAddress, byte[]> newReceiver) {
-            receiver = newReceiver;
-        }
-
-        LoadRecord lastSent() {
-            return LoadRecord.decode(sent.get(sent.size() - 1));
-        }
-    }
-
-    /** A timer that runs tasks when a test advances its time. */
-    private static final class VirtualTime implements LoadExchange.Timer {
-        private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-        private long nowMillis;
-
-        private record Task(long atMillis, Runnable run) implements Comparable<Task> {
-            @Override
-            public int compareTo(Task other) {
-                return Long.compare(atMillis, other.atMillis);
-            }
-        }
-
-        @Override
-        public void after(long delayMillis, Runnable task) {
-            tasks.add(new Task(nowMillis + delayMillis, task));
-        }
-
-        @Override
-        public long nowMillis() {
-            return nowMillis;
-        }
-
-        void advance(long millis) {
-            long untilMillis = nowMillis + millis;
-            while (!tasks.isEmpty() && tasks.peek().atMillis() <= untilMillis) {
-                Task next = tasks.remove();
-                nowMillis = next.atMillis();
-                next.run().run();
-            }
-            nowMillis = untilMillis;
-        }
-    }
-
     private void receive(
             InetSocketAddress from, String process, Map<TargetIncarnation, LoadShare> shares) {
         datagrams.receiver.accept(from, new LoadRecord(process, shares, List.of()).encode());
@@ -137,11 +82,11 @@
             newReports.add(SLOW);
             exchange.onLoadChanged();
             time.advance(100);
-            assertThat(datagrams.lastSent().reports()).containsExactly(SLOW);
+            assertThat(LoadRecord.decode(datagrams.lastSent()).reports()).containsExactly(SLOW);
 
             exchange.onLoadChanged();
             time.advance(100);
-            assertThat(datagrams.lastSent().reports()).isEmpty();
+            assertThat(LoadRecord.decode(datagrams.lastSent()).reports()).isEmpty();
         }
 
         @Test
@@ -166,7 +111,8 @@
             time.advance(100);
 
             assertThat(datagrams.sent).hasSize(1);
-            assertThat(datagrams.lastSent().shares()).containsExactly(ENGINE, LARGE_SHARE);
+            assertThat(LoadRecord.decode(datagrams.lastSent()).shares())
+                    .containsExactly(ENGINE, LARGE_SHARE);
         }
 
         // Guards against a load that peers let expire because long requests do not change it.
@@ -178,7 +124,8 @@
             time.advance(1_000);
 
             assertThat(datagrams.sent.size()).isAtLeast(2);
-            assertThat(datagrams.lastSent().shares()).containsExactly(ENGINE, SMALL_SHARE);
+            assertThat(LoadRecord.decode(datagrams.lastSent()).shares())
+                    .containsExactly(ENGINE, SMALL_SHARE);
         }
 
         @Test
@@ -188,7 +135,7 @@
             time.advance(10_000);
 
             assertThat(datagrams.sent).hasSize(1);
-            assertThat(datagrams.lastSent().shares()).isEmpty();
+            assertThat(LoadRecord.decode(datagrams.lastSent()).shares()).isEmpty();
         }
 
         @Test
--- a/daemon/src/test/java/org/tamaracktrack/daemon/load/UsageExchangeTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/load/UsageExchangeTest.java
@@ -8,8 +8,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.function.BiConsumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -32,7 +30,7 @@
             new UsageReport(
                     "peer", 1, Map.of(SERVICE, new ServiceUsage(Map.of(ACCOUNT, 700L), 2, 9)));
 
-    private final FakeSocket socket = new FakeSocket();
+    private final FakeDatagrams socket = new FakeDatagrams();
     private final VirtualTime time = new VirtualTime();
     private final SharedAccountUsage usage = SharedAccountUsage.empty();
     private boolean sends = true;
@@ -44,59 +42,6 @@
         time.advance(1_000);
     }
 
-    /** Records the messages sent and lets a test inject received ones. */
-    private static final class FakeSocket implements Datagrams {
-        private final List<byte[]> sent = new ArrayList<>();
-        private BiConsumer<InetSocketAddress, byte[]> receiver = (from, message) -> {};
-
-        @Override
-        public void send(InetSocketAddress address, byte[] message) {
-            sent.add(message);
-        }
-
-        @Override
-        public void onReceived(BiConsumer<InetSocketAddress, byte[]> newReceiver) {
-            receiver = newReceiver;
-        }
-
-        UsageReport lastSent() {
-            return UsageRecord.decode(sent.get(sent.size() - 1));
-        }
-    }
-
-    /** A timer that runs tasks when a test advances its time. */
-    private static final class VirtualTime implements LoadExchange.Timer {
-        private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-        private long nowMillis;
-
-        private record Task(long atMillis, Runnable run) implements Comparable<Task> {
-            @Override
-            public int compareTo(Task other) {
-                return Long.compare(atMillis, other.atMillis);
-            }
-        }
-
-        @Override
-        public void after(long delayMillis, Runnable task) {
-            tasks.add(new Task(nowMillis + delayMillis, task));
-        }
-
-        @Override
-        public long nowMillis() {
-            return nowMillis;
-        }
-
-        void advance(long millis) {
-            long untilMillis = nowMillis + millis;
-            while (!tasks.isEmpty() && tasks.peek().atMillis() <= untilMillis) {
-                Task next = tasks.remove();
-                nowMillis = next.atMillis();
-                next.run().run();
-            }
-            nowMillis = untilMillis;
-        }
-    }
-
     private void send(int tokens) {
         usage.recordSent(SERVICE, ACCOUNT, tokens);
         exchange.onUsageChanged();
@@ -115,7 +60,7 @@
             time.advance(1);
 
             assertThat(socket.sent).hasSize(1);
-            assertThat(socket.lastSent().services().get(SERVICE).tokens())
+            assertThat(UsageRecord.decode(socket.lastSent()).services().get(SERVICE).tokens())
                     .containsExactly(ACCOUNT, 300L);
         }
 
@@ -126,7 +71,7 @@
             time.advance(67 + 4 * 450);
 
             assertThat(socket.sent).hasSize(5);
-            assertThat(socket.lastSent().sequence()).isEqualTo(5);
+            assertThat(UsageRecord.decode(socket.lastSent()).sequence()).isEqualTo(5);
         }
 
         // Guards against an account that peers hold back after its requests have ended.
@@ -139,7 +84,7 @@
             time.advance(10_000);
 
             assertThat(socket.sent).hasSize(2);
-            assertThat(socket.lastSent().services()).isEmpty();
+            assertThat(UsageRecord.decode(socket.lastSent()).services()).isEmpty();
         }
 
         @Test
