Send a request to a target whose last report is outdated

Cause: only an answer brings a newer report. After a report of a long queue all requests to its target were held and refused, so that no answer came, and the report stood for as long as nobody else used the target.

Change: when the report is older than 0.5 s and this daemon has no request at the target, the request is sent; the next ones wait for its answer's report.

Ruled out: load of the machine; the log shows the refusals with their expected waits.

--- a/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HeldRequests.java
@@ -248,15 +248,15 @@
      *
      * @param terms its terms
      * @param firstPieceMillis the time to the first piece at its best target, in milliseconds
-     * @param unqueued whether that target would begin with it at once
+     * @param room the room at that target
      * @param nowMillis the monotonic time in milliseconds
      * @return its outlook
      */
     public HoldPolicy.Outlook outlook(
-            RequestTerms terms, double firstPieceMillis, boolean unqueued, long nowMillis) {
+            RequestTerms terms, double firstPieceMillis, HoldPolicy.Room room, long nowMillis) {
         return new HoldPolicy.Outlook(
                 firstPieceMillis,
-                unqueued,
+                room,
                 holdsMoreUrgent(terms),
                 isExcessive(AccountKey.of(terms), nowMillis));
     }
--- a/core/src/main/java/org/tamaracktrack/core/admission/HoldPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/HoldPolicy.java
@@ -17,10 +17,22 @@
      * What a request can expect.
      *
      * @param firstPieceMillis the time to the first piece at its best target, in milliseconds
-     * @param unqueued whether that target would begin with it at once, however long it takes
+     * @param room the room at that target
      * @param moreUrgentHeld whether a more urgent request for the same model is held
      * @param excessive whether its client account uses far more than an equal part of the service
      */
-    record Outlook(
-            double firstPieceMillis, boolean unqueued, boolean moreUrgentHeld, boolean excessive) {}
+    record Outlook(double firstPieceMillis, Room room, boolean moreUrgentHeld, boolean excessive) {}
+
+    /** The room at a target, besides the expected time to the first piece there. */
+    enum Room {
+        /** The expected time decides. */
+        BUSY,
+        /** The target would begin with the request at once, however long it takes. */
+        UNQUEUED,
+        /**
+         * The expected time rests on an old report, and no answer is on its way that brings a newer
+         * one.
+         */
+        OUTDATED
+    }
 }
--- a/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
+++ b/core/src/main/java/org/tamaracktrack/core/admission/ObjectiveHoldPolicy.java
@@ -1,6 +1,7 @@
 package org.tamaracktrack.core.admission;
 
 import java.util.Objects;
+import org.tamaracktrack.core.admission.HoldPolicy.Room;
 
 /**
  * Keeps the work that is pending at targets short enough for the most urgent work in use: less
@@ -44,6 +45,12 @@
     public HoldDecision decide(RequestTerms request, Outlook outlook, long nowMillis) {
         double firstPieceAtMillis = nowMillis + outlook.firstPieceMillis();
         boolean late = firstPieceAtMillis > request.objectiveAtMillis();
+        // Only an answer brings a newer report. If requests were refused or held by an old one,
+        // none
+        // would be sent to a target that has long recovered.
+        if (outlook.room() == Room.OUTDATED && !outlook.moreUrgentHeld()) {
+            return new HoldDecision.Send(late);
+        }
         if (firstPieceAtMillis > request.leavesAtMillis()) {
             return refuse(request, outlook, late);
         }
@@ -80,12 +87,13 @@
                 outlook.excessive()
                         ? objectives.shortestMillis(request, nowMillis)
                         : objectives.shortestMoreUrgentMillis(request, nowMillis);
-        return outlook.unqueued() || outlook.firstPieceMillis() <= ratio * yieldsToMillis;
+        return outlook.room() == Room.UNQUEUED
+                || outlook.firstPieceMillis() <= ratio * yieldsToMillis;
     }
 
     private HoldDecision decideLate(RequestTerms request, Outlook outlook, long nowMillis) {
         boolean room =
-                outlook.unqueued()
+                outlook.room() == Room.UNQUEUED
                         || outlook.firstPieceMillis()
                                 <= LITTLE_PENDING_RATIO
                                         * objectives.shortestMillis(request, nowMillis);
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -43,13 +43,18 @@
     /** Time for which an ended target receives no requests; the registry drops it well before. */
     private static final long ENDED_MILLIS = 10_000;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    /** Time after which a report says little about the queue of its target. */
+    private static final long OUTDATED_REPORT_MILLIS = 500;
+
     private final FailureScore failures = new FailureScore();
     private final PromptRateEstimator promptRate = PromptRateEstimator.create();
     private final StreamStallEstimator streamStalls = StreamStallEstimator.create();
     private final Map<String, Integer> cachedParts = LruMap.of(MAX_CACHED_PARTS);
     private final WorkFactorEstimator workFactor = WorkFactorEstimator.create();
     private ReportedLoad reported = ReportedLoad.empty();
-    private long reportedAtMillis = Long.MIN_VALUE / 2;
+    private long reportedAtMillis = NEVER;
     private boolean hasNewReport;
     private final Deque<Long> unansweredSentMillis = new ArrayDeque<>();
     private double firstPieceMillis;
@@ -242,6 +247,19 @@
         load.workTime().ifPresent(workTime -> workFactor.record(workTime, atMillis));
     }
 
+    /**
+     * Returns whether the last report is old and no request of this daemon is at the target, whose
+     * answer would bring a newer one.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return false when the target has not reported
+     */
+    public boolean hasOutdatedReport(long nowMillis) {
+        return ownRequests == 0
+                && reportedAtMillis != NEVER
+                && nowMillis - reportedAtMillis > OUTDATED_REPORT_MILLIS;
+    }
+
     /**
      * Returns the last report if this daemon received it from the target itself and has not passed
      * it on, and marks it as passed on.
--- a/core/src/test/java/org/tamaracktrack/core/admission/HeldLoad.java
+++ b/core/src/test/java/org/tamaracktrack/core/admission/HeldLoad.java
@@ -130,7 +130,9 @@
                         waiting.outlook(
                                 job.terms,
                                 firstPieceMillis,
-                                queued.isEmpty() && running == null,
+                                queued.isEmpty() && running == null
+                                        ? HoldPolicy.Room.UNQUEUED
+                                        : HoldPolicy.Room.BUSY,
                                 nowMillis),
                         nowMillis);
         job.late = decision.late();
--- a/core/src/test/java/org/tamaracktrack/core/admission/HeldRequestsTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/admission/HeldRequestsTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.tamaracktrack.core.admission.HoldPolicy.Room;
 import org.tamaracktrack.core.id.ClientAccountId;
 import org.tamaracktrack.core.id.ServiceId;
 
@@ -105,7 +106,7 @@
                                 terms,
                                 new HoldPolicy.Outlook(
                                         firstPieceMillis,
-                                        random.nextBoolean(),
+                                        random.nextBoolean() ? Room.UNQUEUED : Room.BUSY,
                                         random.nextBoolean(),
                                         random.nextBoolean()),
                                 nowMillis);
@@ -120,6 +121,23 @@
         }
     }
 
+    // Guards against a target to which nothing is sent any more because its last report, from
+    // before it recovered, stated a long queue.
+    @Property(seed = "76", tries = 200)
+    void shouldSendOneRequestWhenExpectedTimeRestsOnOldReport(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 60_000) int firstPieceMillis) {
+        RequestTerms terms = random(new Random(seed));
+
+        assertThat(
+                        ObjectiveHoldPolicy.of(ServiceObjectives.empty())
+                                .decide(
+                                        terms,
+                                        new HoldPolicy.Outlook(
+                                                firstPieceMillis, Room.OUTDATED, false, true),
+                                        0))
+                .isInstanceOf(HoldDecision.Send.class);
+    }
+
     @Nested
     class Order {
 
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/TargetSelectorTest.java
@@ -65,6 +65,41 @@
         }
     }
 
+    @Nested
+    class OutdatedReports {
+        private static final long LATER = NOW + 600;
+
+        @Test
+        void shouldBeOutdatedWhenNoAnswerIsOnItsWay() {
+            load("near").recordReport(ReportedLoad.of(4, 9), NOW);
+
+            assertThat(load("near").hasOutdatedReport(NOW + 100)).isFalse();
+            assertThat(load("near").hasOutdatedReport(LATER)).isTrue();
+        }
+
+        // Guards against all daemons' held requests being sent at once instead of one each.
+        @Test
+        void shouldNotBeOutdatedWhileARequestOfThisDaemonIsThere() {
+            load("near").recordReport(ReportedLoad.of(4, 9), NOW);
+            load("near").recordSent(100, LATER);
+
+            assertThat(load("near").hasOutdatedReport(LATER)).isFalse();
+        }
+
+        @Test
+        void shouldNotBeOutdatedWhenAPeerPassesOnANewerReport() {
+            load("near").recordReport(ReportedLoad.of(4, 9), NOW);
+            load("near").recordRelayedReport(ReportedLoad.of(1, 0), 20, LATER);
+
+            assertThat(load("near").hasOutdatedReport(LATER)).isFalse();
+        }
+
+        @Test
+        void shouldNotBeOutdatedWhenTheTargetNeverReported() {
+            assertThat(load("near").hasOutdatedReport(LATER)).isFalse();
+        }
+    }
+
     @Nested
     class SilentTargets {
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AdmissionControl.java
@@ -12,6 +12,7 @@
 import org.tamaracktrack.core.admission.ReleasePass;
 import org.tamaracktrack.core.admission.RequestTerms;
 import org.tamaracktrack.core.admission.ServiceObjectives;
+import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
@@ -98,7 +99,7 @@
                         held.outlook(
                                 terms,
                                 selection.firstPieceMillis(),
-                                isUnqueued(selection.entry()),
+                                room(selection.entry()),
                                 nowMillis),
                         nowMillis);
         if (decision instanceof HoldDecision.Hold hold && !context.leaving()) {
@@ -109,9 +110,13 @@
         return decision;
     }
 
-    private boolean isUnqueued(TargetEntry entry) {
-        return TargetSelector.isUnqueued(
-                context.loads().of(entry.incarnation()), entry.slots(), context.nowMillis());
+    private HoldPolicy.Room room(TargetEntry entry) {
+        long nowMillis = context.nowMillis();
+        TargetLoad load = context.loads().of(entry.incarnation());
+        if (TargetSelector.isUnqueued(load, entry.slots(), nowMillis)) {
+            return HoldPolicy.Room.UNQUEUED;
+        }
+        return load.hasOutdatedReport(nowMillis) ? HoldPolicy.Room.OUTDATED : HoldPolicy.Room.BUSY;
     }
 
     /**
