Log and count sends that end before their target answers

Nothing told whether a send had ended without any sign of its target: attempt-ended names neither the sends that end with their request nor those that a hedge replaces. So retries that lie unread in the sockets of a stopped target looked like lost ones, and first sends there did not show at all.

event=send-unanswered names request, target, whether it was a retry, its age and the target's silence; tamaracktrack_gateway_unanswered_sends_total counts them by service. No decision changes.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -267,6 +267,22 @@
         recordRetryDelay("tamaracktrack.gateway.retry.answer.delay", service, delayMillis);
     }
 
+    /**
+     * Counts a send that ended without an answer. Its target may read it later.
+     *
+     * @param service the service of the target
+     * @param retry whether it was a retry
+     */
+    void recordUnansweredSend(ServiceId service, boolean retry) {
+        registry.counter(
+                        "tamaracktrack.gateway.unanswered.sends",
+                        "service",
+                        service.value(),
+                        "retry",
+                        Boolean.toString(retry))
+                .increment();
+    }
+
     private void recordRetryDelay(String name, ServiceId service, long delayMillis) {
         timers.computeIfAbsent(
                         name + '|' + service,
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -15,12 +15,12 @@
 
     private final GatewayContext context;
     private final String attempt;
-    private boolean sentBefore;
+    private int sends;
     private long decidedMillis;
-    private Optional<SentRetry> sent = Optional.empty();
+    private Optional<Send> unanswered = Optional.empty();
 
-    /** A retry that was sent and that its target has not answered yet. */
-    private record SentRetry(RetryAllowance.Retry retry, TargetEntry target, long atMillis) {}
+    /** A send that its target has not answered yet; the first one of a request is no retry. */
+    private record Send(Optional<RetryAllowance.Retry> retry, TargetEntry target, long atMillis) {}
 
     private RetryProgress(GatewayContext context, String attempt) {
         this.context = context;
@@ -39,7 +39,7 @@
     /** Returns the progress of a further send beside this one, which has been decided on now. */
     RetryProgress ofFurtherSend() {
         RetryProgress further = new RetryProgress(context, attempt);
-        further.sentBefore = true;
+        further.sends = Math.max(1, sends);
         further.recordDecision();
         return further;
     }
@@ -55,48 +55,83 @@
      * @return false if it was sent before and the retry allowance is exhausted
      */
     boolean tryBeginSending(TargetEntry target) {
-        if (!sentBefore) {
-            sentBefore = true;
+        long nowMillis = context.nowMillis();
+        if (sends == 0) {
+            beginSend(new Send(Optional.empty(), target, nowMillis));
             return true;
         }
-        long nowMillis = context.nowMillis();
         Optional<RetryAllowance.Retry> acquired =
                 context.retryAllowance(target.service()).tryAcquire(nowMillis);
-        sent = acquired.map(retry -> new SentRetry(retry, target, nowMillis));
-        sent.ifPresent(this::logSent);
-        return sent.isPresent();
+        acquired.ifPresent(
+                retry -> {
+                    beginSend(new Send(acquired, target, nowMillis));
+                    logRetry(target, nowMillis);
+                });
+        return acquired.isPresent();
+    }
+
+    private void beginSend(Send send) {
+        sends++;
+        unanswered = Optional.of(send);
     }
 
-    private void logSent(SentRetry retry) {
-        long delayMillis = retry.atMillis() - decidedMillis;
-        context.metrics().recordRetrySent(retry.target().service(), delayMillis);
+    private void logRetry(TargetEntry target, long atMillis) {
+        long delayMillis = atMillis - decidedMillis;
+        context.metrics().recordRetrySent(target.service(), delayMillis);
         LOG.info(
                 "event=retry-sent request="
                         + attempt
                         + " service="
-                        + retry.target().service()
+                        + target.service()
                         + " target="
-                        + retry.target().incarnation()
+                        + target.incarnation()
                         + " decided_ms_ago="
                         + delayMillis);
     }
 
     /** Records that the target has begun to answer. */
     void recordAnswer() {
-        sent.ifPresent(
-                answered -> {
-                    long nowMillis = context.nowMillis();
-                    answered.retry().recordAnswer(nowMillis);
-                    context.metrics()
-                            .recordRetryAnswered(
-                                    answered.target().service(), nowMillis - answered.atMillis());
-                });
-        sent = Optional.empty();
+        unanswered.ifPresent(this::recordAnswer);
+        unanswered = Optional.empty();
+    }
+
+    private void recordAnswer(Send answered) {
+        long nowMillis = context.nowMillis();
+        answered.retry()
+                .ifPresent(
+                        retry -> {
+                            retry.recordAnswer(nowMillis);
+                            context.metrics()
+                                    .recordRetryAnswered(
+                                            answered.target().service(),
+                                            nowMillis - answered.atMillis());
+                        });
     }
 
     /** Records that the attempt has ended. */
     void recordEnd() {
-        sent.ifPresent(ended -> ended.retry().recordEnd(context.nowMillis()));
-        sent = Optional.empty();
+        unanswered.ifPresent(this::recordEnd);
+        unanswered = Optional.empty();
+    }
+
+    private void recordEnd(Send ended) {
+        long nowMillis = context.nowMillis();
+        ended.retry().ifPresent(retry -> retry.recordEnd(nowMillis));
+        long silentMillis =
+                context.loads().of(ended.target().incarnation()).millisSinceContact(nowMillis);
+        context.metrics().recordUnansweredSend(ended.target().service(), ended.retry().isPresent());
+        LOG.info(
+                "event=send-unanswered request="
+                        + attempt
+                        + " service="
+                        + ended.target().service()
+                        + " target="
+                        + ended.target().incarnation()
+                        + " retry="
+                        + ended.retry().isPresent()
+                        + " sent_ms_ago="
+                        + (nowMillis - ended.atMillis())
+                        + " target_silent_ms="
+                        + Math.min(silentMillis, nowMillis - ended.atMillis()));
     }
 }
