Count a retry until its target is known to have read it

Callers' services got more retries than the budget allows once a stopped target went on: all it had in its sockets was read at once, beside the retries of that window.

Cause: what was sent on a closed connection was taken as read 2.5 s later, and a first send was never followed at all. A target whose process is stopped reads both whenever it goes on; a first send that is read after its retry is the one beyond the first then.

Change: each send of a request is a Delivery. Without an answer it is read only when its target has shown activity after the data must have been in its socket (by the earliest time at which that activity may have been sent, so that backlogs of this daemon prove nothing), or has left the registry and is known to have ended. A retry counts until a window after all sends so far of its request are read. Retries that are unread for more than a window are paid for by the slack where the window's own requests do not cover them, since the requests that earned them have left the window.

Ruled out: a longer fixed time; a stopped target has no bound.

--- /dev/null
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/Delivery.java
@@ -0,0 +1,86 @@
+package org.tamaracktrack.core.dispatch;
+
+import java.util.Objects;
+
+/**
+ * One send of a request to a target, and when the target has read it.
+ *
+ * <p>A closed connection does not recall what was sent on it: a target whose process is stopped
+ * reads it from its socket when it continues, at any later time. So a send that was not answered is
+ * considered read only when the target has been active after it must have been in the socket, or
+ * has ended. Confined to the traffic thread.
+ */
+public final class Delivery {
+    /**
+     * Time in which data usually arrives, or is lost: enough for a link that loses several packets
+     * in a row.
+     */
+    static final long IN_FLIGHT_MILLIS = 2_500;
+
+    /** Time in which a target that continues has read what waits in its sockets. */
+    private static final long BACKLOG_MILLIS = 1_000;
+
+    private static final long UNKNOWN = Long.MAX_VALUE;
+
+    private final TargetActivity target;
+    private long endedMillis = UNKNOWN;
+    private long readMillis = UNKNOWN;
+
+    private Delivery(TargetActivity target) {
+        this.target = target;
+    }
+
+    /**
+     * Returns a send that begins now.
+     *
+     * @param target the activity of the target
+     * @return the send
+     */
+    public static Delivery to(TargetActivity target) {
+        return new Delivery(Objects.requireNonNull(target, "target is null"));
+    }
+
+    /**
+     * Records that the target has begun to answer.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordAnswer(long nowMillis) {
+        readMillis = Math.min(readMillis, nowMillis);
+    }
+
+    /**
+     * Records that the connection was closed.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordEnd(long nowMillis) {
+        endedMillis = Math.min(endedMillis, nowMillis);
+    }
+
+    /**
+     * Returns whether the target has read the request, or never will.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    boolean isRead(long nowMillis) {
+        if (readMillis == UNKNOWN && endedMillis != UNKNOWN) {
+            resolve(nowMillis);
+        }
+        return readMillis <= nowMillis;
+    }
+
+    /** Returns the time by which the target had read the request; very large when unknown. */
+    long readMillis() {
+        return readMillis;
+    }
+
+    private void resolve(long nowMillis) {
+        long inSocketMillis = endedMillis + IN_FLIGHT_MILLIS;
+        if (target.lastActiveMillis() >= inSocketMillis) {
+            readMillis = target.lastActiveMillis() + BACKLOG_MILLIS;
+        } else if (nowMillis >= inSocketMillis && target.hasEnded()) {
+            readMillis = nowMillis;
+        }
+    }
+}
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowance.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.function.LongToDoubleFunction;
 
@@ -24,12 +23,6 @@
      */
     private static final double SAFETY_FACTOR = 0.85;
 
-    /**
-     * Time in which a request usually arrives at this daemon and its retry at the target, or is
-     * lost: enough for a link that loses several packets in a row.
-     */
-    private static final long IN_FLIGHT_MILLIS = 2_500;
-
     /**
      * Lifetime of credit, relative to the window. A longer one pays for larger bursts of retries,
      * as when targets end, and for fewer retries per request.
@@ -46,6 +39,9 @@
     private final List<Retry> retries = new ArrayList<>();
     private FleetRetryBudget budget;
     private double unspentRequests;
+    private double slackUsed;
+    private List<Retry> overdue = List.of();
+    private long retriesExpiredMillis = Long.MIN_VALUE;
 
     /** The part of a request, from 0 to 1, whose credit is not spent. */
     private record Credit(long sentMillis, double unspent) {}
@@ -55,10 +51,12 @@
      *
      * @param requests requests of callers in the window
      * @param retries retries in the window
+     * @param unread those of the retries that were sent more than a window ago and that targets may
+     *     still read
      * @param credit retries that requests have earned and that are allowed now
      * @param slack retries that are allowed in addition
      */
-    public record State(int requests, int retries, double credit, double slack) {
+    public record State(int requests, int retries, int unread, double credit, double slack) {
         /** Returns the number of retries that are allowed now. */
         public double remaining() {
             return credit + slack;
@@ -66,41 +64,23 @@
     }
 
     /**
-     * A retry that is sent to a target. It counts from its acquisition until a window after it has
-     * arrived. When it arrives is known only afterwards: a link that loses packets can hold it back
-     * for seconds, and deliver it together with retries that are sent much later.
+     * A retry, which counts from its acquisition until a window after all sends of its request so
+     * far have been read. An earlier send that is read later than the retry is the one beyond the
+     * first then.
      */
-    public static final class Retry {
-        private static final long UNKNOWN = Long.MAX_VALUE;
-
-        private final double slack;
-        private long arrivedByMillis = UNKNOWN;
-
-        private Retry(double slack) {
-            this.slack = slack;
-        }
-
-        /**
-         * Records that the target has begun to answer.
-         *
-         * @param nowMillis the monotonic time in milliseconds
-         */
-        public void recordAnswer(long nowMillis) {
-            arrivedByMillis = Math.min(arrivedByMillis, nowMillis);
+    private record Retry(double slack, long acquiredMillis, List<Delivery> deliveries) {
+        boolean isUnread(long nowMillis) {
+            return deliveries.stream().anyMatch(delivery -> !delivery.isRead(nowMillis));
         }
 
-        /**
-         * Records that the connection was closed. Without an answer, what was sent before may still
-         * be on its way.
-         *
-         * @param nowMillis the monotonic time in milliseconds
-         */
-        public void recordEnd(long nowMillis) {
-            arrivedByMillis = Math.min(arrivedByMillis, nowMillis + IN_FLIGHT_MILLIS);
+        boolean hasExpired(long windowMillis, long nowMillis) {
+            return !isUnread(nowMillis)
+                    && deliveries.stream()
+                            .allMatch(delivery -> nowMillis - delivery.readMillis() > windowMillis);
         }
 
-        private boolean isOlderThan(long windowMillis, long nowMillis) {
-            return arrivedByMillis != UNKNOWN && nowMillis - arrivedByMillis > windowMillis;
+        boolean isOverdue(long windowMillis, long nowMillis) {
+            return nowMillis - acquiredMillis > windowMillis && isUnread(nowMillis);
         }
     }
 
@@ -153,17 +133,19 @@
      * Acquires permission for one retry, from the credit first and then from the slack. Called
      * right before the retry is sent, since retries count from then on.
      *
+     * @param deliveries the retry and the earlier sends of its request
      * @param nowMillis the monotonic time in milliseconds
-     * @return the retry; empty when credit and slack are exhausted
+     * @return false when credit and slack are exhausted
      */
-    public Optional<Retry> tryAcquire(long nowMillis) {
+    public boolean tryAcquire(List<Delivery> deliveries, long nowMillis) {
         if (!allowsRetry(nowMillis)) {
-            return Optional.empty();
+            return false;
         }
-        Retry retry = new Retry(slackForRetry());
-        spend(1 - retry.slack);
+        Retry retry = new Retry(slackForRetry(), nowMillis, List.copyOf(deliveries));
+        spend(1 - retry.slack());
         retries.add(retry);
-        return Optional.of(retry);
+        slackUsed += retry.slack();
+        return true;
     }
 
     private double slackForRetry() {
@@ -193,6 +175,7 @@
      */
     public void updateBudget(FleetRetryBudget newer) {
         budget = newer;
+        retriesExpiredMillis = Long.MIN_VALUE;
     }
 
     /**
@@ -206,6 +189,7 @@
         return new State(
                 requests.size(),
                 retries.size(),
+                overdue.size(),
                 remainingCredit(),
                 Math.max(0, remainingSlack(nowMillis)));
     }
@@ -224,7 +208,7 @@
     }
 
     private long inFlightMillis() {
-        return Math.min(IN_FLIGHT_MILLIS, budget.windowMillis() / 4);
+        return Math.min(Delivery.IN_FLIGHT_MILLIS, budget.windowMillis() / 4);
     }
 
     private long creditLifetimeMillis() {
@@ -235,7 +219,7 @@
     // also bounded by the requests of the window itself.
     private double remainingCredit() {
         double creditOfWindow =
-                budget.ratio() * SAFETY_FACTOR * requests.size() - (retries.size() - slackUsed());
+                budget.ratio() * SAFETY_FACTOR * requests.size() - (retries.size() - slackUsed);
         return Math.max(0, Math.min(creditOfWindow, unspentRequests * creditPerRequest()));
     }
 
@@ -260,24 +244,37 @@
     }
 
     private double remainingSlack(long nowMillis) {
-        return budget.slack() * slackShare.applyAsDouble(nowMillis) - slackUsed();
+        return budget.slack() * slackShare.applyAsDouble(nowMillis) - slackUsed - overdueCredit();
     }
 
-    private double slackUsed() {
-        return retries.stream().mapToDouble(retry -> retry.slack).sum();
+    // Retries that are still unread will arrive in a later window than that of the requests which
+    // paid for them, so the slack has to cover those that its own requests don't.
+    private double overdueCredit() {
+        double credit = overdue.stream().mapToDouble(retry -> 1 - retry.slack()).sum();
+        return Math.max(0, credit - budget.ratio() * SAFETY_FACTOR * requests.size());
     }
 
     private void expire(long nowMillis) {
-        long window = budget.windowMillis();
         // Requests expire earlier than retries, since a retry may arrive in a later window than the
         // request that earned it.
-        while (!requests.isEmpty() && nowMillis - requests.peek() > window - inFlightMillis()) {
+        while (!requests.isEmpty()
+                && nowMillis - requests.peek() > budget.windowMillis() - inFlightMillis()) {
             requests.remove();
         }
         while (!credits.isEmpty()
                 && nowMillis - credits.peek().sentMillis() > creditLifetimeMillis()) {
             takeOldestCredit();
         }
-        retries.removeIf(retry -> retry.isOlderThan(window, nowMillis));
+        if (nowMillis != retriesExpiredMillis) {
+            expireRetries(nowMillis);
+        }
+    }
+
+    private void expireRetries(long nowMillis) {
+        retriesExpiredMillis = nowMillis;
+        long window = budget.windowMillis();
+        retries.removeIf(retry -> retry.hasExpired(window, nowMillis));
+        slackUsed = retries.stream().mapToDouble(Retry::slack).sum();
+        overdue = retries.stream().filter(retry -> retry.isOverdue(window, nowMillis)).toList();
     }
 }
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -68,6 +68,7 @@
     private int ownPendingTokens;
     private long unreachableUntilMillis = Long.MIN_VALUE;
     private long lastContactMillis = Long.MIN_VALUE / 2;
+    private long lastActiveMillis = TargetActivity.NEVER;
     private long silentUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -346,6 +347,25 @@
         silentUntilMillis = Long.MIN_VALUE;
     }
 
+    /**
+     * Records that the target has sent something that was read now.
+     *
+     * @param sentMillis the earliest time at which it may have been sent, by the monotonic clock
+     */
+    public void recordActivity(long sentMillis) {
+        lastActiveMillis = Math.max(lastActiveMillis, sentMillis);
+    }
+
+    /**
+     * Returns the latest time at which the target is known to have been running.
+     *
+     * @return the monotonic time in milliseconds; {@link TargetActivity#NEVER} when nothing is
+     *     known
+     */
+    public long lastActiveMillis() {
+        return lastActiveMillis;
+    }
+
     /**
      * Records that the target has sent nothing for some time although it has requests. It may have
      * ended, or go on at any moment.
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/FleetRetryBudgetTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/FleetRetryBudgetTest.java
@@ -17,6 +17,7 @@
     private static final int SMALL_SITE_DAEMONS = 4;
     private static final int SMALL_SITE_SLACK = 52;
     private static final int MAX_HOLD_MILLIS = 3_000;
+    private static final int MAX_TARGET_STOP_MILLIS = 20_000;
 
     // Guards against a limit for all daemons together that is exceeded when there are many of them.
     @Property(seed = "101", tries = 60)
@@ -81,6 +82,32 @@
                 RetrySimulation.run(seed, Conditions.of(daemons, true).withClocksRunningOn()));
     }
 
+    // Guards against retries that count for a fixed time after their connections were closed. A
+    // stopped target reads them at any later time.
+    @Property(seed = "105", tries = 90)
+    void shouldKeepTotalRetriesWithinBudgetWhenStoppedTargetsReadThemLate(
+            @ForAll("daemons") int daemons,
+            @ForAll boolean clocksRunOn,
+            @ForAll @LongRange(max = 1_000_000) long seed) {
+        Conditions conditions =
+                Conditions.of(daemons, false).withTargetStops(MAX_TARGET_STOP_MILLIS);
+        assertWithinBudget(
+                RetrySimulation.run(
+                        seed, clocksRunOn ? conditions.withClocksRunningOn() : conditions));
+    }
+
+    // Guards against the same with the requests of a small site, whose slack pays for most retries.
+    @Property(seed = "106", tries = 90)
+    void shouldKeepRetriesOfFourDaemonsWithinBudgetWhenStoppedTargetsReadThemLate(
+            @ForAll @LongRange(max = 1_000_000) long seed) {
+        assertWithinBudget(
+                RetrySimulation.run(
+                        seed,
+                        Conditions.of(SMALL_SITE_DAEMONS, false)
+                                .withSlack(SMALL_SITE_SLACK)
+                                .withTargetStops(MAX_TARGET_STOP_MILLIS)));
+    }
+
     @Provide
     Arbitrary<Integer> daemons() {
         return Arbitraries.oneOf(
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowanceTest.java
@@ -44,13 +44,11 @@
                 requests.add(now);
             }
             long sentAt = now;
-            allowance
-                    .tryAcquire(sentAt)
-                    .ifPresent(
-                            retry -> {
-                                retry.recordAnswer(sentAt);
-                                retries.add(sentAt);
-                            });
+            Delivery delivery = Delivery.to(new FakeTargetActivity());
+            if (allowance.tryAcquire(List.of(delivery), sentAt)) {
+                delivery.recordAnswer(sentAt);
+                retries.add(sentAt);
+            }
         }
 
         for (long from = 0; from <= 3 * WINDOW_MILLIS; from += 500) {
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -34,7 +35,7 @@
     private int acquireAll(ServiceId service, long steadyMillis, long dayMillis) {
         RetryAllowance allowance = allowances.allowance(service, at(steadyMillis, dayMillis));
         int acquired = 0;
-        while (allowance.tryAcquire(steadyMillis).isPresent()) {
+        while (allowance.tryAcquire(List.of(Delivery.to(new FakeTargetActivity())), steadyMillis)) {
             acquired++;
         }
         return acquired;
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetrySimulation.java
@@ -10,7 +10,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.tamaracktrack.core.delay.SocketDelay;
-import org.tamaracktrack.core.dispatch.RetryAllowance.Retry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
 
@@ -32,6 +31,7 @@
     private static final long LIST_INTERVAL_MILLIS = 500;
     private static final long MEMBER_TIMEOUT_MILLIS = 2_500;
     private static final long MAX_LAG_MILLIS = 300;
+    private static final long GIVE_UP_MILLIS = 1_000;
     private static final int CHANGE_KINDS = 7;
     private static final double[] RATES = {0, 5, 60, 500, 2_200};
 
@@ -47,6 +47,7 @@
     private final List<Span> bursts;
     private final List<Span> refusals;
     private final List<Span> holds;
+    private final List<Span> targetStops;
     private final Counts requests = new Counts();
     private final Counts retries = new Counts();
     private final Map<Member, Long> lastContactMillis = new HashMap<>();
@@ -65,6 +66,8 @@
      * @param maxInFlightMillis the longest time for which a single retry is on its way
      * @param maxHoldMillis the longest time for which all retries are held back, to arrive
      *     together; 0 if they never are
+     * @param maxTargetStopMillis the longest time for which half of the targets are stopped, and
+     *     read what was sent to them afterwards; 0 if they never are
      */
     record Conditions(
             int daemons,
@@ -72,26 +75,57 @@
             boolean changes,
             boolean clocksRunOn,
             int maxInFlightMillis,
-            int maxHoldMillis) {
+            int maxHoldMillis,
+            int maxTargetStopMillis) {
         private static final int SLACK = 84;
         private static final int MAX_IN_FLIGHT_MILLIS = 700;
 
         static Conditions of(int daemons, boolean changes) {
-            return new Conditions(daemons, SLACK, changes, false, MAX_IN_FLIGHT_MILLIS, 0);
+            return new Conditions(daemons, SLACK, changes, false, MAX_IN_FLIGHT_MILLIS, 0, 0);
         }
 
         Conditions withSlack(int other) {
             return new Conditions(
-                    daemons, other, changes, clocksRunOn, maxInFlightMillis, maxHoldMillis);
+                    daemons,
+                    other,
+                    changes,
+                    clocksRunOn,
+                    maxInFlightMillis,
+                    maxHoldMillis,
+                    maxTargetStopMillis);
         }
 
         Conditions withClocksRunningOn() {
-            return new Conditions(daemons, slack, changes, true, maxInFlightMillis, maxHoldMillis);
+            return new Conditions(
+                    daemons,
+                    slack,
+                    changes,
+                    true,
+                    maxInFlightMillis,
+                    maxHoldMillis,
+                    maxTargetStopMillis);
         }
 
         Conditions withHolds(int longestMillis) {
             return new Conditions(
-                    daemons, slack, changes, clocksRunOn, maxInFlightMillis, longestMillis);
+                    daemons,
+                    slack,
+                    changes,
+                    clocksRunOn,
+                    maxInFlightMillis,
+                    longestMillis,
+                    maxTargetStopMillis);
+        }
+
+        Conditions withTargetStops(int longestMillis) {
+            return new Conditions(
+                    daemons,
+                    slack,
+                    changes,
+                    clocksRunOn,
+                    maxInFlightMillis,
+                    maxHoldMillis,
+                    longestMillis);
         }
     }
 
@@ -108,6 +142,10 @@
                 conditions.maxHoldMillis() > 0
                         ? randomSpans(4, conditions.maxHoldMillis())
                         : List.of();
+        this.targetStops =
+                conditions.maxTargetStopMillis() > 0
+                        ? randomSpans(2, conditions.maxTargetStopMillis())
+                        : List.of();
         IntStream.range(0, conditions.daemons())
                 .forEach(number -> schedule(random.nextInt(300), this::start));
     }
@@ -194,6 +232,7 @@
         private final SocketDelay socketDelay = SocketDelay.of(TICK_MILLIS, now());
         private long nextTickMillis = steadyMillis() + TICK_MILLIS;
         private final long lagMillis = random.nextLong(MAX_LAG_MILLIS);
+        private final FakeTargetActivity stoppableTarget = new FakeTargetActivity();
         private double weight = random.nextDouble();
         private long totalFrozenMillis;
         private long frozenUntilMillis;
@@ -249,21 +288,40 @@
         }
 
         void retryAll(long underWayMillis) {
-            long arrivesAtMillis = nowMillis + underWayMillis;
-            for (Optional<Retry> retry = allowance().tryAcquire(steadyMillis());
-                    retry.isPresent();
-                    retry = allowance().tryAcquire(steadyMillis())) {
-                Retry sent = retry.get();
+            Delivery delivery = Delivery.to(stoppableTarget);
+            while (allowance().tryAcquire(List.of(delivery), steadyMillis())) {
+                send(delivery, underWayMillis);
+                delivery = Delivery.to(stoppableTarget);
+            }
+        }
+
+        private void send(Delivery delivery, long underWayMillis) {
+            long stoppedMillis = remainingMillis(targetStops);
+            if (stoppedMillis > 0 && random.nextBoolean()) {
+                retries.add(nowMillis + stoppedMillis);
+                schedule(nowMillis + GIVE_UP_MILLIS, () -> closeConnection(delivery));
+            } else {
+                long arrivesAtMillis = nowMillis + underWayMillis;
                 retries.add(arrivesAtMillis);
-                schedule(arrivesAtMillis, () -> readAnswer(sent));
+                schedule(arrivesAtMillis, () -> readAnswer(delivery));
             }
         }
 
-        private void readAnswer(Retry retry) {
+        private void closeConnection(Delivery delivery) {
+            delivery.recordEnd(steadyMillis());
+        }
+
+        private void readAnswer(Delivery delivery) {
             if (isFrozen()) {
-                schedule(frozenUntilMillis, () -> readAnswer(retry));
+                schedule(frozenUntilMillis, () -> readAnswer(delivery));
             } else {
-                retry.recordAnswer(steadyMillis());
+                delivery.recordAnswer(steadyMillis());
+            }
+        }
+
+        void readFromTargets() {
+            if (remainingMillis(targetStops) == 0) {
+                stoppableTarget.recordActivity(steadyMillis() - socketDelay.maxMillis(now()));
             }
         }
 
@@ -328,7 +386,7 @@
                         });
         // A delay at the targets affects the retries of all daemons equally.
         long delayMillis = random.nextInt(20) == 0 ? conditions.maxInFlightMillis() : 0;
-        long underWayMillis = Math.max(delayMillis, remainingHoldMillis());
+        long underWayMillis = Math.max(delayMillis, remainingMillis(holds));
         boolean refusing = refusals.stream().anyMatch(span -> span.contains(nowMillis));
         members.stream()
                 .filter(member -> !member.isFrozen())
@@ -336,14 +394,15 @@
                         member -> {
                             member.readRequests();
                             member.tick();
+                            member.readFromTargets();
                             if (refusing && (retriesImmediately || random.nextInt(40) == 0)) {
                                 member.retryAll(underWayMillis);
                             }
                         });
     }
 
-    private long remainingHoldMillis() {
-        return holds.stream()
+    private long remainingMillis(List<Span> spans) {
+        return spans.stream()
                 .filter(span -> span.contains(nowMillis))
                 .mapToLong(span -> span.toMillis() - nowMillis)
                 .max()
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -26,6 +26,7 @@
 import org.tamaracktrack.core.dispatch.RetryAllowance;
 import org.tamaracktrack.core.dispatch.RetryAllowances;
 import org.tamaracktrack.core.dispatch.ReturningCallerDetector;
+import org.tamaracktrack.core.dispatch.TargetActivity;
 import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.dispatch.TargetSelector;
 import org.tamaracktrack.core.fleet.TargetEntry;
@@ -270,8 +271,23 @@
      */
     void recordRequest(ServiceId service, long arrivedMillis) {
         DualTimestamp now = now();
-        long sentMillis = arrivedMillis - socketDelay.maxMillis(now);
-        retryAllowances.allowance(service, now).recordRequest(sentMillis, now.steadyMillis());
+        retryAllowances
+                .allowance(service, now)
+                .recordRequest(earliestSentMillis(arrivedMillis), now.steadyMillis());
+    }
+
+    /**
+     * Returns the earliest time at which the sender of data may have sent it.
+     *
+     * @param readMillis when the data was read from a socket of this daemon
+     */
+    long earliestSentMillis(long readMillis) {
+        return readMillis - socketDelay.maxMillis(now());
+    }
+
+    /** Returns the activity of a run of a target. */
+    TargetActivity activityOf(TargetEntry entry) {
+        return new ObservedTarget(this, entry);
     }
 
     /** Returns how long data may have waited in the sockets that this daemon reads. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -244,6 +244,8 @@
                         + ended.allowance().requests()
                         + " window_repeats="
                         + ended.allowance().retries()
+                        + " unread_repeats="
+                        + ended.allowance().unread()
                         + " credit_left="
                         + roundDownToTenths(ended.allowance().credit())
                         + " slack_left="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -1,30 +1,34 @@
 package org.tamaracktrack.daemon.gateway;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.jboss.logging.Logger;
-import org.tamaracktrack.core.dispatch.RetryAllowance;
+import org.tamaracktrack.core.dispatch.Delivery;
 import org.tamaracktrack.core.fleet.TargetEntry;
 
 /**
  * Follows the retries of one request. The first send is free of charge; each further one is taken
- * from the retry allowance right before its first byte leaves, and counts until it has arrived.
- * Owned by the traffic thread.
+ * from the retry allowance right before its first byte leaves, and counts until all sends so far
+ * have been read. Owned by the traffic thread.
  */
 final class RetryProgress {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.requests");
 
     private final GatewayContext context;
     private final String attempt;
-    private int sends;
+    private final List<Delivery> deliveries;
+    private boolean further;
     private long decidedMillis;
     private Optional<Send> unanswered = Optional.empty();
 
     /** A send that its target has not answered yet; the first one of a request is no retry. */
-    private record Send(Optional<RetryAllowance.Retry> retry, TargetEntry target, long atMillis) {}
+    private record Send(Delivery delivery, TargetEntry target, long atMillis, boolean retry) {}
 
-    private RetryProgress(GatewayContext context, String attempt) {
+    private RetryProgress(GatewayContext context, String attempt, List<Delivery> deliveries) {
         this.context = context;
         this.attempt = attempt;
+        this.deliveries = deliveries;
     }
 
     /**
@@ -33,15 +37,15 @@
      * @param attempt the attempt id that the caller gave the request
      */
     static RetryProgress of(GatewayContext context, String attempt) {
-        return new RetryProgress(context, attempt);
+        return new RetryProgress(context, attempt, new ArrayList<>(1));
     }
 
     /** Returns the progress of a further send beside this one, which has been decided on now. */
     RetryProgress ofFurtherSend() {
-        RetryProgress further = new RetryProgress(context, attempt);
-        further.sends = Math.max(1, sends);
-        further.recordDecision();
-        return further;
+        RetryProgress furtherSend = new RetryProgress(context, attempt, deliveries);
+        furtherSend.further = true;
+        furtherSend.recordDecision();
+        return furtherSend;
     }
 
     /** Records that a retry was decided on. */
@@ -56,23 +60,18 @@
      */
     boolean tryBeginSending(TargetEntry target) {
         long nowMillis = context.nowMillis();
-        if (sends == 0) {
-            beginSend(new Send(Optional.empty(), target, nowMillis));
-            return true;
+        boolean retry = further || !deliveries.isEmpty();
+        Delivery delivery = Delivery.to(context.activityOf(target));
+        deliveries.add(delivery);
+        if (retry && !context.retryAllowance(target.service()).tryAcquire(deliveries, nowMillis)) {
+            deliveries.remove(delivery);
+            return false;
         }
-        Optional<RetryAllowance.Retry> acquired =
-                context.retryAllowance(target.service()).tryAcquire(nowMillis);
-        acquired.ifPresent(
-                retry -> {
-                    beginSend(new Send(acquired, target, nowMillis));
-                    logRetry(target, nowMillis);
-                });
-        return acquired.isPresent();
-    }
-
-    private void beginSend(Send send) {
-        sends++;
-        unanswered = Optional.of(send);
+        unanswered = Optional.of(new Send(delivery, target, nowMillis, retry));
+        if (retry) {
+            logRetry(target, nowMillis);
+        }
+        return true;
     }
 
     private void logRetry(TargetEntry target, long atMillis) {
@@ -97,15 +96,12 @@
 
     private void recordAnswer(Send answered) {
         long nowMillis = context.nowMillis();
-        answered.retry()
-                .ifPresent(
-                        retry -> {
-                            retry.recordAnswer(nowMillis);
-                            context.metrics()
-                                    .recordRetryAnswered(
-                                            answered.target().service(),
-                                            nowMillis - answered.atMillis());
-                        });
+        answered.delivery().recordAnswer(nowMillis);
+        if (answered.retry()) {
+            context.metrics()
+                    .recordRetryAnswered(
+                            answered.target().service(), nowMillis - answered.atMillis());
+        }
     }
 
     /** Records that the attempt has ended. */
@@ -116,10 +112,10 @@
 
     private void recordEnd(Send ended) {
         long nowMillis = context.nowMillis();
-        ended.retry().ifPresent(retry -> retry.recordEnd(nowMillis));
+        ended.delivery().recordEnd(nowMillis);
         long silentMillis =
                 context.loads().of(ended.target().incarnation()).millisSinceContact(nowMillis);
-        context.metrics().recordUnansweredSend(ended.target().service(), ended.retry().isPresent());
+        context.metrics().recordUnansweredSend(ended.target().service(), ended.retry());
         LOG.info(
                 "event=send-unanswered request="
                         + attempt
@@ -128,7 +124,7 @@
                         + " target="
                         + ended.target().incarnation()
                         + " retry="
-                        + ended.retry().isPresent()
+                        + ended.retry()
                         + " sent_ms_ago="
                         + (nowMillis - ended.atMillis())
                         + " target_silent_ms="
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -374,6 +374,7 @@
     private void recordContact() {
         lastContactMillis = context.nowMillis();
         load.recordContact(lastContactMillis);
+        load.recordActivity(context.earliestSentMillis(lastContactMillis));
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetLoads.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetLoads.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.tamaracktrack.core.dispatch.LoadShare;
 import org.tamaracktrack.core.dispatch.RelayedReport;
+import org.tamaracktrack.core.dispatch.TargetActivity;
 import org.tamaracktrack.core.dispatch.TargetLoad;
 import org.tamaracktrack.core.fleet.FleetSnapshot;
 import org.tamaracktrack.core.fleet.TargetEntry;
@@ -42,6 +43,15 @@
         return loads.computeIfAbsent(incarnation, name -> new TargetLoad());
     }
 
+    /**
+     * Returns the latest time at which a target is known to have been running, by the monotonic
+     * clock, in milliseconds.
+     */
+    long lastActiveMillis(TargetIncarnation incarnation) {
+        TargetLoad load = loads.get(incarnation);
+        return load == null ? TargetActivity.NEVER : load.lastActiveMillis();
+    }
+
     @Override
     public Map<TargetIncarnation, LoadShare> ownShares() {
         return loads.entrySet().stream()
