Send no refused request on to a target that owes an answer

Callers whose request was refused by one target and sent on to a stopped one waited for their deadline and then did not know whether it had run; it ran when the target went on. A daemon that starts anew knows nothing of such sends of its predecessor, and uses its own part of the slack beside them.

Cause: until a second of silence, and again two seconds after each, a stopped target looks idle, so that retries prefer it.

Change: a request that certainly did not run is sent on only to targets that have sent something since they were asked last, or were asked less than 0.5 s ago; without one it is refused at once. The time for which this daemon may not have read its sockets is taken off. Requests that may have run, resumed streams and first sends go where they went before.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
 
 /**
@@ -40,6 +41,12 @@
     /** Time for which a silent target is avoided unless it sends something. */
     private static final long SILENCE_MILLIS = 2_000;
 
+    /**
+     * Time after a request within which a target that runs usually sends something on any of its
+     * connections.
+     */
+    private static final long OWED_ANSWER_MILLIS = 500;
+
     /** Time for which an ended target receives no requests; the registry drops it well before. */
     private static final long ENDED_MILLIS = 10_000;
 
@@ -69,6 +76,7 @@
     private long unreachableUntilMillis = Long.MIN_VALUE;
     private long lastContactMillis = Long.MIN_VALUE / 2;
     private long lastActiveMillis = TargetActivity.NEVER;
+    private OptionalLong askedMillis = OptionalLong.empty();
     private long silentUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -81,6 +89,9 @@
         ownRequests++;
         ownPendingTokens += promptTokens;
         unansweredSentMillis.addLast(nowMillis);
+        if (askedMillis.isEmpty()) {
+            askedMillis = OptionalLong.of(nowMillis);
+        }
     }
 
     /**
@@ -345,6 +356,7 @@
     public void recordContact(long nowMillis) {
         lastContactMillis = nowMillis;
         silentUntilMillis = Long.MIN_VALUE;
+        askedMillis = OptionalLong.empty();
     }
 
     /**
@@ -386,6 +398,21 @@
         return nowMillis < silentUntilMillis;
     }
 
+    /**
+     * Returns whether the target has sent nothing since it was sent a request some time ago, also
+     * when that request has ended meanwhile. It may be stopped, and would read a further request
+     * together with all earlier ones when it continues.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @param unreadMillis how long data from the target may have waited in the sockets of this
+     *     daemon, in milliseconds
+     * @return false when no request was sent since it last sent data
+     */
+    public boolean owesAnswer(long nowMillis, long unreadMillis) {
+        return askedMillis.isPresent()
+                && nowMillis - askedMillis.getAsLong() - unreadMillis >= OWED_ANSWER_MILLIS;
+    }
+
     /**
      * Returns the time since the target last sent data on any connection.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -257,11 +257,22 @@
                         context.view().fleet(),
                         context.loads()::of,
                         triedTargets(),
-                        context::maximumRequests,
+                        this::maximumRequests,
                         context.nowMillis(),
                         context::draw);
     }
 
+    // A request that certainly did not run is better refused than sent to a target that may be
+    // stopped: its caller would wait for the outcome, and the target would get it whenever it
+    // continues.
+    private int maximumRequests(TargetEntry entry) {
+        return retryProgress.wasSent()
+                        && history.possibleExecutions() == 0
+                        && context.owesAnswer(entry)
+                ? 0
+                : context.maximumRequests(entry);
+    }
+
     private List<TargetId> triedTargets() {
         return tried.stream()
                 .map(entry -> entry.incarnation().target())
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -285,6 +285,11 @@
         return readMillis - socketDelay.maxMillis(now());
     }
 
+    /** Returns whether a target has sent nothing since it was sent a request some time ago. */
+    boolean owesAnswer(TargetEntry entry) {
+        return loads.of(entry.incarnation()).owesAnswer(nowMillis(), socketDelay.maxMillis(now()));
+    }
+
     /** Returns the activity of a run of a target. */
     TargetActivity activityOf(TargetEntry entry) {
         return new ObservedTarget(this, entry);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -53,6 +53,11 @@
         decidedMillis = context.nowMillis();
     }
 
+    /** Returns whether the request was sent before, so that a further send is a retry. */
+    boolean wasSent() {
+        return further || !deliveries.isEmpty();
+    }
+
     /**
      * Asks for permission to send the request to a target. Called right before its first byte.
      *
@@ -60,7 +65,7 @@
      */
     boolean tryBeginSending(TargetEntry target) {
         long nowMillis = context.nowMillis();
-        boolean retry = further || !deliveries.isEmpty();
+        boolean retry = wasSent();
         Delivery delivery = Delivery.to(context.activityOf(target));
         deliveries.add(delivery);
         if (retry && !context.retryAllowance(target.service()).tryAcquire(deliveries, nowMillis)) {
