Give a new daemon no slack beside targets that have never answered it

Services got more retries than the budget allows when daemons were replaced while targets were stopped: the targets read what the predecessors had left when they went on, and the successors used the same shares of the slack.

Cause: a daemon that starts knows nothing of sends before its start. Its share was held back for a window and two seconds only, and a target may be stopped for longer.

Change: a target that was sent a request 0.5 s ago and has shown no activity since the daemon started keeps the slack of its service at zero, until a window after its first sign or its end (UnseenTargets). A refused request goes to a target without contact for a second only as one of two there, which bounds what a daemon can leave behind.

RetryAllowancesTest covers the shares.

--- a/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowances.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/RetryAllowances.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
 
 /** The retry allowances of one daemon, by service. Confined to the traffic thread. */
 public final class RetryAllowances {
     private final Map<ServiceId, RetryAllowance> allowances = new HashMap<>();
+    private final UnseenTargets unseenTargets = new UnseenTargets();
     private FleetRetryBudget budget;
     private SlackShare slackShare;
     private DualTimestamp lastReading;
@@ -42,7 +44,28 @@
     public RetryAllowance allowance(ServiceId service, DualTimestamp now) {
         applyClocks(now);
         return allowances.computeIfAbsent(
-                service, name -> RetryAllowance.of(budget, millis -> slackShare.share(millis)));
+                service,
+                name -> RetryAllowance.of(budget, millis -> slackShareOf(service, millis)));
+    }
+
+    // What a predecessor of this daemon left in the sockets of a stopped target is not known here,
+    // but the predecessor may have used the same share for it. Read by the target, it counts for a
+    // window.
+    private double slackShareOf(ServiceId service, long nowMillis) {
+        return unseenTargets.existedInWindow(service, budget.windowMillis(), nowMillis)
+                ? 0
+                : slackShare.share(nowMillis);
+    }
+
+    /**
+     * Records that a request is sent to a target.
+     *
+     * @param entry the target
+     * @param target its activity as this daemon has seen it since it started
+     * @param nowMillis the monotonic time in milliseconds
+     */
+    public void recordSend(TargetEntry entry, TargetActivity target, long nowMillis) {
+        unseenTargets.recordSend(entry, target, nowMillis);
     }
 
     /**
--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -47,6 +47,12 @@
      */
     private static final long OWED_ANSWER_MILLIS = 500;
 
+    /** Time since its last contact for which a target is considered running. */
+    private static final long RECENT_CONTACT_MILLIS = 1_000;
+
+    /** Requests that a target without recent contact may have before it gets a retry. */
+    private static final int MAXIMUM_WITHOUT_CONTACT = 2;
+
     /** Time for which an ended target receives no requests; the registry drops it well before. */
     private static final long ENDED_MILLIS = 10_000;
 
@@ -399,18 +405,24 @@
     }
 
     /**
-     * Returns whether the target has sent nothing since it was sent a request some time ago, also
-     * when that request has ended meanwhile. It may be stopped, and would read a further request
-     * together with all earlier ones when it continues.
+     * Returns the maximum number of requests of this daemon at the target up to which it gets one
+     * that another target has refused. A target that may be stopped would read all of them together
+     * when it continues, long after they have ended.
      *
      * @param nowMillis the monotonic time in milliseconds
      * @param unreadMillis how long data from the target may have waited in the sockets of this
      *     daemon, in milliseconds
-     * @return false when no request was sent since it last sent data
+     * @return 0 when the target has sent nothing since it was sent a request some time ago, also
+     *     when that request has ended meanwhile; a small number when it has not been asked lately
      */
-    public boolean owesAnswer(long nowMillis, long unreadMillis) {
-        return askedMillis.isPresent()
-                && nowMillis - askedMillis.getAsLong() - unreadMillis >= OWED_ANSWER_MILLIS;
+    public int maximumForRetries(long nowMillis, long unreadMillis) {
+        if (askedMillis.isPresent()
+                && nowMillis - askedMillis.getAsLong() - unreadMillis >= OWED_ANSWER_MILLIS) {
+            return 0;
+        }
+        return millisSinceContact(nowMillis) <= RECENT_CONTACT_MILLIS
+                ? Integer.MAX_VALUE
+                : MAXIMUM_WITHOUT_CONTACT;
     }
 
     /**
--- a/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
+++ b/core/src/test/java/org/tamaracktrack/core/dispatch/RetryAllowancesTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.error.TamaracktrackException;
+import org.tamaracktrack.core.fleet.TargetEntries;
+import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.id.ServiceId;
 import org.tamaracktrack.core.knowledge.DualTimestamp;
 
@@ -207,4 +209,72 @@
             assertThat(thrown.code()).isEqualTo(ErrorCode.INVALID_SETTINGS);
         }
     }
+
+    @Nested
+    class UnseenTargetsOfService {
+        private static final int DAEMONS = 2;
+        private static final long SETTLED_MILLIS = 15_000;
+
+        private final FakeTargetActivity target = new FakeTargetActivity();
+        private final TargetEntry entry = TargetEntries.engine("r1", TargetEntries.HOME, "m0");
+        private final RetryAllowances ofNewDaemon =
+                RetryAllowances.of(new FleetRetryBudget(0.2, 10_000, 10), at(0, 0));
+
+        private double slack(ServiceId service) {
+            for (long millis = 0; millis <= SETTLED_MILLIS; millis += 1_000) {
+                ofNewDaemon.recordDaemonCount(DAEMONS, millis, at(millis, millis));
+            }
+            return ofNewDaemon
+                    .allowance(service, at(SETTLED_MILLIS, SETTLED_MILLIS))
+                    .state(SETTLED_MILLIS)
+                    .slack();
+        }
+
+        // Guards against a daemon that uses the share of its predecessor again, whose retries still
+        // lie in the sockets of a stopped target.
+        @Test
+        void shouldHaveNoSlackWhileTargetHasNeverAnswered() {
+            ofNewDaemon.recordSend(entry, target, SETTLED_MILLIS - 1_000);
+
+            assertThat(slack(entry.service())).isEqualTo(0.0);
+            assertThat(slack(OTHER)).isEqualTo(5.0);
+        }
+
+        // Guards against slack that is used together with what a target reads as it continues.
+        @Test
+        void shouldHaveNoSlackUntilWindowAfterLateAnswer() {
+            ofNewDaemon.recordSend(entry, target, 0);
+            ofNewDaemon.recordSend(entry, target, 1_000);
+            target.recordActivity(SETTLED_MILLIS - 9_000);
+            ofNewDaemon.recordSend(entry, target, SETTLED_MILLIS - 9_000);
+
+            assertThat(slack(entry.service())).isEqualTo(0.0);
+        }
+
+        @Test
+        void shouldHaveSlackWindowAfterLateAnswer() {
+            ofNewDaemon.recordSend(entry, target, 0);
+            ofNewDaemon.recordSend(entry, target, 1_000);
+            target.recordActivity(2_000);
+            ofNewDaemon.recordSend(entry, target, 2_000);
+
+            assertThat(slack(entry.service())).isEqualTo(5.0);
+        }
+
+        @Test
+        void shouldHaveSlackWhenTargetHasAnsweredInTime() {
+            ofNewDaemon.recordSend(entry, target, SETTLED_MILLIS - 100);
+            target.recordActivity(SETTLED_MILLIS - 50);
+
+            assertThat(slack(entry.service())).isEqualTo(5.0);
+        }
+
+        @Test
+        void shouldHaveSlackWhenTargetHasEndedAtOnce() {
+            ofNewDaemon.recordSend(entry, target, SETTLED_MILLIS - 100);
+            target.end();
+
+            assertThat(slack(entry.service())).isEqualTo(5.0);
+        }
+    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -266,10 +266,8 @@
     // stopped: its caller would wait for the outcome, and the target would get it whenever it
     // continues.
     private int maximumRequests(TargetEntry entry) {
-        return retryProgress.wasSent()
-                        && history.possibleExecutions() == 0
-                        && context.owesAnswer(entry)
-                ? 0
+        return retryProgress.wasSent() && history.possibleExecutions() == 0
+                ? context.maximumRequestsForRetry(entry)
                 : context.maximumRequests(entry);
     }
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -20,6 +20,7 @@
 import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.ConnectionShare;
+import org.tamaracktrack.core.dispatch.Delivery;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.LruMap;
 import org.tamaracktrack.core.dispatch.Peer;
@@ -285,14 +286,11 @@
         return readMillis - socketDelay.maxMillis(now());
     }
 
-    /** Returns whether a target has sent nothing since it was sent a request some time ago. */
-    boolean owesAnswer(TargetEntry entry) {
-        return loads.of(entry.incarnation()).owesAnswer(nowMillis(), socketDelay.maxMillis(now()));
-    }
-
-    /** Returns the activity of a run of a target. */
-    TargetActivity activityOf(TargetEntry entry) {
-        return new ObservedTarget(this, entry);
+    /** Records that a request is sent to a target, and returns the send. */
+    Delivery beginDelivery(TargetEntry entry) {
+        TargetActivity target = new ObservedTarget(this, entry);
+        retryAllowances.recordSend(entry, target, nowMillis());
+        return Delivery.to(target);
     }
 
     /** Returns how long data may have waited in the sockets that this daemon reads. */
@@ -448,6 +446,14 @@
         return restingTargets.permits(entry) ? connectionShare(entry) : 0;
     }
 
+    /** Returns the same for a request that another target has refused. */
+    int maximumRequestsForRetry(TargetEntry entry) {
+        int maximum =
+                loads.of(entry.incarnation())
+                        .maximumForRetries(nowMillis(), socketDelay.maxMillis(now()));
+        return Math.min(maximum, maximumRequests(entry));
+    }
+
     /** Returns the number of connections that this daemon may have to a target. */
     int connectionShare(TargetEntry entry) {
         int maximum =
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -66,7 +66,7 @@
     boolean tryBeginSending(TargetEntry target) {
         long nowMillis = context.nowMillis();
         boolean retry = wasSent();
-        Delivery delivery = Delivery.to(context.activityOf(target));
+        Delivery delivery = context.beginDelivery(target);
         deliveries.add(delivery);
         if (retry && !context.retryAllowance(target.service()).tryAcquire(deliveries, nowMillis)) {
             deliveries.remove(delivery);
