--- a/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
+++ b/core/src/main/java/org/tamaracktrack/core/dispatch/TargetLoad.java
@@ -413,7 +413,7 @@
      * @param unreadMillis how long data from the target may have waited in the sockets of this
      *     daemon, in milliseconds
      * @return 0 when the target has sent nothing since it was sent a request some time ago, also
-     *     when that request has ended meanwhile; a small number when it has not been asked lately
+     *     when that request has ended meanwhile; a small number when it has sent nothing lately
      */
     public int maximumForRetries(long nowMillis, long unreadMillis) {
         if (askedMillis.isPresent()
