Record a send to a target only when it is permitted

A retry that the allowance denied was recorded as a send to its target, so a target that was never asked could keep the slack of a new daemon at zero.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -20,7 +20,6 @@
 import org.tamaracktrack.core.admission.SharedAccountUsage;
 import org.tamaracktrack.core.delay.SocketDelay;
 import org.tamaracktrack.core.dispatch.ConnectionShare;
-import org.tamaracktrack.core.dispatch.Delivery;
 import org.tamaracktrack.core.dispatch.FleetRetryBudget;
 import org.tamaracktrack.core.dispatch.LruMap;
 import org.tamaracktrack.core.dispatch.Peer;
@@ -286,11 +285,14 @@
         return readMillis - socketDelay.maxMillis(now());
     }
 
-    /** Records that a request is sent to a target, and returns the send. */
-    Delivery beginDelivery(TargetEntry entry) {
-        TargetActivity target = new ObservedTarget(this, entry);
-        retryAllowances.recordSend(entry, target, nowMillis());
-        return Delivery.to(target);
+    /** Returns the activity of a run of a target. */
+    TargetActivity activityOf(TargetEntry entry) {
+        return new ObservedTarget(this, entry);
+    }
+
+    /** Records that a request is sent to a target, whose activity is given. */
+    void recordSend(TargetEntry entry, TargetActivity activity) {
+        retryAllowances.recordSend(entry, activity, nowMillis());
     }
 
     /** Returns how long data may have waited in the sockets that this daemon reads. */
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RetryProgress.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.dispatch.Delivery;
+import org.tamaracktrack.core.dispatch.TargetActivity;
 import org.tamaracktrack.core.fleet.TargetEntry;
 
 /**
@@ -66,12 +67,14 @@
     boolean tryBeginSending(TargetEntry target) {
         long nowMillis = context.nowMillis();
         boolean retry = wasSent();
-        Delivery delivery = context.beginDelivery(target);
+        TargetActivity activity = context.activityOf(target);
+        Delivery delivery = Delivery.to(activity);
         deliveries.add(delivery);
         if (retry && !context.retryAllowance(target.service()).tryAcquire(deliveries, nowMillis)) {
             deliveries.remove(delivery);
             return false;
         }
+        context.recordSend(target, activity);
         unanswered = Optional.of(new Send(delivery, target, nowMillis, retry));
         if (retry) {
             logRetry(target, nowMillis);
