Show that streams of a frozen machine are refused once a second version comes

A daemon tells others of the origin of its streams only once it knows of two software versions. If it is frozen when the second one comes, no stream that it carried can be taken up elsewhere.

--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -126,6 +126,11 @@
         return process.isAlive();
     }
 
+    /** Sends a signal to it, such as STOP and CONT. */
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+    }
+
     void end() throws InterruptedException {
         process.destroyForcibly();
         process.waitFor();
--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -20,11 +20,26 @@
     private final Store store;
     private final Wire.Server server;
     private int beats;
+    private final String version;
     private volatile boolean present = true;
     private volatile Work work;
 
     Runner(String id, String service, int slots, String model, String ip, Store store, Work work)
             throws IOException {
+        this(id, service, "v1", slots, model, ip, store, work);
+    }
+
+    Runner(
+            String id,
+            String service,
+            String version,
+            int slots,
+            String model,
+            String ip,
+            Store store,
+            Work work)
+            throws IOException {
+        this.version = version;
         this.id = id;
         this.service = service;
         this.slots = slots;
@@ -58,7 +73,9 @@
                         + service
                         + "\",\"address\":\""
                         + server.address()
-                        + "\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":"
+                        + "\",\"zone\":\"hall-a\",\"version\":\""
+                        + version
+                        + "\",\"slots\":"
                         + slots
                         + ",\"state\":\""
                         + state
--- a/review/standins/Wire.java
+++ b/review/standins/Wire.java
@@ -245,6 +245,30 @@
             }
         }
 
+        /** Reads the head of an answer, whose body follows. */
+        Answer readHead() throws IOException {
+            String line = readLine(in);
+            if (line == null) {
+                return new Answer(0, Map.of(), new byte[0], false);
+            }
+            return new Answer(
+                    Integer.parseInt(line.split(" ")[1]), readHeaders(in), new byte[0], false);
+        }
+
+        /** Reads the next chunk; empty at the regular end of the body. */
+        String readChunk() throws IOException {
+            String size = readLine(in);
+            if (size == null) {
+                throw new EOFException("channel ended inside a body");
+            }
+            int length = Integer.parseInt(size.strip(), 16);
+            byte[] chunk = in.readNBytes(length);
+            if (chunk.length < length || readLine(in) == null) {
+                throw new EOFException("channel ended inside a body");
+            }
+            return new String(chunk, StandardCharsets.UTF_8);
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
