Show that no stream can be taken up once all machines have lost power

The software versions at which streams began are kept in the memory of daemons only. With two versions in service, all streams that clients took up at machines in touch were refused.

--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -20,15 +20,28 @@
     final String name;
     final String front;
     final String ready;
-    private final Process process;
+    private final List<String> command;
     private final Path log;
+    private volatile Process process;
 
-    private Gateway(String name, String front, String ready, Process process, Path log) {
+    private Gateway(String name, String front, String ready, List<String> command, Path log)
+            throws IOException {
         this.name = name;
         this.front = front;
         this.ready = ready;
-        this.process = process;
+        this.command = command;
         this.log = log;
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> process.destroyForcibly()));
+        launch();
+    }
+
+    /** Starts the process, also again with the same settings after it has ended. */
+    void launch() throws IOException {
+        process =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                        .start();
     }
 
     /** Starts it with the settings of the sheet of Annex B (ko-athina). */
@@ -59,14 +72,8 @@
         Path settings = folder.resolve(name + ".flags");
         Files.writeString(settings, fill(Files.readString(Path.of("deploy/gateway.flags")), fields));
         Path log = folder.resolve(name + ".log");
-        Process process =
-                new ProcessBuilder(command(settings))
-                        .redirectErrorStream(true)
-                        .redirectOutput(log.toFile())
-                        .start();
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         return new Gateway(
-                name, ip + ":" + ports.get(0), ip + ":" + ports.get(1), process, log);
+                name, ip + ":" + ports.get(0), ip + ":" + ports.get(1), command(settings), log);
     }
 
     private static List<String> command(Path settings) throws IOException {
