--- a/review/standins/Case4.java
+++ b/review/standins/Case4.java
@@ -77,8 +77,8 @@
         }
         Thread.sleep(VERSION_AFTER_MILLIS);
         if (newVersion) {
-            new Runner(
-                    "n-8", "narrator", "v2", 64, "m0", trial.ip(108), trial.store, work);
+            // A new runner holds no model.
+            new Runner("n-8", "narrator", "v2", 64, "", trial.ip(108), trial.store, work);
             trial.note("a runner of software version v2 is ready");
         }
         Thread.sleep(FREEZE_MILLIS - VERSION_AFTER_MILLIS);
