--- a/review/standins/Case3.java
+++ b/review/standins/Case3.java
@@ -1,35 +1,38 @@
 package review;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.stream.Stream;
 
 /**
- * CONFIG: lookups with small bodies beside requests with bodies of the size that the config
- * allows. The trouble: for some seconds all new channels go to one of four machines.
+ * LOST: streams that clients take up again after all machines have lost power for a moment, while
+ * runners of two software versions serve side by side.
  */
 final class Case3 {
-    private static final int BODY_BYTES = 4_194_304;
-    private static final int BURST_REQUESTS = 36;
-    private static final int BURST_MILLIS = 3_000;
-    private static final int LOOKUPS = 400;
-    private static final int LOOKUP_MILLIS = 40;
-    private static final int TIMEOUT_MILLIS = 600;
-    private static final int SLACK_MILLIS = 500;
+    private static final int CLIENTS = 64;
+    private static final int EVENTS = 23;
+    private static final int EVENT_MILLIS = 130;
+    private static final int BEFORE_MILLIS = 7_000;
+    private static final int DOWN_MILLIS = 600;
+    private static final int STABLE_WINDOW_MILLIS = 3_000;
+    private static final int AFTER_MILLIS = 12_000;
+    private static final int OBJECTIVE_MILLIS = 1_500;
 
-    private static volatile boolean crowded;
+    /** The longest of two seconds, four times the objective, and eight times the pause. */
+    private static final int GAP_MILLIS = 4 * OBJECTIVE_MILLIS;
 
-    private record Seen(String attempt, long atMillis, String outcome) {
-        boolean isLaterThan(int millis) {
-            return atMillis > millis;
-        }
-    }
+    private static final int BUDGET_MILLIS = 10_000;
+
+    /** A try of a client; taken up means that it goes on with an earlier one. */
+    private record Try(
+            String stream, String attempt, boolean takenUp, boolean began, long atMillis,
+            String outcome) {}
 
     private Case3() {}
 
@@ -38,162 +41,204 @@
     }
 
     private static boolean run(Trial trial) throws Exception {
-        Map<String, Integer> runs = new ConcurrentHashMap<>();
-        Runner.Work work =
-                (call, channel) -> {
-                    runs.merge(call.header("X-Tamaracktrack-Attempt-Id"), 1, Integer::sum);
-                    Thread.sleep(20);
-                    return Runner.answer(call, channel, 200, "vehicle");
-                };
-        for (int number = 0; number < 3; number++) {
+        Map<String, String> runs = new ConcurrentHashMap<>();
+        Runner.Work work = (call, channel) -> stream(call, channel, runs);
+        for (int number = 0; number < 8; number++) {
             new Runner(
-                    "i-" + number, "registry-api", 6, "", trial.ip(100 + number), trial.store, work);
+                    "n-" + number, "narrator", "v" + (1 + number % 2), 64, "m0",
+                    trial.ip(100 + number), trial.store, work);
         }
         trial.publish(
                 1,
-                Trial.route("plate", "non_idempotent", "registry-api", 15_000, 1)
-                        + ","
-                        + Trial.route("vin", "idempotent", "registry-api", TIMEOUT_MILLIS, 2));
+                Trial.route("brief", "streaming", "narrator", BUDGET_MILLIS, 2)
+                        .replace("\"target_latency_ms\":600", "\"target_latency_ms\":1500"));
         List<Gateway> gateways = new ArrayList<>();
+        List<Front> fronts = new ArrayList<>();
         for (int number = 1; number <= 4; number++) {
             gateways.add(trial.gateway(number));
+            fronts.add(new Front(trial.ip(30 + number), gateways.get(number - 1)));
         }
         for (Gateway gateway : gateways) {
-            trial.awaitServed(gateway, "/vin/1");
+            trial.awaitServed(gateway, "/brief/1");
         }
         trial.note("4 machines serve");
 
-        Queue<Seen> lookups = new ConcurrentLinkedQueue<>();
-        Queue<Seen> large = new ConcurrentLinkedQueue<>();
+        Queue<Try> tries = new ConcurrentLinkedQueue<>();
+        long started = System.nanoTime();
+        long end = started + (BEFORE_MILLIS + AFTER_MILLIS) * 1_000_000L;
         List<Thread> clients = new ArrayList<>();
-        byte[] body = new byte[BODY_BYTES];
-        Arrays.fill(body, (byte) 'x');
-        Thread burst =
-                new Thread(
-                        () -> {
-                            for (int number = 0; number < BURST_REQUESTS; number++) {
-                                String attempt = "large-" + number;
-                                Gateway gateway = machine(gateways, number);
-                                start(
-                                        clients,
-                                        () ->
-                                                large.add(
-                                                        send(
-                                                                gateway, "POST", "/plate/", attempt,
-                                                                15_000, 16_000, body)));
-                                pause(BURST_MILLIS / BURST_REQUESTS);
-                            }
-                        });
-        for (int number = 0; number < LOOKUPS; number++) {
-            if (number == LOOKUPS / 8) {
-                trial.note(BURST_REQUESTS + " requests of " + BODY_BYTES + " bytes begin");
-                crowded = trial.trouble;
-                burst.start();
+        for (int number = 0; number < CLIENTS; number++) {
+            int client = number;
+            Thread thread = new Thread(() -> begin(client, fronts, tries, started, end));
+            thread.start();
+            clients.add(thread);
+        }
+        Thread.sleep(BEFORE_MILLIS);
+        int inTouchMillis = 0;
+        if (trial.trouble) {
+            fronts.forEach(Front::losePower);
+            for (Gateway gateway : gateways) {
+                gateway.end();
             }
-            if (number == LOOKUPS / 8 + BURST_MILLIS / LOOKUP_MILLIS) {
-                crowded = false;
-                trial.note("new channels go to all machines");
+            trial.note("all machines have lost power");
+            Thread.sleep(DOWN_MILLIS);
+            for (Gateway gateway : gateways) {
+                gateway.launch();
             }
-            String attempt = "lookup-" + number;
-            Gateway gateway = machine(gateways, number);
-            start(
-                    clients,
-                    () ->
-                            lookups.add(
-                                    send(
-                                            gateway, "GET", "/vin/", attempt, 2_500, 2_500,
-                                            new byte[0])));
-            Thread.sleep(LOOKUP_MILLIS);
-        }
-        burst.join();
-        List<Thread> all;
-        synchronized (clients) {
-            all = List.copyOf(clients);
+            for (Gateway gateway : gateways) {
+                gateway.awaitReady();
+            }
+            inTouchMillis =
+                    (int) ((System.nanoTime() - started) / 1_000_000) + STABLE_WINDOW_MILLIS;
+            trial.note(
+                    "all machines are ready again; in touch from " + inTouchMillis + " ms on");
         }
-        for (Thread client : all) {
-            client.join(20_000);
+        for (Thread client : clients) {
+            client.join(40_000);
         }
 
-        long atTimeout = lookups.stream().filter(seen -> seen.isLaterThan(TIMEOUT_MILLIS)).count();
-        long later =
-                lookups.stream()
-                        .filter(seen -> seen.isLaterThan(TIMEOUT_MILLIS + SLACK_MILLIS))
-                        .count();
-        Stream.concat(lookups.stream(), large.stream())
-                .forEach(
-                        seen ->
-                                trial.note(
-                                        seen.attempt()
-                                                + " "
-                                                + seen.outcome()
-                                                + " after "
-                                                + seen.atMillis()
-                                                + " ms, runs "
-                                                + runs.getOrDefault(seen.attempt(), 0)));
-        trial.note("lookups " + lookups.size() + " " + outcomes(lookups));
-        trial.note("large requests " + large.size() + " " + outcomes(large) + " ran " + runs
-                .keySet().stream().filter(attempt -> attempt.startsWith("large")).count());
-        for (Gateway gateway : gateways) {
+        int takenUp = 0;
+        int wentOn = 0;
+        int fresh = 0;
+        int began = 0;
+        for (Try one : tries) {
             trial.note(
-                    "OutOfMemoryError in the log of "
-                            + gateway.name
-                            + ": "
-                            + gateway.logLines("OutOfMemoryError").size());
+                    one.attempt()
+                            + (one.takenUp() ? " goes on with " + one.stream() : " begins")
+                            + " at "
+                            + one.atMillis()
+                            + " ms: "
+                            + one.outcome()
+                            + "; at the runners: "
+                            + runs.get(one.attempt()));
+            if (one.atMillis() < inTouchMillis) {
+                continue;
+            }
+            if (one.takenUp()) {
+                takenUp++;
+                wentOn += one.began() ? 1 : 0;
+            } else {
+                fresh++;
+                began += one.began() ? 1 : 0;
+            }
         }
-        trial.note(
-                "unanswered at "
-                        + TIMEOUT_MILLIS
-                        + " ms: "
-                        + atTimeout
-                        + ", of these half a second later: "
-                        + later);
-        return !(later >= 8 && later * 2 > atTimeout);
+        trial.note("new streams at machines in touch: " + fresh + ", began " + began);
+        trial.note("taken up at machines in touch: " + takenUp + ", went on: " + wentOn);
+        boolean broken =
+                takenUp >= 12
+                        && fresh > 0
+                        && (double) wentOn / takenUp < 0.5 * began / fresh;
+        return !broken;
     }
 
-    private static Gateway machine(List<Gateway> gateways, int number) {
-        return gateways.get(crowded ? 0 : number % gateways.size());
-    }
-
-    private static Map<String, Integer> outcomes(Queue<Seen> seen) {
-        Map<String, Integer> counts = new java.util.TreeMap<>();
-        seen.forEach(one -> counts.merge(one.outcome(), 1, Integer::sum));
-        return counts;
+    private static boolean stream(Wire.Call call, Socket channel, Map<String, String> runs)
+            throws Exception {
+        String last = call.header("Last-Event-Id");
+        int from = last.isEmpty() ? 0 : Integer.parseInt(last);
+        runs.put(call.header("X-Tamaracktrack-Attempt-Id"), "wrote events after " + from);
+        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+        Runner.sealed(call).forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+        head.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        write(channel, head.toString());
+        for (int event = from + 1; event <= EVENTS; event++) {
+            String text = "id: " + event + "\ndata: piece " + event + "\n\n";
+            write(channel, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            Thread.sleep(EVENT_MILLIS);
+        }
+        write(channel, "0\r\n\r\n");
+        return true;
     }
 
-    private static void start(List<Thread> clients, Runnable task) {
-        Thread thread = new Thread(task);
-        thread.setDaemon(true);
-        synchronized (clients) {
-            clients.add(thread);
-        }
-        thread.start();
+    private static void write(Socket channel, String text) throws IOException {
+        channel.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        channel.getOutputStream().flush();
     }
 
-    private static void pause(long millis) {
+    /** Begins streams until the end; one that breaks off is taken up at other machines. */
+    private static void begin(
+            int client, List<Front> fronts, Queue<Try> tries, long started, long end) {
         try {
-            Thread.sleep(millis);
+            // The clients don't begin all at once.
+            Thread.sleep(client * 60L % 3_000);
+            for (int number = 0; System.nanoTime() < end; number++) {
+                String stream = "s-" + client + "-" + number;
+                long deadline = System.nanoTime() + BUDGET_MILLIS * 1_000_000L;
+                int[] last = {0};
+                boolean done = attempt(
+                        stream, stream, client % 4, fronts, tries, started, deadline, last);
+                // The client's one retry.
+                for (int again = 1; !done && again <= 1 && last[0] > 0; again++) {
+                    done =
+                            attempt(
+                                    stream,
+                                    stream + "-again-" + again,
+                                    (client % 4 + again) % 4,
+                                    fronts,
+                                    tries,
+                                    started,
+                                    deadline,
+                                    last);
+                }
+                Thread.sleep(done ? 50 : 500);
+            }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static Seen send(
-            Gateway gateway,
-            String method,
-            String path,
+    /** Returns whether the stream is complete. */
+    private static boolean attempt(
+            String stream,
             String attempt,
-            int deadlineMillis,
-            int waitMillis,
-            byte[] body) {
-        long started = System.nanoTime();
+            int machine,
+            List<Front> fronts,
+            Queue<Try> tries,
+            long started,
+            long deadline,
+            int[] last)
+            throws InterruptedException {
+        boolean takesUp = !attempt.equals(stream);
+        long atMillis = (System.nanoTime() - started) / 1_000_000;
+        int leftMillis = (int) ((deadline - System.nanoTime()) / 1_000_000);
+        if (leftMillis < 500) {
+            return false;
+        }
+        int before = last[0];
         String outcome;
-        try (Wire.Channel channel = new Wire.Channel(gateway.front, waitMillis)) {
-            channel.send(method, path + attempt, Trial.request(attempt, deadlineMillis), body);
-            Wire.Answer answer = channel.read();
-            outcome = answer.complete() ? "" + answer.status() : "channel closed";
+        boolean done = false;
+        try (Wire.Channel channel = new Wire.Channel(fronts.get(machine).address(), GAP_MILLIS)) {
+            Map<String, String> headers = Trial.request(attempt, leftMillis);
+            headers.put("X-Tamaracktrack-Model", "m0");
+            headers.put("X-Tamaracktrack-Token-Count", "215,70");
+            headers.put(
+                    "X-Tamaracktrack-Prompt-Prefix",
+                    "a100:93,b100:62,c" + Math.abs(stream.hashCode()) + ":60");
+            if (takesUp) {
+                headers.put("Last-Event-Id", "" + last[0]);
+                headers.put("Resumes", stream);
+            }
+            channel.send("POST", "/brief/" + stream, headers, "prompt".getBytes());
+            Wire.Answer head = channel.readHead();
+            if (head.status() == 200) {
+                String chunk = channel.readChunk();
+                while (!chunk.isEmpty()) {
+                    int id = chunk.lastIndexOf("id: ");
+                    last[0] =
+                            Integer.parseInt(chunk.substring(id + 4, chunk.indexOf('\n', id)));
+                    chunk = channel.readChunk();
+                }
+                done = last[0] == EVENTS;
+            }
+            outcome = "status " + head.status() + ", up to event " + last[0];
+            if (head.status() == 503) {
+                double seconds = Double.parseDouble(head.headers().getOrDefault("retry-after", "0"));
+                outcome += ", retry after " + seconds + " s";
+                Thread.sleep((long) Math.min(1_000 * seconds, leftMillis / 3.0));
+            }
         } catch (IOException silent) {
-            outcome = silent.getClass().getSimpleName();
+            outcome = silent + " after event " + last[0];
         }
-        return new Seen(attempt, (System.nanoTime() - started) / 1_000_000, outcome);
+        tries.add(new Try(stream, attempt, takesUp, last[0] > before, atMillis, outcome));
+        return done;
     }
 }
