Reject an answer that is read behind the beginning of another one

What callers saw. A target's 400 or 500 reached its caller as a sealed 200 with the failure's text as body; a failure began a stream, or went on with one; a request that had run was said not to have.

A target may send bytes beside its answers. The beginning of a further head on a connection that is used again was read as one head with the next answer: Undertow's parser takes a status line inside a head for a part of a header or of the reason phrase. The attempt id, seal and length behind it are the true answer's, so the check of the id passed. Ruled out: heads, bodies and trailers that are only cut.

The framing knows where an answer ends: what follows is dropped, and the connection is not used again. A kept connection is read once more right before a request is sent on it; if anything was received, or the server has closed it, another one is used and nothing was sent. A protocol version and a status inside a head reject the answer (joined_heads). Nothing depends on a header's name.

--- a/link/src/main/java/org/tamaracktrack/link/http/AnswerFraming.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/AnswerFraming.java
@@ -29,7 +29,9 @@
 
     private final AnswerBounds bounds;
     private final byte[] line = new byte[KEPT_LINE_BYTES];
+    private final StatusLineMatcher statusLines = StatusLineMatcher.of();
     private State state = State.HEAD;
+    private boolean answerExpected;
     private boolean bodyless;
     private int partBytes;
     private int partLines;
@@ -67,6 +69,7 @@
 
     /** Prepares for the answer to a request. */
     void begin(boolean answerWithoutBody) {
+        answerExpected = true;
         bodyless = answerWithoutBody;
         interimAnswers = 0;
     }
@@ -82,17 +85,19 @@
     }
 
     /**
-     * Checks bytes that were received. The status of an interim answer is replaced by 100, the only
-     * one that Undertow's client doesn't take for that of the final answer.
+     * Checks bytes that were received, up to the end of the expected answer. The status of an
+     * interim answer is replaced by 100, the only one that Undertow's client doesn't take for that
+     * of the final answer.
      *
      * @param buffer the buffer
      * @param start the index of the first byte
      * @param end the index after the last byte
+     * @return the index after the last byte that belongs to the expected answer
      * @throws AnswerRejectedException if the answer is to be rejected
      */
-    void check(ByteBuffer buffer, int start, int end) throws AnswerRejectedException {
+    int check(ByteBuffer buffer, int start, int end) throws AnswerRejectedException {
         int index = start;
-        while (index < end) {
+        while (index < end && answerExpected) {
             switch (state) {
                 case UNTIL_CLOSE -> index = end;
                 case FIXED, CHUNK_DATA -> index += skip(end - index);
@@ -102,6 +107,7 @@
                 default -> checkTrailer(buffer.get(index++));
             }
         }
+        return index;
     }
 
     private int skip(int available) {
@@ -109,7 +115,7 @@
         remaining -= count;
         if (remaining == 0) {
             if (state == State.FIXED) {
-                startHead();
+                endAnswer();
             } else {
                 startPart(State.CHUNK_END);
             }
@@ -124,8 +130,14 @@
         lineBytes = 0;
     }
 
+    private void endAnswer() {
+        answerExpected = false;
+        startHead();
+    }
+
     private void startHead() {
         startPart(State.HEAD);
+        statusLines.reset();
         carriageReturn = false;
         status = 0;
         oldVersion = false;
@@ -153,6 +165,10 @@
         // Undertow's parser takes a single carriage return for the end of a line.
         require(!carriageReturn || value == '\n');
         carriageReturn = value == '\r';
+        if (partBytes > 1 && statusLines.add(value)) {
+            // The first bytes are the beginning of another answer, which the server left over.
+            throw AnswerRejectedException.of(Reason.JOINED_HEADS);
+        }
         if (value == '\n') {
             endHeadLine();
         } else if (value != '\r') {
@@ -182,6 +198,8 @@
             if (interim) {
                 buffer.put(index, (byte) '0');
             }
+        } else if (lineBytes == STATUS_END) {
+            require(value == ' ');
         }
     }
 
@@ -258,13 +276,13 @@
         }
         boolean empty = !oldVersion && (status == NO_CONTENT || status == NOT_MODIFIED);
         if (bodyless) {
-            startHead();
+            endAnswer();
         } else if (chunked) {
             startChunk();
         } else if (length >= 0) {
             startFixed();
         } else if (empty) {
-            startHead();
+            endAnswer();
         } else {
             startPart(State.UNTIL_CLOSE);
         }
@@ -273,7 +291,7 @@
     private void startFixed() {
         remaining = length;
         if (remaining == 0) {
-            startHead();
+            endAnswer();
         } else {
             startPart(State.FIXED);
         }
@@ -316,7 +334,7 @@
         if (value != '\n') {
             lineBytes += value == '\r' ? 0 : 1;
         } else if (lineBytes == 0) {
-            startHead();
+            endAnswer();
         } else {
             lineBytes = 0;
         }
--- a/link/src/main/java/org/tamaracktrack/link/http/AnswerRejection.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/AnswerRejection.java
@@ -25,6 +25,10 @@
         INTERIM_ANSWERS("interim_answers"),
         /** The bytes are not an HTTP/1 answer, or its length can't be determined. */
         MALFORMED("malformed"),
+        /** A status line stands inside the head, so it is not the head of a single answer. */
+        JOINED_HEADS("joined_heads"),
+        /** Bytes were received while no answer was expected. */
+        SURPLUS_BYTES("surplus_bytes"),
         /** The line with the size of a chunk has too many bytes. */
         CHUNK_LINE("chunk_line"),
         /** The trailer has too many bytes. */
--- a/link/src/main/java/org/tamaracktrack/link/http/BoundedAnswerConduit.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/BoundedAnswerConduit.java
@@ -6,6 +6,7 @@
 import java.nio.channels.FileChannel;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -16,9 +17,13 @@
 
 /**
  * Checks the bytes of a connection before Undertow's client parses them, because its parser has no
- * bounds: a header line or a trailer without end fills the heap. Used by the connection's thread.
+ * bounds: a header line or a trailer without end fills the heap. Bytes after the end of an answer
+ * belong to no request; they are dropped, and the connection is not used again. Used by the
+ * connection's thread.
  */
 final class BoundedAnswerConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private static final Logger LOG = Logger.getLogger("tamaracktrack.http");
+
     private final StreamConnection connection;
     private final AnswerBounds bounds;
     private final AnswerFraming framing;
@@ -28,6 +33,7 @@
     private boolean insideHead;
     private boolean receiving;
     private boolean discarding;
+    private boolean surplus;
 
     private BoundedAnswerConduit(StreamConnection connection, AnswerBounds bounds) {
         super(connection.getSourceChannel().getConduit());
@@ -60,6 +66,41 @@
         onHeadBegun = () -> {};
     }
 
+    /**
+     * Returns whether a request may be sent: the connection is open and nothing was received since
+     * the last answer. Anything received before the request would be taken for its answer.
+     */
+    boolean isReadyForRequest() {
+        if (surplus || rejection.isPresent()) {
+            return false;
+        }
+        try {
+            int count = next.read(ByteBuffer.allocate(1));
+            if (count > 0) {
+                recordSurplus();
+            }
+            return count == 0;
+        } catch (IOException broken) {
+            return false;
+        }
+    }
+
+    /** Returns whether bytes were received after the end of an answer. */
+    boolean hasSurplus() {
+        return surplus;
+    }
+
+    private void recordSurplus() {
+        if (!surplus) {
+            surplus = true;
+            LOG.warn(
+                    "event=connection-discarded server="
+                            + connection.getPeerAddress(InetSocketAddress.class)
+                            + " reason="
+                            + AnswerRejection.Reason.SURPLUS_BYTES.text());
+        }
+    }
+
     /** Ends the checks, since all further bytes are discarded. */
     void startDiscarding() {
         discarding = true;
@@ -116,14 +157,26 @@
         if (count <= 0) {
             return count;
         }
+        int answerEnd = check(destination, start, start + count);
+        trackHead();
+        if (answerEnd < start + count) {
+            recordSurplus();
+            destination.position(answerEnd);
+        }
+        if (answerEnd == start) {
+            reject(AnswerRejection.Reason.SURPLUS_BYTES);
+            throw AnswerRejectedException.of(AnswerRejection.Reason.SURPLUS_BYTES);
+        }
+        return answerEnd - start;
+    }
+
+    private int check(ByteBuffer destination, int start, int end) throws AnswerRejectedException {
         try {
-            framing.check(destination, start, start + count);
+            return framing.check(destination, start, end);
         } catch (AnswerRejectedException rejected) {
             reject(rejected.reason());
             throw rejected;
         }
-        trackHead();
-        return count;
     }
 
     private int readUnchecked(ByteBuffer destination) throws IOException {
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
@@ -155,6 +155,12 @@
             releaseUnused(opened);
             return;
         }
+        if (reused && !isReadyForRequest(opened)) {
+            IoUtils.safeClose(opened);
+            reused = false;
+            connect();
+            return;
+        }
         // The process may have been frozen between the decision to call and this moment. If a call
         // were sent after its deadline, an order could use memory that a successor has already
         // assigned to something else, and a request could run although its caller was told that it
@@ -174,6 +180,10 @@
         opened.sendRequest(request(), callback(this::sendBody));
     }
 
+    private boolean isReadyForRequest(ClientConnection opened) {
+        return pool.guard(opened).map(BoundedAnswerConduit::isReadyForRequest).orElse(false);
+    }
+
     private void startTimer(long millis, LongConsumer onExpired) {
         long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         timer =
@@ -385,7 +395,8 @@
     // connection were reused, the server would take the next request for the rest of this body. So
     // it is reused only if the request was sent completely.
     private void releaseAfterResponse(ClientConnection finished) {
-        if (requestSent && keepAliveMillis > 0) {
+        boolean surplus = guard.filter(BoundedAnswerConduit::hasSurplus).isPresent();
+        if (requestSent && keepAliveMillis > 0 && !surplus) {
             pool.release(call.address(), finished, keepAliveMillis, call.limits().maxConnections());
         } else {
             IoUtils.safeClose(finished);
