Run no request that was joined from two on its caller's connection

What callers saw. Half a head in front of a request on a caller's connection made another request of it: a target ran the first line's method and path with the id and the body of the second, which no caller had sent.

As with targets' answers: a request line inside a header's value is a sound header to the HTTP library. It rejects the other cuts (a line without a colon, a second Host).

A request in which a header's value ends with a path, an asterisk or an address and a protocol version is rejected with 400, and its connection is closed. Headers that name the protocol otherwise (Via, Upgrade) are not.

Not changed: bytes that make another method of the next request, or a body that is longer than stated; they are what the caller sent.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -55,6 +55,11 @@
             Refusals.send(exchange, ErrorCode.LEAVING);
             return;
         }
+        if (JoinedHeads.in(exchange.getRequestHeaders())) {
+            exchange.setPersistent(false);
+            Refusals.send(exchange, ErrorCode.BAD_REQUEST);
+            return;
+        }
         if (context.gate().isClosed()) {
             hold(exchange, configuration.get());
             return;
