--- a/link/src/test/java/org/tamaracktrack/link/http/BoundedAnswersTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/http/BoundedAnswersTest.java
@@ -2,14 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,18 +44,13 @@
         caller.close();
     }
 
-    private RawServer start(Script script) throws IOException {
+    private RawServer start(RawServer.Script script) throws IOException {
         RawServer server = new RawServer(script);
         servers.add(server);
         return server;
     }
 
-    /** Writes to a connection after each request. */
-    private interface Script {
-        void write(OutputStream output) throws IOException, InterruptedException;
-    }
-
-    private static Script endless(String start, String repeated) {
+    private static RawServer.Script endless(String start, String repeated) {
         byte[] block =
                 repeated.repeat(16 * 1024 / repeated.length() + 1)
                         .getBytes(StandardCharsets.ISO_8859_1);
@@ -74,86 +62,10 @@
         };
     }
 
-    private static Script text(String answer) {
+    private static RawServer.Script text(String answer) {
         return output -> output.write(answer.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** A server that writes given bytes after each request, and counts what it could write. */
-    private static final class RawServer implements AutoCloseable {
-        private final ServerSocket socket =
-                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final Script script;
-        private final AtomicLong sentBytes = new AtomicLong();
-        private final AtomicLong connections = new AtomicLong();
-        private final CompletableFuture<Void> reset = new CompletableFuture<>();
-
-        RawServer(Script script) throws IOException {
-            this.script = script;
-            startThread(this::accept);
-        }
-
-        private static void startThread(Runnable action) {
-            Thread thread = new Thread(action, "raw-server");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        InetSocketAddress address() {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
-
-        private void accept() {
-            try {
-                while (true) {
-                    Socket accepted = socket.accept();
-                    connections.incrementAndGet();
-                    startThread(() -> serve(accepted));
-                }
-            } catch (IOException closed) {
-                return;
-            }
-        }
-
-        private void serve(Socket accepted) {
-            try (accepted) {
-                BufferedReader reader =
-                        new BufferedReader(
-                                new InputStreamReader(
-                                        accepted.getInputStream(), StandardCharsets.ISO_8859_1));
-                OutputStream output = counting(accepted.getOutputStream());
-                for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                    if (line.isEmpty()) {
-                        script.write(output);
-                    }
-                }
-            } catch (IOException closed) {
-                reset.complete(null);
-            } catch (InterruptedException interrupted) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
-        private OutputStream counting(OutputStream output) {
-            return new OutputStream() {
-                @Override
-                public void write(int value) throws IOException {
-                    write(new byte[] {(byte) value}, 0, 1);
-                }
-
-                @Override
-                public void write(byte[] bytes, int offset, int length) throws IOException {
-                    output.write(bytes, offset, length);
-                    sentBytes.addAndGet(length);
-                }
-            };
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
     private static final class RecordingListener implements HttpListener {
         private final BlockingQueue<Object> ends = new LinkedBlockingQueue<>();
         private final AtomicLong bodyBytes = new AtomicLong();
@@ -203,8 +115,8 @@
 
         assertThat(listener.end()).isEqualTo(HttpFailure.ANSWER_INVALID);
         assertThat(listener.reason).isEqualTo(reason);
-        server.reset.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        assertThat(server.sentBytes.get()).isLessThan(ACCEPTED_BYTES);
+        server.awaitReset(TIMEOUT_MILLIS);
+        assertThat(server.sentBytes()).isLessThan(ACCEPTED_BYTES);
     }
 
     @Nested
@@ -315,7 +227,7 @@
             for (RecordingListener listener : listeners) {
                 assertThat(listener.end()).isEqualTo(HttpFailure.ANSWER_INVALID);
             }
-            long sentBytes = servers.stream().mapToLong(server -> server.sentBytes.get()).sum();
+            long sentBytes = servers.stream().mapToLong(server -> server.sentBytes()).sum();
             assertThat(sentBytes).isLessThan(32L * ACCEPTED_BYTES);
         }
     }
@@ -334,8 +246,8 @@
                     caller.stream(HttpCall.get(server.address(), "/", TIMEOUT_MILLIS), collector));
 
             assertThat(failure(collector.response())).isEqualTo(HttpFailure.ANSWER_INVALID);
-            server.reset.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            assertThat(server.sentBytes.get()).isLessThan(ACCEPTED_BYTES);
+            server.awaitReset(TIMEOUT_MILLIS);
+            assertThat(server.sentBytes()).isLessThan(ACCEPTED_BYTES);
             assertThat(memory.tryReserve(1024 * 1024)).isTrue();
         }
 
@@ -391,7 +303,7 @@
                     assertThat(listener.status).isEqualTo(status);
                     assertThat(listener.bodyBytes.get()).isEqualTo(bodyBytes);
                 }
-                assertThat(server.connections.get()).isEqualTo(1);
+                assertThat(server.connections()).isEqualTo(1);
             }
         }
 
--- a/link/src/test/java/org/tamaracktrack/link/http/SurplusBytesTest.java
+++ b/link/src/test/java/org/tamaracktrack/link/http/SurplusBytesTest.java
@@ -3,23 +3,17 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -35,13 +29,15 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request: other\r\n"
                     + "Content-Length: 9\r\n\r\n";
 
+    private final Queue<byte[]> answers = new ConcurrentLinkedQueue<>();
     private UndertowHttpCaller caller;
-    private ScriptedServer server;
+    private RawServer server;
+    private volatile boolean keepsConnections = true;
 
     @BeforeEach
     void start() throws IOException {
         caller = UndertowHttpCaller.of(AnswerBounds.standard().withHeadMillis(400));
-        server = new ScriptedServer();
+        server = new RawServer(this::writeNextAnswer);
     }
 
     @AfterEach
@@ -50,6 +46,13 @@
         server.close();
     }
 
+    private void writeNextAnswer(OutputStream output) throws IOException {
+        output.write(answers.remove());
+        if (!keepsConnections) {
+            throw new IOException("end of the connection");
+        }
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
@@ -77,69 +80,9 @@
                 + "\r\n0\r\n\r\n";
     }
 
-    /** Writes the next of the queued texts after each request. */
-    private static final class ScriptedServer implements AutoCloseable {
-        private final ServerSocket socket =
-                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final ConcurrentLinkedQueue<byte[]> answers = new ConcurrentLinkedQueue<>();
-        private final AtomicInteger connections = new AtomicInteger();
-        private volatile Optional<Socket> latest = Optional.empty();
-        private volatile boolean keepsConnections = true;
-
-        ScriptedServer() throws IOException {
-            startThread(this::accept);
-        }
-
-        private static void startThread(Runnable action) {
-            Thread thread = new Thread(action, "scripted-server");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void accept() {
-            try {
-                while (true) {
-                    Socket accepted = socket.accept();
-                    accepted.setTcpNoDelay(true);
-                    connections.incrementAndGet();
-                    latest = Optional.of(accepted);
-                    startThread(() -> serve(accepted));
-                }
-            } catch (IOException closed) {
-                return;
-            }
-        }
-
-        private void serve(Socket accepted) {
-            try (accepted) {
-                BufferedReader reader =
-                        new BufferedReader(
-                                new InputStreamReader(
-                                        accepted.getInputStream(), StandardCharsets.ISO_8859_1));
-                OutputStream output = accepted.getOutputStream();
-                for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                    if (line.isEmpty()) {
-                        output.write(answers.remove());
-                        if (!keepsConnections) {
-                            return;
-                        }
-                    }
-                }
-            } catch (IOException closed) {
-                return;
-            }
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
     private CompletableFuture<HttpResponse> request(byte[] written) {
-        server.answers.add(written);
-        InetSocketAddress address = (InetSocketAddress) server.socket.getLocalSocketAddress();
-        return caller.send(HttpCall.get(address, "/", TIMEOUT_MILLIS));
+        answers.add(written);
+        return caller.send(HttpCall.get(server.address(), "/", TIMEOUT_MILLIS));
     }
 
     private Optional<HttpResponse> response(byte[] written) throws Exception {
@@ -162,7 +105,7 @@
         // What comes first may be a whole head whose body ends with the connection.
         @BeforeEach
         void endConnections() {
-            server.keepsConnections = false;
+            keepsConnections = false;
         }
 
         private void assertOwnAnswerOrFailure(String leftover, boolean chunked, int status)
@@ -254,7 +197,7 @@
 
             assertOwnAnswer(first, 200, "first");
             assertOwnAnswer(second, 500, "second");
-            assertThat(server.connections.get()).isEqualTo(2);
+            assertThat(server.connections()).isEqualTo(2);
         }
 
         // Guards against bytes that come while a connection is idle and are taken for the answer to
@@ -263,13 +206,13 @@
         @ValueSource(strings = {"HTTP/1.1 200 OK\r\nX-Line: ", "HTTP/1.1 200 OK\r\n\r\n", "x"})
         void shouldUseAnotherConnectionWhenBytesCameWhileIdle(String surplus) throws Exception {
             Optional<HttpResponse> first = response(bytes(answer(200, "a1", "first")));
-            server.latest.get().getOutputStream().write(bytes(surplus));
+            server.firstConnection().getOutputStream().write(bytes(surplus));
 
             Optional<HttpResponse> second = response(bytes(answer(500, "a2", "second")));
 
             assertOwnAnswer(first, 200, "first");
             assertOwnAnswer(second, 500, "second");
-            assertThat(server.connections.get()).isEqualTo(2);
+            assertThat(server.connections()).isEqualTo(2);
         }
 
         // Guards against a request whose outcome is unknown, since it was sent on a connection that
@@ -277,7 +220,7 @@
         @Test
         void shouldUseAnotherConnectionWhenServerClosedIdleOne() throws Exception {
             Optional<HttpResponse> first = response(bytes(answer(200, "a1", "first")));
-            server.latest.get().shutdownOutput();
+            server.firstConnection().shutdownOutput();
 
             Optional<HttpResponse> second = response(bytes(answer(200, "a2", "second")));
 
