Write where streams began at once, and every 0.2 s

What callers saw.

A daemon wrote the origins of its streams at a tick of 250 ms, half a second after its last write at the earliest, so they were up to 0.75 s late.

The first stream is written at once, and the next ones together 0.2 s after it. With more than forty daemons the pause is 5 ms for each of them as before.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/stream/StoredOrigins.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/stream/StoredOrigins.java
@@ -41,8 +41,8 @@
 public final class StoredOrigins implements OriginMember.Archive {
     private static final Logger LOG = Logger.getLogger("tamaracktrack.streams");
 
-    private static final long TICK_MILLIS = 250;
-    private static final long WRITE_INTERVAL_MILLIS = 500;
+    /** Streams that began within it before all daemons end are unknown afterwards. */
+    private static final long WRITE_INTERVAL_MILLIS = 200;
 
     /** Keeps the sum of all daemons below a sixth of the calls that the store takes. */
     private static final long WRITE_INTERVAL_MILLIS_PER_DAEMON = 5;
@@ -52,7 +52,7 @@
 
     private static final int MAX_STREAMS_PER_RECORD = 500;
 
-    /** Pause after a read that failed. */
+    /** Pause after a call that failed. */
     private static final long RETRY_MILLIS = 500;
 
     private static final String FIRST_PAGE = "";
@@ -65,7 +65,8 @@
     private final Queue<OriginMessage.Begun> unwritten = new ConcurrentLinkedQueue<>();
     private final Deque<List<OriginMessage.Begun>> written = new ArrayDeque<>();
     private int nextRecord;
-    private long writtenMillis;
+    private long nextWriteMillis;
+    private boolean writeScheduled;
     private boolean writing;
     private int readStreams;
 
@@ -112,12 +113,13 @@
         Objects.requireNonNull(listener, "listener is null");
         topics.era().addRestoreListener(() -> control.post(this::writeAgain));
         control.post(() -> read(FIRST_PAGE, listener));
-        control.every(TICK_MILLIS, this::writeIfDue);
+        control.post(this::scheduleWrite);
     }
 
     @Override
     public void add(List<OriginMessage.Begun> streams) {
         unwritten.addAll(streams);
+        control.post(this::scheduleWrite);
     }
 
     private void read(String afterKey, Consumer<Collection<OriginMessage.Begun>> listener) {
@@ -203,6 +205,7 @@
     private void writeAgain() {
         written.forEach(unwritten::addAll);
         written.clear();
+        scheduleWrite();
     }
 
     private long intervalMillis() {
@@ -214,14 +217,20 @@
         return (int) (RING_MILLIS / intervalMillis());
     }
 
-    private void writeIfDue() {
-        long nowMillis = ControlThread.nowMillis();
-        if (!writing && !unwritten.isEmpty() && nowMillis - writtenMillis >= intervalMillis()) {
-            writtenMillis = nowMillis;
-            write(takeUnwritten());
+    private void scheduleWrite() {
+        if (!writeScheduled && !writing && !unwritten.isEmpty()) {
+            writeScheduled = true;
+            long waitMillis = Math.max(0, nextWriteMillis - ControlThread.nowMillis());
+            control.after(waitMillis, this::writePending);
         }
     }
 
+    private void writePending() {
+        writeScheduled = false;
+        nextWriteMillis = ControlThread.nowMillis() + intervalMillis();
+        write(takeUnwritten());
+    }
+
     private List<OriginMessage.Begun> takeUnwritten() {
         List<OriginMessage.Begun> streams = new ArrayList<>();
         while (streams.size() < MAX_STREAMS_PER_RECORD && !unwritten.isEmpty()) {
@@ -250,6 +259,8 @@
             }
         } else {
             unwritten.addAll(streams);
+            nextWriteMillis = ControlThread.nowMillis() + RETRY_MILLIS;
         }
+        scheduleWrite();
     }
 }
