Leave out the first call that writes where streams began

Each stream that is added schedules its own write, so the call at the start had nothing to schedule that was not scheduled already. StreamVersionProcessTest (9) passes.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/stream/StoredOrigins.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/stream/StoredOrigins.java
@@ -113,7 +113,6 @@
         Objects.requireNonNull(listener, "listener is null");
         topics.era().addRestoreListener(() -> control.post(this::writeAgain));
         control.post(() -> read(FIRST_PAGE, listener));
-        control.post(this::scheduleWrite);
     }
 
     @Override
