--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -88,6 +88,8 @@
     private DispatchRequest dispatchRequest;
     private FailurePolicy.History history = FailurePolicy.History.none();
     private long registryAgeMillis = -1;
+    private final long readDelayMillis;
+    private long sentDelayMillis = -1;
     private Optional<Runnable> endOfUsage = Optional.empty();
     private Optional<RequestTerms> admissionTerms = Optional.empty();
     private boolean admitted;
@@ -121,6 +123,7 @@
                 context.returningCallerDetector(route.name())
                         .observe(metadata.waitMillis().orElse(route.timeoutMillis()));
         this.pieces = PieceTimes.since(deadline.arrivedMillis());
+        this.readDelayMillis = context.threadDelayMillis();
         this.quarantineState =
                 RequestQuarantineState.of(context, exchange, body, metadata.sharedParts());
         this.retryProgress = RetryProgress.of(context, metadata.attempt());
@@ -838,6 +841,7 @@
     public void onSending() {
         guard.recordSent();
         registryAgeMillis = context.registryAgeMillis();
+        sentDelayMillis = context.threadDelayMillis();
     }
 
     @Override
@@ -1036,7 +1040,9 @@
                         deadline.elapsedMillis(),
                         stream.events().eventCount(),
                         configurationVersion,
-                        registryAgeMillis));
+                        registryAgeMillis,
+                        new RequestLog.ThreadDelays(
+                                readDelayMillis, sentDelayMillis, context.threadDelayMillis())));
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -301,6 +301,11 @@
         return socketDelay;
     }
 
+    /** Returns the longest time for which data that is read now may have waited unread. */
+    long threadDelayMillis() {
+        return socketDelay.maxMillis(now());
+    }
+
     void updateRetryBudget(FleetRetryBudget newer) {
         retryAllowances.updateBudget(newer);
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -52,6 +52,7 @@
      * @param configuration the version of the configuration that its route is from
      * @param registryAgeMillis the age of the registry's information when the request was last sent
      *     to a target; -1 when it never was
+     * @param threadDelays how late the traffic thread was meanwhile
      */
     record RequestEnd(
             String attempt,
@@ -69,7 +70,28 @@
             long totalMillis,
             int events,
             long configuration,
-            long registryAgeMillis) {}
+            long registryAgeMillis,
+            ThreadDelays threadDelays) {}
+
+    /**
+     * How late the traffic thread was at steps of a request, in milliseconds. A request, or the end
+     * of its caller's connection, may have waited unread for as long.
+     *
+     * @param readMillis when the request had been read
+     * @param sentMillis when it was last sent to a target; -1 if it never was
+     * @param endMillis at its end
+     */
+    record ThreadDelays(long readMillis, long sentMillis, long endMillis) {
+        @Override
+        public String toString() {
+            return " read_delay_ms="
+                    + readMillis
+                    + " sent_delay_ms="
+                    + sentMillis
+                    + " end_delay_ms="
+                    + endMillis;
+        }
+    }
 
     /**
      * The end of the hold of a request, or its refusal by admission control.
@@ -162,7 +184,8 @@
                         + " configuration="
                         + request.configuration()
                         + " registry_age_ms="
-                        + request.registryAgeMillis());
+                        + request.registryAgeMillis()
+                        + request.threadDelays());
     }
 
     /** Logs how the origin of a stream is known that a caller takes up. */
