Read on behind a request, so that bytes in front of a close don't hide it

Callers that sent CR LF or a further request behind a body and then left were never noticed: the daemon stopped reading at the first byte that it got, or did not begin where such bytes came together with the body, and their runs went on to the deadline.

CallerConnection now reads on until 64 KB are kept for the next request, which gets all of them; it skips empty lines in front of a request (RFC 9112, 2.2), which were answered with 400 when they came while an earlier request was in progress. Reads are suspended when the response ends, because Undertow registers its own listener only then.

Beyond 64 KB sent ahead the close is still not seen until the response is sent.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallerConnection.java
@@ -1,11 +1,11 @@
 package org.tamaracktrack.daemon.connection;
 
 import io.undertow.connector.PooledByteBuffer;
-import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -24,10 +24,20 @@
     private static final AttachmentKey<CallerConnection> KEY =
             AttachmentKey.create(CallerConnection.class);
 
+    /**
+     * Bytes behind a request that are kept for the next one. Beyond them nothing is read, and the
+     * end of the connection is not seen, until the response is sent.
+     */
+    private static final int MAX_READ_AHEAD_BYTES = 64 * 1024;
+
+    private final ServerConnection connection;
     private final AtomicInteger openConnections;
     private Runnable onClosed = () -> {};
+    private boolean watched;
+    private boolean closed;
 
-    private CallerConnection(AtomicInteger openConnections) {
+    private CallerConnection(ServerConnection connection, AtomicInteger openConnections) {
+        this.connection = connection;
         this.openConnections = openConnections;
     }
 
@@ -47,10 +57,10 @@
 
     private static CallerConnection register(
             ServerConnection connection, AtomicInteger openConnections) {
-        CallerConnection created = new CallerConnection(openConnections);
+        CallerConnection created = new CallerConnection(connection, openConnections);
         connection.putAttachment(KEY, created);
         openConnections.incrementAndGet();
-        connection.addCloseListener(closed -> created.runClosedOn(connection.getIoThread()));
+        connection.addCloseListener(any -> created.runClosedOn(connection.getIoThread()));
         return created;
     }
 
@@ -63,8 +73,11 @@
     }
 
     private void handleClosed() {
-        openConnections.decrementAndGet();
-        onClosed.run();
+        if (!closed) {
+            closed = true;
+            openConnections.decrementAndGet();
+            onClosed.run();
+        }
     }
 
     /**
@@ -78,40 +91,118 @@
     }
 
     /**
-     * Keeps reading from the connection after the request, so that a disconnect is detected while
-     * the caller waits for the response. Undertow itself reads again only after the response.
+     * Keeps reading from the connection until the response is sent, so that a disconnect is
+     * detected while the caller waits. Undertow itself reads again only after the response.
      *
      * @param exchange the exchange, whose request has been read completely
      */
-    public static void detectDisconnect(HttpServerExchange exchange) {
-        if (exchange.getConnection() instanceof HttpServerConnection connection
-                && connection.getExtraBytes() == null) {
-            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-            source.setReadListener(
-                    (ChannelListener<ConduitStreamSourceChannel>) any -> readAhead(connection));
-            connection.getOriginalSourceConduit().resumeReads();
+    public void detectDisconnect(HttpServerExchange exchange) {
+        if (watched || !(connection instanceof HttpServerConnection http)) {
+            return;
         }
+        watched = true;
+        skipEmptyLines(http);
+        ConduitStreamSourceChannel source = http.getChannel().getSourceChannel();
+        source.setReadListener((ChannelListener<ConduitStreamSourceChannel>) any -> readAhead());
+        http.getOriginalSourceConduit().resumeReads();
+        // Undertow registers its own listener for the next request only if reads are suspended.
+        exchange.addExchangeCompleteListener(
+                (ended, next) -> {
+                    watched = false;
+                    http.getOriginalSourceConduit().suspendReads();
+                    next.proceed();
+                });
     }
 
-    private static void readAhead(HttpServerConnection connection) {
-        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-        ByteBuffer buffer = pooled.getBuffer();
+    /**
+     * Reads what the connection has received so far, and returns whether it is closed. The caller
+     * may have closed it without the input/output thread having got to it yet. Runs the task set by
+     * {@link #onClosed} before it returns true. To be called on the connection's input/output
+     * thread.
+     *
+     * @return whether the caller has left
+     */
+    public boolean isClosedNow() {
+        if (watched && !closed) {
+            readAhead();
+        }
+        return closed;
+    }
+
+    private void readAhead() {
+        HttpServerConnection http = (HttpServerConnection) connection;
         try {
-            int count = connection.getOriginalSourceConduit().read(buffer);
-            if (count > 0) {
-                // These bytes belong to a pipelined request; they are kept until this response is
-                // sent.
-                connection.getOriginalSourceConduit().suspendReads();
-                buffer.flip();
-                connection.ungetRequestBytes(pooled);
-                return;
+            int count = 1;
+            while (count > 0 && watched) {
+                if (pending(http) >= MAX_READ_AHEAD_BYTES) {
+                    http.getOriginalSourceConduit().suspendReads();
+                    return;
+                }
+                count = readPart(http);
             }
             if (count < 0) {
-                IoUtils.safeClose(connection);
+                close();
             }
         } catch (IOException broken) {
-            IoUtils.safeClose((AbstractServerConnection) connection);
+            close();
         }
-        pooled.close();
+    }
+
+    private void close() {
+        IoUtils.safeClose(connection);
+        handleClosed();
+    }
+
+    private static int pending(HttpServerConnection http) {
+        PooledByteBuffer extra = http.getExtraBytes();
+        return extra == null ? 0 : extra.getBuffer().remaining();
+    }
+
+    // What is received belongs to a pipelined request and is kept until this response is sent.
+    private static int readPart(HttpServerConnection http) throws IOException {
+        PooledByteBuffer pooled = http.getByteBufferPool().allocate();
+        ByteBuffer buffer = pooled.getBuffer();
+        boolean kept = false;
+        try {
+            int count = http.getOriginalSourceConduit().read(buffer);
+            buffer.flip();
+            PooledByteBuffer earlier = http.getExtraBytes();
+            if (count > 0 && earlier == null) {
+                http.setExtraBytes(pooled);
+                kept = true;
+                skipEmptyLines(http);
+            } else if (count > 0) {
+                ByteBuffer joined =
+                        ByteBuffer.allocate(earlier.getBuffer().remaining() + buffer.remaining());
+                joined.put(earlier.getBuffer()).put(buffer).flip();
+                earlier.close();
+                http.setExtraBytes(new ImmediatePooledByteBuffer(joined));
+            }
+            return count;
+        } finally {
+            if (!kept) {
+                pooled.close();
+            }
+        }
+    }
+
+    // Some clients send CR LF behind a body, which RFC 9112 (2.2) asks servers to ignore.
+    private static void skipEmptyLines(HttpServerConnection http) {
+        PooledByteBuffer extra = http.getExtraBytes();
+        if (extra == null) {
+            return;
+        }
+        ByteBuffer buffer = extra.getBuffer();
+        while (buffer.hasRemaining() && isLineEnd(buffer.get(buffer.position()))) {
+            buffer.get();
+        }
+        if (!buffer.hasRemaining()) {
+            http.setExtraBytes(null);
+            extra.close();
+        }
+    }
+
+    private static boolean isLineEnd(byte next) {
+        return next == '\r' || next == '\n';
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
@@ -78,7 +78,7 @@
     public void listen(Listener newListener) {
         listener = newListener;
         connection.onClosed(this::onConnectionClosed);
-        CallerConnection.detectDisconnect(exchange);
+        connection.detectDisconnect(exchange);
     }
 
     private void onConnectionClosed() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -175,7 +175,7 @@
     private void begin() {
         guard.owner(this);
         connection.onClosed(this::onCallerGone);
-        CallerConnection.detectDisconnect(exchange);
+        connection.detectDisconnect(exchange);
         context.recordRequest(service(), deadline.arrivedMillis());
         if (!callerReturned && quarantineState.holdingSuspect(service()).isEmpty()) {
             metadata.need().ifPresent(need -> context.demand().record(need, route));
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -171,8 +171,9 @@
                         admitted.route(), admitted.metadata(), arrivedMillis, context::nowMillis));
         AtomicBoolean callerGone = new AtomicBoolean();
         if (admitted.hasQuota()) {
-            CallerConnection.of(exchange, connections).onClosed(() -> callerGone.set(true));
-            CallerConnection.detectDisconnect(exchange);
+            CallerConnection connection = CallerConnection.of(exchange, connections);
+            connection.onClosed(() -> callerGone.set(true));
+            connection.detectDisconnect(exchange);
         }
         context.acquireQuota(
                 admitted.authorization().account(),
