Ask whether the caller waits right before a request is sent

Requests reached targets up to seconds after their callers had left, or with a millisecond left of a time that was over: what lay in the sockets of a late daemon was read and sent on, and the ends of its callers' connections, received long before, were read afterwards.

Right before the first byte, and each further part, of every send the daemon now reads what the caller's connection holds and asks whether the deadline has passed. The age of a request that lay unread is not known; that its caller still waits is better evidence than any bound on it, and costs one read per send.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -827,9 +827,24 @@
                 .ifPresent(established -> quarantineState.recordEstablished(service()));
     }
 
+    /** Ends the request if its caller has closed the connection; returns whether it has ended. */
+    boolean endIfCallerLeft() {
+        if (!done && connection.isClosedNow()) {
+            onCallerGone();
+        }
+        return done;
+    }
+
+    // The caller may leave, and its time may pass, while the request waits or this daemon is late.
+    private boolean isAwaited() {
+        return !endIfCallerLeft() && deadline.untilDeadlineMillis() > 0;
+    }
+
     @Override
     public boolean isStillAllowed() {
-        return refusalNow().isEmpty() && quarantineState.holdingSuspect(service()).isEmpty();
+        return isAwaited()
+                && refusalNow().isEmpty()
+                && quarantineState.holdingSuspect(service()).isEmpty();
     }
 
     @Override
