End the runs of callers that have left before other work when the thread is late

On a crowded machine runs went on for callers that had left: the end of a connection was read in its turn behind the requests and answers of all others, then queued twice as a task, once for the request and once for the call to the target.

The line of the request is written after all such runs have been ended.

While the thread is in time nothing is looked at.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerGuard.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerGuard.java
@@ -155,6 +155,7 @@
 
     /** Runs a step of the request and ends the request when the step fails. */
     void run(Runnable step) {
+        context.departures().checkIfLate();
         try {
             step.run();
         } catch (RuntimeException | Error failure) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -176,6 +176,10 @@
         guard.owner(this);
         connection.onClosed(this::onCallerGone);
         connection.detectDisconnect(exchange);
+        context.departures().add(this);
+        if (context.departures().isLate() && endIfCallerLeft()) {
+            return;
+        }
         context.recordRequest(service(), deadline.arrivedMillis());
         if (!callerReturned && quarantineState.holdingSuspect(service()).isEmpty()) {
             metadata.need().ifPresent(need -> context.demand().record(need, route));
@@ -730,7 +734,9 @@
                 permit.ifPresent(context::giveBackQuota);
             }
             attempt.ifPresent(TargetAttempt::cancel);
-            finish("caller_gone", 0);
+            // Recorded later, since the runs of other callers that have left are to be ended first.
+            end("caller_gone");
+            context.execute(() -> guard.runSafely(() -> record("caller_gone", 0)));
         }
     }
 
@@ -743,6 +749,10 @@
 
     @Override
     public void onBytes(ByteBuffer bytes) {
+        if (done) {
+            return;
+        }
+        context.departures().checkIfLate();
         if (done) {
             return;
         }
@@ -1019,6 +1029,11 @@
     }
 
     private void finish(String outcome, int status) {
+        end(outcome);
+        guard.runSafely(() -> record(outcome, status));
+    }
+
+    private void end(String outcome) {
         done = true;
         dropHedges(outcome);
         attempt = Optional.empty();
@@ -1028,7 +1043,7 @@
         context.admission().remove(this);
         guard.runSafely(() -> holdProgress.end(outcome));
         connection.onClosed(() -> {});
-        guard.runSafely(() -> record(outcome, status));
+        context.departures().remove(this);
     }
 
     // A request that can't be recorded is answered all the same.
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -91,6 +91,7 @@
     private final Set<TargetId> closing = ConcurrentHashMap.newKeySet();
     private final ProvenParts provenParts = ProvenParts.empty();
     private final Trials trials = Trials.none();
+    private final DepartureMonitor departures = new DepartureMonitor(this);
     private final TargetEndDetector targetEndDetector = new TargetEndDetector(this);
     private final TargetReachability targetReachability = new TargetReachability(this);
     private final StalenessGate gate =
@@ -386,6 +387,10 @@
         return trials.tryAcquire(current, heldSuspects, nowMillis());
     }
 
+    DepartureMonitor departures() {
+        return departures;
+    }
+
     TargetEndDetector targetEndDetector() {
         return targetEndDetector;
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -45,6 +45,7 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        context.departures().checkIfLate();
         Optional<ServingConfiguration> configuration = context.view().configuration();
         if (configuration.isEmpty()) {
             Refusals.send(exchange, ErrorCode.NOT_READY);
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
@@ -60,6 +60,7 @@
     private long keepAliveMillis;
     private volatile boolean paused;
     private volatile boolean cancelled;
+    private boolean notifying;
 
     private HttpExchange(
             HttpCall call,
@@ -327,7 +328,12 @@
         currentFailure = HttpFailure.ANSWER_CUT;
         ClientResponse response = exchange.getResponse();
         keepAliveMillis = KeepAlive.millis(response.getResponseHeaders());
-        listener.onHead(response.getResponseCode(), headers(response));
+        notifying = true;
+        try {
+            listener.onHead(response.getResponseCode(), headers(response));
+        } finally {
+            notifying = false;
+        }
         StreamSourceChannel channel = exchange.getResponseChannel();
         source = Optional.of(channel);
         channel.getReadSetter().set(ignored -> read(channel));
@@ -366,10 +372,13 @@
                 buffer.flip();
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
+                notifying = true;
                 listener.onBytes(bytes);
             }
         } catch (IOException failure) {
             failReading();
+        } finally {
+            notifying = false;
         }
     }
 
@@ -437,15 +446,11 @@
     }
 
     private void linger() {
-        if (!markEnded()) {
-            return;
-        }
         connection.ifPresent(
                 opened -> {
                     guard.ifPresent(BoundedAnswerConduit::startDiscarding);
                     close(opened, raw -> pool.linger(opened, raw, listener::onServerEnd));
                 });
-        report(HttpFailure.CANCELLED);
     }
 
     private synchronized boolean markEnded() {
@@ -488,12 +493,30 @@
     public void cancel() {
         // As with pausing, the read loop of a fast server's answer would delay the task.
         cancelled = true;
-        thread.execute(() -> fail(HttpFailure.CANCELLED));
+        endSoon(() -> connection.ifPresent(opened -> close(opened, LingeringCloses::reset)));
     }
 
     @Override
     public void abandon() {
         cancelled = true;
-        thread.execute(this::linger);
+        endSoon(this::linger);
+    }
+
+    // A late thread would get to a task after all that its sockets have for it, and the server
+    // would
+    // work on meanwhile.
+    private void endSoon(Runnable closing) {
+        if (Thread.currentThread() == thread && !notifying) {
+            endCancelled(closing, () -> thread.execute(() -> report(HttpFailure.CANCELLED)));
+        } else {
+            thread.execute(() -> endCancelled(closing, () -> report(HttpFailure.CANCELLED)));
+        }
+    }
+
+    private void endCancelled(Runnable closing, Runnable reporting) {
+        if (markEnded()) {
+            closing.run();
+            reporting.run();
+        }
     }
 }
