Send only what can end within a planned stop, and answer what still runs at its end

In a calm planned stop requests were passed on and then cut with no answer, among them ones that must not be repeated: whether the daemon still accepts was asked when a head was read, so a request whose body ended later, or whose retry came later, was sent all the same; the window of 2.5 s was the same for every grace period; what still ran was cut by the end of the process; a second SIGTERM began the window anew.

Streams that have begun go on to the end and are cut as before, without their last chunk.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerGuard.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/AnswerGuard.java
@@ -55,6 +55,9 @@
         /** Called when the deadline has passed, whether or not the request has ended. */
         void onDeadline();
 
+        /** Called when the process is about to end and the answer has not begun. */
+        void onStop();
+
         /** Called when a step has failed, whether or not the request has ended. */
         void onStepFailed();
     }
@@ -66,6 +69,11 @@
             // Nothing was sent, and the guard answers.
         }
 
+        @Override
+        public void onStop() {
+            // Nothing was sent, and the guard answers.
+        }
+
         @Override
         public void onStepFailed() {
             // Nothing was sent, and the guard answers.
@@ -202,13 +210,27 @@
         }
     }
 
+    /** Answers the request because the process is about to end, unless its answer has begun. */
+    void endForStop() {
+        if (isUnanswered()) {
+            runSafely(owner::onStop);
+            if (isUnanswered()) {
+                exchange.setPersistent(false);
+                answer(sent ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.LEAVING);
+            }
+        }
+    }
+
     private void answerIfUnanswered() {
-        if (!isUnanswered()) {
-            return;
+        if (isUnanswered()) {
+            runSafely(this::reportIfUnanswered);
+            answer(sent ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.NO_TARGET);
         }
-        runSafely(this::reportIfUnanswered);
+    }
+
+    private void answer(ErrorCode code) {
         try {
-            Refusals.send(exchange, sent ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.NO_TARGET);
+            Refusals.send(exchange, code);
         } catch (RuntimeException | Error failure) {
             logFailure(failure);
             IoUtils.safeClose(exchange.getConnection());
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -446,6 +446,10 @@
     }
 
     private void send(TargetEntry entry) {
+        if (isTooLateBeforeStop()) {
+            refuseOrFail(ErrorCode.LEAVING, "leaving");
+            return;
+        }
         beginUsage();
         guard.enter(AnswerGuard.Stage.TARGET);
         TargetAttempt.OutgoingRequest outgoing = outgoingRequest(entry);
@@ -454,6 +458,13 @@
         next.send(outgoing);
     }
 
+    // What is sent late in a planned stop would still run at its end.
+    private boolean isTooLateBeforeStop() {
+        return history.reachedTarget() || !hedges.isEmpty()
+                ? context.stop().refusesRetries()
+                : context.stop().refusesRequests();
+    }
+
     private TargetAttempt newAttempt(TargetEntry entry, TargetAttempt.Listener listener) {
         tried.add(entry);
         if (response.hasBegun()) {
@@ -621,6 +632,7 @@
     private Optional<TargetEntry> selectForHedge() {
         if (!route.repeatable()
                 || context.gate().isClosed()
+                || context.stop().refusesRetries()
                 || !isStillAllowed()
                 || quarantineState.isTrial()) {
             return Optional.empty();
@@ -704,16 +716,36 @@
 
     @Override
     public void onDeadline() {
-        endUnfinished(mayHaveBeenSent(), ErrorCode.DEADLINE_WHILE_RUNNING, "timeout");
+        endUnfinished(
+                mayHaveBeenSent(),
+                ErrorCode.NO_TARGET,
+                ErrorCode.DEADLINE_WHILE_RUNNING,
+                "timeout");
+    }
+
+    @Override
+    public void onStop() {
+        guard.run(
+                () -> {
+                    if (!response.hasBegun()) {
+                        endUnfinished(
+                                mayHaveBeenSent(),
+                                ErrorCode.LEAVING,
+                                ErrorCode.OUTCOME_UNKNOWN,
+                                "leaving");
+                    }
+                });
     }
 
     // The step may have failed before it recorded how an attempt ended.
     @Override
     public void onStepFailed() {
-        endUnfinished(guard.isSent(), ErrorCode.OUTCOME_UNKNOWN, "step_failed");
+        endUnfinished(
+                guard.isSent(), ErrorCode.NO_TARGET, ErrorCode.OUTCOME_UNKNOWN, "step_failed");
     }
 
-    private void endUnfinished(boolean sent, ErrorCode codeWhenSent, String reason) {
+    private void endUnfinished(
+            boolean sent, ErrorCode codeWhenNotSent, ErrorCode codeWhenSent, String reason) {
         if (done) {
             return;
         }
@@ -724,7 +756,7 @@
         } else if (sent) {
             respondWithUnknownOutcome(codeWhenSent, reason);
         } else {
-            respondWithFailure(ErrorCode.NO_TARGET, reason + "_before_start");
+            respondWithFailure(codeWhenNotSent, reason + "_before_start");
         }
     }
 
@@ -859,7 +891,9 @@
 
     @Override
     public Optional<Delivery> tryBeginSending() {
-        return attempt.map(TargetAttempt::entry).flatMap(retryProgress::tryBeginSending);
+        return attempt.filter(next -> !isTooLateBeforeStop())
+                .map(TargetAttempt::entry)
+                .flatMap(retryProgress::tryBeginSending);
     }
 
     @Override
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/Gateway.java
@@ -16,7 +16,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -43,7 +42,6 @@
 import org.tamaracktrack.daemon.load.LoadExchange;
 import org.tamaracktrack.daemon.load.UsageExchange;
 import org.tamaracktrack.daemon.quota.QuotaExchange;
-import org.tamaracktrack.daemon.runtime.ControlThread;
 import org.tamaracktrack.daemon.stream.OriginExchange;
 import org.tamaracktrack.link.http.HttpCaller;
 import org.xnio.OptionMap;
@@ -77,42 +75,23 @@
                     .set(Options.BACKLOG, BACKLOG)
                     .getMap();
 
-    /**
-     * New requests are accepted this long into a planned stop: the load balancer needs two failed
-     * checks to stop sending.
-     */
-    private static final long ACCEPT_WHILE_LEAVING_MILLIS = 2_500;
-
     private final GatewayContext context;
     private final GatewayHandler handler;
     private final CallersListener callers;
     private final Undertow server;
     private final XnioIoThread thread;
-    private final LeavingState leaving;
 
     private Gateway(
             GatewayContext context,
             GatewayHandler handler,
             CallersListener callers,
             Undertow server,
-            XnioIoThread thread,
-            LeavingState leaving) {
+            XnioIoThread thread) {
         this.context = context;
         this.handler = handler;
         this.callers = callers;
         this.server = server;
         this.thread = thread;
-        this.leaving = leaving;
-    }
-
-    /** Whether the daemon is about to stop, and since when. */
-    private static final class LeavingState implements BooleanSupplier {
-        private volatile long sinceMillis = Long.MAX_VALUE;
-
-        @Override
-        public boolean getAsBoolean() {
-            return sinceMillis != Long.MAX_VALUE;
-        }
     }
 
     /**
@@ -152,7 +131,7 @@
             MeterRegistry metrics,
             RandomGenerator random) {
         Objects.requireNonNull(options, "place is null");
-        LeavingState leaving = new LeavingState();
+        PlannedStop stop = new PlannedStop();
         XnioIoThread thread = worker.getIoThread();
         GatewayContext context =
                 new GatewayContext(
@@ -162,10 +141,10 @@
                         TargetSelector.of(options.dataCentre()),
                         options.retryBudget(),
                         GatewayMetrics.of(metrics),
-                        leaving,
+                        stop,
                         random);
-        GatewayHandler handler = GatewayHandler.of(context, () -> refusesNewRequests(leaving));
-        HttpHandler root = root(options.readinessPath(), context, leaving, handler);
+        GatewayHandler handler = GatewayHandler.of(context);
+        HttpHandler root = root(options.readinessPath(), context, handler);
         CrowdingMonitor crowding = new CrowdingMonitor(context);
         TrafficDelayMonitor.start(context, crowding::recordTick);
         CallersListener callers =
@@ -188,7 +167,7 @@
         listen(server, options);
         context.limitConnections();
         context.monitorUsage();
-        return new Gateway(context, handler, callers, server, thread, leaving);
+        return new Gateway(context, handler, callers, server, thread);
     }
 
     private static void listen(Undertow server, ServerOptions options) {
@@ -211,32 +190,24 @@
     }
 
     private static HttpHandler root(
-            String readinessPath, GatewayContext context, LeavingState leaving, HttpHandler next) {
+            String readinessPath, GatewayContext context, HttpHandler next) {
         return exchange -> {
             if (exchange.getRequestURI().equals(readinessPath)) {
-                readiness(exchange, ready(context, leaving));
+                readiness(exchange, ready(context));
             } else {
                 next.handleRequest(exchange);
             }
         };
     }
 
-    private static boolean ready(GatewayContext context, LeavingState leaving) {
+    private static boolean ready(GatewayContext context) {
         GatewayView view = context.view();
-        return !leaving.getAsBoolean()
+        return !context.leaving()
                 && view.configuration().isPresent()
                 && view.fleetKnown()
                 && !context.gate().refusesRequests();
     }
 
-    // A request accepted late in a planned stop would still run when the process has to end, and
-    // would be cut. The load balancer sends no new connections by then. Callers on kept connections
-    // are told to retry, and reach another daemon.
-    private static boolean refusesNewRequests(LeavingState leaving) {
-        return leaving.getAsBoolean()
-                && ControlThread.nowMillis() - leaving.sinceMillis >= ACCEPT_WHILE_LEAVING_MILLIS;
-    }
-
     private static void readiness(HttpServerExchange exchange, boolean ready) {
         exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, "0");
@@ -542,10 +513,12 @@
 
     /**
      * Begins a planned stop: the readiness check fails, and connections close with their next
-     * response.
+     * response. A stop that has begun goes on.
+     *
+     * @param graceMillis how long the stop may take
      */
-    public void leave() {
-        leaving.sinceMillis = ControlThread.nowMillis();
+    public void leave(long graceMillis) {
+        context.stop().begin(graceMillis);
         thread.execute(context.waiting()::refuseAll);
         thread.execute(context.admission()::refuseAll);
     }
@@ -569,6 +542,13 @@
         thread.execute(() -> context.updateRetryBudget(retryBudget));
     }
 
+    /** Answers the requests that have no part of an answer, if the grace period is about to end. */
+    void endRequestsIfDue() {
+        if (context.stop().endsRequests()) {
+            thread.execute(handler::endAll);
+        }
+    }
+
     /**
      * Returns how many requests are in progress.
      *
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayContext.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -81,7 +80,7 @@
     private final TargetSelector targetSelector;
     private final RetryAllowances retryAllowances;
     private final GatewayMetrics metrics;
-    private final BooleanSupplier leaving;
+    private final PlannedStop stop;
     private final RandomGenerator random;
     private final TargetLoads loads = TargetLoads.empty(ControlThread::nowMillis);
     private final WaitingRequests waiting = WaitingRequests.empty();
@@ -120,7 +119,7 @@
             TargetSelector targetSelector,
             FleetRetryBudget retryBudget,
             GatewayMetrics metrics,
-            BooleanSupplier leaving,
+            PlannedStop stop,
             RandomGenerator random) {
         this.http = http;
         this.thread = thread;
@@ -128,7 +127,7 @@
         this.targetSelector = targetSelector;
         this.retryAllowances = RetryAllowances.of(retryBudget, now());
         this.metrics = metrics;
-        this.leaving = leaving;
+        this.stop = stop;
         this.random = random;
         this.admission = new AdmissionControl(this, accountUsage);
         this.linkCheck =
@@ -246,7 +245,12 @@
     }
 
     boolean leaving() {
-        return leaving.getAsBoolean();
+        return stop.getAsBoolean();
+    }
+
+    /** Returns the planned stop of this daemon, which may not have begun. */
+    PlannedStop stop() {
+        return stop;
     }
 
     double draw() {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayHandler.java
@@ -6,10 +6,12 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.SameThreadExecutor;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.tamaracktrack.core.account.Account;
 import org.tamaracktrack.core.error.ErrorCode;
 import org.tamaracktrack.core.quota.Admission;
@@ -26,21 +28,23 @@
 
     private final GatewayContext context;
     private final AtomicInteger connections = new AtomicInteger();
-    private final AtomicInteger inProgress = new AtomicInteger();
+    private final Set<AnswerGuard> inProgress = ConcurrentHashMap.newKeySet();
 
-    private final BooleanSupplier refusesNewRequests;
-
-    private GatewayHandler(GatewayContext context, BooleanSupplier refusesNewRequests) {
+    private GatewayHandler(GatewayContext context) {
         this.context = context;
-        this.refusesNewRequests = refusesNewRequests;
     }
 
-    static GatewayHandler of(GatewayContext context, BooleanSupplier refusesNewRequests) {
-        return new GatewayHandler(context, refusesNewRequests);
+    static GatewayHandler of(GatewayContext context) {
+        return new GatewayHandler(context);
     }
 
     int inProgress() {
-        return inProgress.get();
+        return inProgress.size();
+    }
+
+    /** Answers all requests that have no part of an answer yet, since the process is to end. */
+    void endAll() {
+        List.copyOf(inProgress).forEach(AnswerGuard::endForStop);
     }
 
     @Override
@@ -51,9 +55,7 @@
             Refusals.send(exchange, ErrorCode.NOT_READY);
             return;
         }
-        if (refusesNewRequests.getAsBoolean()) {
-            exchange.setPersistent(false);
-            Refusals.send(exchange, ErrorCode.LEAVING);
+        if (refuseIfStopping(exchange)) {
             return;
         }
         if (JoinedHeads.in(exchange.getRequestHeaders())) {
@@ -80,6 +82,17 @@
         read(exchange, configuration.get(), new Admitted(origin, authorization, metadata.get()));
     }
 
+    // The load balancer sends no new connections by then. Callers on kept connections are told to
+    // retry, and reach another daemon.
+    private boolean refuseIfStopping(HttpServerExchange exchange) {
+        boolean refused = context.stop().refusesRequests();
+        if (refused) {
+            exchange.setPersistent(false);
+            Refusals.send(exchange, ErrorCode.LEAVING);
+        }
+        return refused;
+    }
+
     /** A request whose head was read and is allowed by the configuration in force. */
     private record Admitted(
             RequestAuthorization.Origin origin,
@@ -164,6 +177,10 @@
             long version,
             byte[] body,
             long arrivedMillis) {
+        // The body may have taken long to arrive.
+        if (refuseIfStopping(exchange)) {
+            return;
+        }
         AnswerGuard guard = AnswerGuard.of(context, exchange);
         guard.start(
                 admitted.metadata(),
@@ -228,10 +245,11 @@
     }
 
     private void countInProgress(HttpServerExchange exchange) {
-        inProgress.incrementAndGet();
+        AnswerGuard guard = AnswerGuard.of(context, exchange);
+        inProgress.add(guard);
         exchange.addExchangeCompleteListener(
                 (ended, next) -> {
-                    inProgress.decrementAndGet();
+                    inProgress.remove(guard);
                     next.proceed();
                 });
     }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayStop.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayStop.java
@@ -25,6 +25,7 @@
         long startedMillis = ControlThread.nowMillis();
         try {
             while (!mayStop(gateway, ControlThread.nowMillis() - startedMillis, graceMillis)) {
+                gateway.endRequestsIfDue();
                 Thread.sleep(POLL_INTERVAL_MILLIS);
             }
         } catch (InterruptedException interrupted) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/HedgedAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/HedgedAttempt.java
@@ -170,7 +170,9 @@
 
     @Override
     public Optional<Delivery> tryBeginSending() {
-        return progress.tryBeginSending(attempt().entry());
+        return context.stop().refusesRetries()
+                ? Optional.empty()
+                : progress.tryBeginSending(attempt().entry());
     }
 
     @Override
