Read long answers in turns, so that one target can't take the thread from all callers

One target that sent events without end took the traffic thread: the loop that reads an answer goes on as long as its connection has bytes and its caller takes them, so the requests of all other callers were refused or got nothing. Memory was bounded before; turns were not.

An answer now gets 32 KB a turn. One that has more waits with its reads suspended, and all that wait take turns of which they get a quarter of the thread's time together (ReadTurns); answers that fit into a turn, as all of sound engines do, are read as before. EventSplitter no longer copies and searches all that is pending with each part of an event.

EndlessAnswerProcessTest, six callers of a faulty engine beside 200 lookups elsewhere, one run on: of the first 5 lookups none was served in a second beside events without end, framed in chunks or not; the other five cases passed. All seven pass with the change, also with 40 callers (one run each). Not played: an endless answer to an order or from the store, which is read by the same loop and bounded at 16 MB (BoundedAnswersTest).

--- a/core/src/main/java/org/tamaracktrack/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/tamaracktrack/core/stream/EventSplitter.java
@@ -24,6 +24,7 @@
     private static final int MAXIMUM_PENDING_BYTES = 256 * 1024;
 
     private byte[] pending = EMPTY;
+    private int pendingLength;
     private Optional<String> lastId = Optional.empty();
     private int eventCount;
 
@@ -45,27 +46,32 @@
      * @return the complete events, may be empty
      */
     public byte[] split(ByteBuffer bytes) {
-        byte[] all = join(pending, bytes);
-        int end = endOfLastEvent(all);
+        int searchedLength = pendingLength;
+        append(bytes);
+        int end = endOfLastEvent(searchedLength);
         if (end == 0) {
-            pending = all;
             return EMPTY;
         }
-        pending = end == all.length ? EMPTY : Arrays.copyOfRange(all, end, all.length);
-        byte[] completeEvents = end == all.length ? all : Arrays.copyOf(all, end);
+        byte[] completeEvents = Arrays.copyOf(pending, end);
+        pending = end == pendingLength ? EMPTY : Arrays.copyOfRange(pending, end, pendingLength);
+        pendingLength -= end;
         recordIds(completeEvents);
         return completeEvents;
     }
 
-    private static byte[] join(byte[] first, ByteBuffer second) {
-        byte[] joined = Arrays.copyOf(first, first.length + second.remaining());
-        second.get(joined, first.length, second.remaining());
-        return joined;
+    // The room grows by doubling, so that a long event is not copied with each of its parts.
+    private void append(ByteBuffer bytes) {
+        int length = pendingLength + bytes.remaining();
+        if (length > pending.length) {
+            pending = Arrays.copyOf(pending, Math.max(length, 2 * pendingLength));
+        }
+        bytes.get(pending, pendingLength, bytes.remaining());
+        pendingLength = length;
     }
 
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int index = bytes.length - 1; index > 0; index--) {
-            if (bytes[index] == '\n' && endsBlankLine(bytes, index)) {
+    private int endOfLastEvent(int searchedLength) {
+        for (int index = pendingLength - 1; index >= Math.max(1, searchedLength); index--) {
+            if (pending[index] == '\n' && endsBlankLine(pending, index)) {
                 return index + 1;
             }
         }
@@ -104,6 +110,7 @@
     /** Discards the partial event that its target did not finish. */
     public void discardPartialEvent() {
         pending = EMPTY;
+        pendingLength = 0;
     }
 
     /**
@@ -112,7 +119,7 @@
      * @return true when bytes of an incomplete event are held back
      */
     public boolean hasPartialEvent() {
-        return pending.length > 0;
+        return pendingLength > 0;
     }
 
     /**
@@ -121,7 +128,7 @@
      * @return true when the stream must be treated as broken
      */
     public boolean exceedsPendingLimit() {
-        return pending.length > MAXIMUM_PENDING_BYTES;
+        return pendingLength > MAXIMUM_PENDING_BYTES;
     }
 
     /**
--- a/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/ConnectionPool.java
@@ -18,6 +18,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** A pool of idle connections by server address. A connection carries one call at a time. */
@@ -37,6 +38,7 @@
 
     private final Map<ClientConnection, BoundedAnswerConduit> guards = new ConcurrentHashMap<>();
     private final Map<ClientConnection, AtomicInteger> counted = new ConcurrentHashMap<>();
+    private final Map<XnioIoThread, ReadTurns> readTurns = new ConcurrentHashMap<>();
     private final LingeringCloses lingering = LingeringCloses.empty();
 
     private record IdleConnection(
@@ -59,6 +61,11 @@
         return Optional.ofNullable(guards.get(connection));
     }
 
+    /** Returns the turns in which long answers are read on a thread. */
+    ReadTurns readTurns(XnioIoThread thread) {
+        return readTurns.computeIfAbsent(thread, ReadTurns::of);
+    }
+
     /**
      * Removes and returns an idle connection that is still open and has been idle for less than the
      * given time.
--- a/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
@@ -61,6 +61,8 @@
     private volatile boolean paused;
     private volatile boolean cancelled;
     private boolean notifying;
+    private boolean readsInTurns;
+    private boolean awaitsTurn;
 
     private HttpExchange(
             HttpCall call,
@@ -336,10 +338,10 @@
         }
         StreamSourceChannel channel = exchange.getResponseChannel();
         source = Optional.of(channel);
-        channel.getReadSetter().set(ignored -> read(channel));
+        channel.getReadSetter().set(ignored -> readUnlessAwaitingTurn(channel));
         if (!paused) {
             read(channel);
-            if (!ended && !paused) {
+            if (!ended && !paused && !awaitsTurn) {
                 channel.resumeReads();
             }
         }
@@ -357,9 +359,16 @@
     }
 
     private void read(StreamSourceChannel channel) {
+        int readBytes = 0;
         try (PooledByteBuffer pooled = buffers.allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             while (!ended && !paused && !cancelled) {
+                if (readBytes >= ReadTurns.TURN_BYTES) {
+                    readsInTurns = true;
+                    channel.suspendReads();
+                    awaitTurn();
+                    return;
+                }
                 buffer.clear();
                 int count = readPart(channel, buffer);
                 if (count < 0) {
@@ -367,8 +376,10 @@
                     return;
                 }
                 if (count == 0) {
+                    readsInTurns = false;
                     return;
                 }
+                readBytes += count;
                 buffer.flip();
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
@@ -382,6 +393,34 @@
         }
     }
 
+    private void readUnlessAwaitingTurn(StreamSourceChannel channel) {
+        if (awaitsTurn) {
+            channel.suspendReads();
+        } else {
+            read(channel);
+        }
+    }
+
+    private void awaitTurn() {
+        if (!awaitsTurn) {
+            awaitsTurn = true;
+            pool.readTurns(thread).await(this::takeTurn);
+        }
+    }
+
+    private void takeTurn() {
+        awaitsTurn = false;
+        if (!ended && !paused) {
+            source.ifPresent(
+                    channel -> {
+                        read(channel);
+                        if (!ended && !paused && !awaitsTurn) {
+                            channel.resumeReads();
+                        }
+                    });
+        }
+    }
+
     // Undertow's parser of trailers throws unchecked exceptions.
     private int readPart(StreamSourceChannel channel, ByteBuffer buffer) throws IOException {
         try {
@@ -482,10 +521,14 @@
         paused = false;
         thread.execute(
                 () -> {
-                    if (paused) {
+                    if (paused || ended || awaitsTurn) {
                         return;
                     }
-                    source.filter(channel -> !ended).ifPresent(StreamSourceChannel::wakeupReads);
+                    if (readsInTurns) {
+                        awaitTurn();
+                    } else {
+                        source.ifPresent(StreamSourceChannel::wakeupReads);
+                    }
                 });
     }
 
