--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/CallerChannel.java
@@ -30,6 +30,9 @@
     /** Sets the listener. Must be called before the answer is sent. */
     void listen(Listener listener);
 
+    /** Notifies the listener before it returns if the caller has closed the connection by now. */
+    void detectDisconnect();
+
     /** Sends a complete answer, with its length. */
     void sendWhole(int status, Map<String, String> headers, byte[] body);
 
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/RequestRunner.java
@@ -116,6 +116,12 @@
     void targetChosen(AttemptId attempt, TargetLink chosenLink) {
         channel.execute(
                 () -> {
+                    // The caller may have left, or its time may have passed, while this thread was
+                    // late or the request waited.
+                    channel.detectDisconnect();
+                    if (ControlThread.nowMillis() >= deadlineAtMillis) {
+                        handle(new ExchangeEvent.DeadlinePassed());
+                    }
                     link = Optional.of(chosenLink);
                     List<ExchangeAction> actions =
                             exchange.handle(
--- a/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/entry/UndertowCallerChannel.java
@@ -81,6 +81,13 @@
         connection.detectDisconnect(exchange);
     }
 
+    @Override
+    public void detectDisconnect() {
+        if (!completed && connection.isClosedNow()) {
+            onConnectionClosed();
+        }
+    }
+
     private void onConnectionClosed() {
         if (!completed) {
             completed = true;
--- a/daemon/src/test/java/org/tamaracktrack/daemon/entry/RequestRunnerTest.java
+++ b/daemon/src/test/java/org/tamaracktrack/daemon/entry/RequestRunnerTest.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -38,12 +39,9 @@
         private final EntryMetrics metrics = EntryMetrics.of(new SimpleMeterRegistry(), counters);
         private final RetryPolicy retryPolicy = RetryPolicy.of(RetryBudget.of(0));
         private final Set<RequestRunner> inProgress = ConcurrentHashMap.newKeySet();
+        private final AcceptingConnection connection = new AcceptingConnection();
         private final TargetLink link =
-                TargetLink.of(
-                        TARGET,
-                        IncarnationId.of("t"),
-                        new AcceptingConnection(),
-                        new ConcurrentHashMap<>());
+                TargetLink.of(TARGET, IncarnationId.of("t"), connection, new ConcurrentHashMap<>());
         private RequestRunner runner;
         private AttemptId attempt;
 
@@ -96,8 +94,11 @@
     }
 
     private static final class AcceptingConnection implements Connection {
+        private final List<Message> sent = new ArrayList<>();
+
         @Override
         public boolean send(Message message) {
+            sent.add(message);
             return true;
         }
 
@@ -125,6 +126,14 @@
         private final Deque<Integer> heldPartSizes = new ArrayDeque<>();
         private Listener listener;
         private boolean holdingWrites;
+        private boolean callerLeft;
+
+        @Override
+        public void detectDisconnect() {
+            if (callerLeft) {
+                disconnect();
+            }
+        }
 
         @Override
         public void execute(Runnable task) {
@@ -277,4 +286,16 @@
 
         assertThat(outcomes()).containsExactly("unknown");
     }
+
+    // Guards against a request that is sent to a target though its caller has closed the connection
+    // and this daemon has not read that yet.
+    @Test
+    void shouldSendNothingWhenCallerHasLeftBeforeTargetIsChosen() {
+        channel.callerLeft = true;
+
+        start(false);
+
+        assertThat(services.connection.sent).isEmpty();
+        assertThat(services.inProgress).isEmpty();
+    }
 }
