Bound what is read behind a request, also what is skipped and at all connections together

The loop that reads on behind a request, new in, had two gaps: a caller that sends empty lines without end kept it going, since they are skipped and not kept, and took the traffic thread from all others; and 64 KB were kept for each connection without a common bound, more than the heap at a thousand connections.

Both now count against 64 KB of a connection and a sixteenth of the heap; beyond, nothing is read until the response is sent.

--- a/core/src/main/java/org/tamaracktrack/core/shutdown/GracePeriod.java
+++ b/core/src/main/java/org/tamaracktrack/core/shutdown/GracePeriod.java
@@ -67,13 +67,7 @@
         return elapsedMillis(nowMillis) >= graceMillis - answerMillis;
     }
 
-    /**
-     * Returns the time since the stop began.
-     *
-     * @param nowMillis the current time
-     * @return the time in milliseconds
-     */
-    public long elapsedMillis(long nowMillis) {
+    private long elapsedMillis(long nowMillis) {
         return nowMillis - beganMillis;
     }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallerConnection.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/connection/CallerConnection.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.tamaracktrack.link.http.AnswerMemory;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -25,14 +26,21 @@
             AttachmentKey.create(CallerConnection.class);
 
     /**
-     * Bytes behind a request that are kept for the next one. Beyond them nothing is read, and the
-     * end of the connection is not seen, until the response is sent.
+     * The bytes that are read behind a request and kept for the next one. Beyond them nothing is
+     * read, and the end of the connection is not seen, until the response is sent.
      */
     private static final int MAX_READ_AHEAD_BYTES = 64 * 1024;
 
+    private static final int PART_OF_HEAP = 16;
+
+    /** Limits what is kept for all connections of the process together. */
+    private static final AnswerMemory READ_AHEAD_MEMORY =
+            AnswerMemory.of(Runtime.getRuntime().maxMemory() / PART_OF_HEAP);
+
     private final ServerConnection connection;
     private final AtomicInteger openConnections;
     private Runnable onClosed = () -> {};
+    private int readAheadBytes;
     private boolean watched;
     private boolean closed;
 
@@ -109,6 +117,7 @@
         exchange.addExchangeCompleteListener(
                 (ended, next) -> {
                     watched = false;
+                    release(readAheadBytes);
                     http.getOriginalSourceConduit().suspendReads();
                     next.proceed();
                 });
@@ -134,11 +143,12 @@
         try {
             int count = 1;
             while (count > 0 && watched) {
-                if (pending(http) >= MAX_READ_AHEAD_BYTES) {
+                if (!tryReserve(http)) {
                     http.getOriginalSourceConduit().suspendReads();
                     return;
                 }
                 count = readPart(http);
+                release(http.getBufferSize() - Math.max(count, 0));
             }
             if (count < 0) {
                 close();
@@ -153,9 +163,20 @@
         handleClosed();
     }
 
-    private static int pending(HttpServerConnection http) {
-        PooledByteBuffer extra = http.getExtraBytes();
-        return extra == null ? 0 : extra.getBuffer().remaining();
+    // What is skipped counts as well, so that a caller that sends without end stops being read.
+    private boolean tryReserve(HttpServerConnection http) {
+        int partBytes = http.getBufferSize();
+        if (readAheadBytes + partBytes > MAX_READ_AHEAD_BYTES
+                || !READ_AHEAD_MEMORY.tryReserve(partBytes)) {
+            return false;
+        }
+        readAheadBytes += partBytes;
+        return true;
+    }
+
+    private void release(int bytes) {
+        readAheadBytes -= bytes;
+        READ_AHEAD_MEMORY.release(bytes);
     }
 
     // What is received belongs to a pipelined request and is kept until this response is sent.
