--- a/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/HttpExchange.java
@@ -545,9 +545,8 @@
         endSoon(this::linger);
     }
 
-    // A late thread would get to a task after all that its sockets have for it, and the server
-    // would
-    // work on meanwhile.
+    // A late thread runs tasks after it has read its sockets, and the server would work on
+    // meanwhile.
     private void endSoon(Runnable closing) {
         if (Thread.currentThread() == thread && !notifying) {
             endCancelled(closing, () -> thread.execute(() -> report(HttpFailure.CANCELLED)));
