Log and count each held suspect that a request is sent to try

On call can't tell a held part that is tried from a part that isn't held: no line says that a request with a held part is sent, and why. event=suspect-tried names the part, its ends and which trial it is, a counter sums them, and event=target-ended says how many parts it counts against.

--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/ForwardedRequest.java
@@ -1041,7 +1041,8 @@
     }
 
     private boolean refuseIfQuarantined() {
-        Optional<Suspect> holding = quarantineState.holdingSuspectUnlessTrial(service());
+        Optional<Suspect> holding =
+                quarantineState.holdingSuspectUnlessTrial(service(), metadata.attempt());
         holding.ifPresent(
                 suspect -> {
                     context.metrics().recordQuarantined(suspect);
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/GatewayMetrics.java
@@ -163,6 +163,11 @@
                 .increment();
     }
 
+    /** Counts a held suspect of a request that is sent to find out whether it is harmless. */
+    void recordTrial() {
+        registry.counter("tamaracktrack.gateway.quarantine.trials").increment();
+    }
+
     /** Counts a connection of a caller that was closed unread. */
     void recordShedConnection() {
         registry.counter("tamaracktrack.gateway.connections.shed").increment();
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestLog.java
@@ -290,21 +290,48 @@
             Optional<String> part,
             Optional<Hold> hold,
             long dayMillis) {
+        logHeldSuspect("request-held", attempt, suspect, part, hold, dayMillis);
+    }
+
+    /** As above, for a request that is sent to find out whether the suspect is harmless. */
+    static void logTrial(
+            String attempt,
+            Suspect suspect,
+            Optional<String> part,
+            Optional<Hold> hold,
+            long dayMillis) {
+        logHeldSuspect("suspect-tried", attempt, suspect, part, hold, dayMillis);
+    }
+
+    private static void logHeldSuspect(
+            String event,
+            String attempt,
+            Suspect suspect,
+            Optional<String> part,
+            Optional<Hold> hold,
+            long dayMillis) {
         LOG.info(
-                "event=request-held request="
+                "event="
+                        + event
+                        + " request="
                         + attempt
                         + " fingerprint="
                         + suspect
                         + part.map(id -> " part=" + id).orElse("")
-                        + hold.map(
-                                        known ->
-                                                " targets_ended="
-                                                        + known.ends()
-                                                        + " running="
-                                                        + known.runningEnds()
-                                                        + " last_end_ms_ago="
-                                                        + (dayMillis - known.lastEndMillis()))
-                                .orElse(""));
+                        + hold.map(known -> describe(known, dayMillis)).orElse(""));
+    }
+
+    private static String describe(Hold hold, long dayMillis) {
+        return " targets_ended="
+                + hold.ends()
+                + " running="
+                + hold.runningEnds()
+                + " last_end_ms_ago="
+                + (dayMillis - hold.lastEndMillis())
+                + " explained_by="
+                + hold.explainedBy().size()
+                + " trial="
+                + hold.trial();
     }
 
     private static double roundDownToTenths(double figure) {
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestQuarantineState.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/RequestQuarantineState.java
@@ -98,7 +98,7 @@
     }
 
     /** As above; a request that is granted as a trial may be sent from now on. */
-    Optional<Suspect> holdingSuspectUnlessTrial(ServiceId service) {
+    Optional<Suspect> holdingSuspectUnlessTrial(ServiceId service, String attempt) {
         Optional<Suspect> holding = holdingSuspect(service);
         if (holding.isEmpty()) {
             return holding;
@@ -109,6 +109,7 @@
             return holding;
         }
         trials.addAll(heldSuspects);
+        heldSuspects.forEach(suspect -> logTrial(attempt, suspect, quarantine));
         return Optional.empty();
     }
 
@@ -175,14 +176,28 @@
         RequestLog.logQuarantined(
                 attempt,
                 suspect,
-                sharedParts.stream()
-                        .filter(part -> matches(suspect, part))
-                        .map(PromptPart::contentId)
-                        .findFirst(),
+                partId(suspect),
                 Optional.ofNullable(context.quarantine().held().get(suspect)),
                 GatewayContext.dayMillis());
     }
 
+    private void logTrial(String attempt, Suspect suspect, Quarantine quarantine) {
+        context.metrics().recordTrial();
+        RequestLog.logTrial(
+                attempt,
+                suspect,
+                partId(suspect),
+                Optional.ofNullable(quarantine.held().get(suspect)),
+                GatewayContext.dayMillis());
+    }
+
+    private Optional<String> partId(Suspect suspect) {
+        return sharedParts.stream()
+                .filter(part -> matches(suspect, part))
+                .map(PromptPart::contentId)
+                .findFirst();
+    }
+
     private boolean matches(Suspect suspect, PromptPart part) {
         return parts.map(ServiceParts::service)
                 .filter(service -> PartFingerprint.of(service, part).equals(suspect))
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetEndDetector.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetEndDetector.java
@@ -9,6 +9,7 @@
 import org.jboss.logging.Logger;
 import org.tamaracktrack.core.fleet.TargetEntry;
 import org.tamaracktrack.core.fleet.TargetIncarnation;
+import org.tamaracktrack.core.quarantine.PartFingerprint;
 import org.tamaracktrack.core.quarantine.RequestFingerprint;
 import org.tamaracktrack.core.quarantine.Suspect;
 import org.tamaracktrack.core.quarantine.TargetEnd;
@@ -121,6 +122,12 @@
                         + " running="
                         + requests.stream().filter(TargetEnd::ran).count()
                         + " requests="
-                        + requests.size());
+                        + requests.size()
+                        + " parts="
+                        + ends.stream()
+                                .map(TargetEnd::suspect)
+                                .filter(suspect -> suspect instanceof PartFingerprint)
+                                .distinct()
+                                .count());
     }
 }
