Count a crash after silence, since time alone is no progress of an answer

An engine that sent one event and crashed 600 ms later ended 24 times where three are allowed, and no part was held. The answer counted as established 300 ms after its first piece whether or not a further piece came, and an established answer is no evidence against its parts.

An answer is established by a piece that comes 300 ms or more after the first. A cut answer without one is weak evidence, as one that was cut sooner; an answer without length and chunks that ends then no longer clears its parts.

--- a/core/src/main/java/org/tamaracktrack/core/quarantine/AnswerProgress.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/AnswerProgress.java
@@ -6,21 +6,11 @@
     NONE,
     /** The head was received, and nothing of the body. */
     STARTED,
-    /** The first piece of the body was received less than {@link #ESTABLISHED_MILLIS} ago. */
+    /** A piece of the body was received, and no other {@link #ESTABLISHED_MILLIS} later. */
     WRITING,
-    /** The target went on after the first piece, or the answer is complete. */
+    /** The target went on for that long after the first piece, or the answer is complete. */
     ESTABLISHED;
 
-    /** Time after the first piece, in milliseconds, after which an answer counts as established. */
+    /** Time after the first piece, in milliseconds, after which a further one shows progress. */
     public static final long ESTABLISHED_MILLIS = 300;
-
-    /**
-     * Returns the progress of an answer whose body has begun and is not complete.
-     *
-     * @param millisSinceFirstPiece the time since its first piece was received, in milliseconds
-     * @return the progress
-     */
-    public static AnswerProgress since(long millisSinceFirstPiece) {
-        return millisSinceFirstPiece >= ESTABLISHED_MILLIS ? ESTABLISHED : WRITING;
-    }
 }
--- a/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/tamaracktrack/daemon/gateway/TargetAttempt.java
@@ -288,9 +288,10 @@
         if (mode == Mode.NO_HEAD) {
             return AnswerProgress.NONE;
         }
-        return firstPieceMillis.isPresent()
-                ? AnswerProgress.since(context.nowMillis() - firstPieceMillis.getAsLong())
-                : AnswerProgress.STARTED;
+        if (firstPieceMillis.isEmpty()) {
+            return AnswerProgress.STARTED;
+        }
+        return established ? AnswerProgress.ESTABLISHED : AnswerProgress.WRITING;
     }
 
     void pause() {
@@ -384,7 +385,8 @@
         long nowMillis = context.nowMillis();
         if (firstPieceMillis.isEmpty()) {
             firstPieceMillis = OptionalLong.of(nowMillis);
-        } else if (!established && progress() == AnswerProgress.ESTABLISHED) {
+        } else if (!established
+                && nowMillis - firstPieceMillis.getAsLong() >= AnswerProgress.ESTABLISHED_MILLIS) {
             established = true;
             listener.onEstablished();
         }
