Reject answers that break the grammar of HTTP/1.1

Callers got a complete 200 with a body, or lines of a head, that was not the target's: where the head stated the length in two ways or a coding other than chunked, where a line was no field, and where the size of a chunk or a trailer was spoilt.

Cause: AnswerFraming followed Undertow's parser by hand and checked only what it needed for the length of the body; each relied on the other to reject the rest. Whatever both let pass, or read in different ways, reached the caller.

Now one grammar is checked before the parser (RFC 9110 5, RFC 9112 4 to 7), for heads, chunk lines and trailers, in FieldLine and AnswerFraming: names are tokens, lines are not continued, all lengths are equal, the only coding is chunked, once, without a length and not in HTTP/1.0, statuses are 100 to 599, control bytes are nowhere, trailers state no length. Undertow's client can only agree. All answers that we read over HTTP pass it: targets, engines, orders, reports and the store, since one caller opens all these connections.

A blank behind a chunk's size is still accepted: it can't be read in two ways.

--- a/link/src/main/java/org/tamaracktrack/link/http/AnswerFraming.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/AnswerFraming.java
@@ -1,20 +1,19 @@
 package org.tamaracktrack.link.http;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.tamaracktrack.link.http.AnswerRejection.Reason;
 
 /**
- * Follows the framing of the answers on a connection and checks the bounds of what lies around
- * their bodies. It determines the length of a body by the same rules as Undertow's client. Bytes of
+ * Follows the framing of the answers on a connection, and checks the grammar and the bounds of what
+ * lies around their bodies. An answer whose length can be read in two ways, or that breaks the
+ * grammar of HTTP/1.1, is rejected, so Undertow's client can only agree with this check. Bytes of
  * bodies are skipped without being looked at. Used by a single thread.
  */
 final class AnswerFraming {
-    /** Longer than any valid line that states the length of a body. */
-    private static final int KEPT_LINE_BYTES = 128;
-
     private static final String PROTOCOL = "HTTP/1.";
+    private static final String CONTENT_LENGTH = "content-length";
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final int MINOR_VERSION_OFFSET = 7;
     private static final int STATUS_OFFSET = 9;
     private static final int STATUS_END = 12;
@@ -24,11 +23,12 @@
     private static final int CONTINUE = 100;
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
     private final AnswerBounds bounds;
-    private final byte[] line = new byte[KEPT_LINE_BYTES];
+    private final FieldLine field = FieldLine.empty();
     private final StatusLineMatcher statusLines = StatusLineMatcher.of();
     private State state = State.HEAD;
     private boolean answerExpected;
@@ -40,13 +40,13 @@
     private int interimAnswers;
     private long remaining;
     private int chunkDigits;
-    private boolean chunkSizeRead;
+    private ChunkLinePart chunkLinePart = ChunkLinePart.SIZE;
 
     private int status;
+    private boolean interimStatus;
     private boolean oldVersion;
     private boolean chunked;
     private long length;
-    private boolean framingLine;
 
     private enum State {
         HEAD,
@@ -58,6 +58,12 @@
         UNTIL_CLOSE
     }
 
+    private enum ChunkLinePart {
+        SIZE,
+        BLANKS,
+        EXTENSION
+    }
+
     private AnswerFraming(AnswerBounds bounds) {
         this.bounds = bounds;
         startHead();
@@ -127,7 +133,13 @@
         state = next;
         partBytes = 0;
         partLines = 0;
+        startLine();
+    }
+
+    private void startLine() {
         lineBytes = 0;
+        carriageReturn = false;
+        field.clear();
     }
 
     private void endAnswer() {
@@ -138,12 +150,11 @@
     private void startHead() {
         startPart(State.HEAD);
         statusLines.reset();
-        carriageReturn = false;
         status = 0;
+        interimStatus = false;
         oldVersion = false;
         chunked = false;
         length = -1;
-        framingLine = false;
     }
 
     private void count(int maximum, Reason reason) throws AnswerRejectedException {
@@ -159,12 +170,16 @@
         }
     }
 
+    /** Checks that a carriage return stands only before the end of a line. */
+    private void checkLineEnd(byte value) throws AnswerRejectedException {
+        require(!carriageReturn || value == '\n');
+        carriageReturn = value == '\r';
+    }
+
     private void checkHead(ByteBuffer buffer, int index) throws AnswerRejectedException {
         byte value = buffer.get(index);
         count(bounds.headBytes(), Reason.HEAD_BYTES);
-        // Undertow's parser takes a single carriage return for the end of a line.
-        require(!carriageReturn || value == '\n');
-        carriageReturn = value == '\r';
+        checkLineEnd(value);
         if (partBytes > 1 && statusLines.add(value)) {
             // The first bytes are the beginning of another answer, which the server left over.
             throw AnswerRejectedException.of(Reason.JOINED_HEADS);
@@ -174,9 +189,8 @@
         } else if (value != '\r') {
             if (partLines == 0) {
                 checkStatusLine(buffer, index, value);
-            }
-            if (lineBytes < KEPT_LINE_BYTES) {
-                line[lineBytes] = value;
+            } else {
+                require(field.add(value));
             }
             lineBytes++;
         }
@@ -194,12 +208,14 @@
         } else if (lineBytes < STATUS_END) {
             require(isDigit(value));
             status = status * 10 + value - '0';
-            boolean interim = line[STATUS_OFFSET] == '1' && lineBytes > STATUS_OFFSET;
-            if (interim) {
+            if (interimStatus) {
                 buffer.put(index, (byte) '0');
             }
+            interimStatus |= lineBytes == STATUS_OFFSET && value == '1';
         } else if (lineBytes == STATUS_END) {
             require(value == ' ');
+        } else {
+            require(FieldLine.isText(value));
         }
     }
 
@@ -218,52 +234,38 @@
             throw AnswerRejectedException.of(Reason.HEAD_LINES);
         }
         if (partLines == 1) {
-            require(lineBytes >= STATUS_END && status >= CONTINUE);
+            require(lineBytes >= STATUS_END && status >= CONTINUE && status <= LAST_STATUS);
         } else {
-            readHeader();
+            readField();
         }
-        lineBytes = 0;
+        startLine();
     }
 
-    private void readHeader() throws AnswerRejectedException {
-        if (line[0] == ' ' || line[0] == '\t') {
-            // The line continues the one before.
-            require(!framingLine);
-            return;
-        }
-        Optional<String> value = framingValue("content-length");
-        if (value.isPresent() && length < 0) {
-            String digits = value.get();
-            require(digits.matches("[0-9]{1," + MAX_LENGTH_DIGITS + "}"));
-            length = Long.parseLong(digits);
-        }
-        Optional<String> encoding = framingValue("transfer-encoding");
-        if (encoding.isPresent()) {
-            chunked = encoding.get().equalsIgnoreCase("chunked");
+    private void readField() throws AnswerRejectedException {
+        require(field.isComplete());
+        if (field.isNamed(CONTENT_LENGTH)) {
+            readLength(framingValue());
+        } else if (field.isNamed(TRANSFER_ENCODING)) {
+            require(!chunked && framingValue().equalsIgnoreCase("chunked"));
+            chunked = true;
         }
-        framingLine = value.isPresent() || encoding.isPresent();
     }
 
-    private Optional<String> framingValue(String name) throws AnswerRejectedException {
-        if (lineBytes < name.length()) {
-            return Optional.empty();
-        }
-        for (int offset = 0; offset < name.length(); offset++) {
-            if ((line[offset] | 0x20) != name.charAt(offset)) {
-                return Optional.empty();
-            }
-        }
-        int kept = Math.min(lineBytes, KEPT_LINE_BYTES);
-        String rest =
-                new String(line, name.length(), kept - name.length(), StandardCharsets.ISO_8859_1);
-        if (!rest.stripLeading().startsWith(":")) {
-            return Optional.empty();
-        }
-        require(rest.startsWith(":") && lineBytes <= KEPT_LINE_BYTES);
-        return Optional.of(rest.substring(1).strip());
+    private String framingValue() throws AnswerRejectedException {
+        Optional<String> value = field.value();
+        require(value.isPresent());
+        return value.get();
+    }
+
+    private void readLength(String digits) throws AnswerRejectedException {
+        require(digits.matches("[0-9]{1," + MAX_LENGTH_DIGITS + "}"));
+        long stated = Long.parseLong(digits);
+        require(length < 0 || length == stated);
+        length = stated;
     }
 
     private void endHead() throws AnswerRejectedException {
+        require(!chunked || length < 0 && !oldVersion);
         if (status < FIRST_FINAL_STATUS) {
             // No request asks for another protocol.
             require(status != SWITCHING_PROTOCOLS);
@@ -301,29 +303,38 @@
         startPart(State.CHUNK_LINE);
         remaining = 0;
         chunkDigits = 0;
-        chunkSizeRead = false;
+        chunkLinePart = ChunkLinePart.SIZE;
     }
 
     private void checkChunkLine(byte value) throws AnswerRejectedException {
         count(bounds.chunkLineBytes(), Reason.CHUNK_LINE);
+        checkLineEnd(value);
         if (value == '\n') {
             require(chunkDigits > 0);
             startPart(remaining == 0 ? State.TRAILER : State.CHUNK_DATA);
-            return;
+        } else if (value != '\r') {
+            checkChunkLinePart(value);
         }
-        int digit = chunkSizeRead ? -1 : Character.digit(value, HEX);
-        if (digit < 0) {
-            chunkSizeRead = true;
-        } else {
+    }
+
+    private void checkChunkLinePart(byte value) throws AnswerRejectedException {
+        int digit = chunkLinePart == ChunkLinePart.SIZE ? Character.digit(value, HEX) : -1;
+        if (digit >= 0) {
             chunkDigits++;
             require(chunkDigits <= MAX_CHUNK_DIGITS);
             remaining = remaining * HEX + digit;
+        } else if (chunkLinePart == ChunkLinePart.EXTENSION) {
+            require(FieldLine.isText(value));
+        } else {
+            boolean blank = value == ' ' || value == '\t';
+            require(chunkDigits > 0 && (blank || value == ';'));
+            chunkLinePart = blank ? ChunkLinePart.BLANKS : ChunkLinePart.EXTENSION;
         }
     }
 
     private void checkChunkEnd(byte value) throws AnswerRejectedException {
         require(value == '\r' || value == '\n');
-        count(2, Reason.MALFORMED);
+        checkLineEnd(value);
         if (value == '\n') {
             startChunk();
         }
@@ -331,12 +342,23 @@
 
     private void checkTrailer(byte value) throws AnswerRejectedException {
         count(bounds.trailerBytes(), Reason.TRAILER_BYTES);
-        if (value != '\n') {
-            lineBytes += value == '\r' ? 0 : 1;
-        } else if (lineBytes == 0) {
+        checkLineEnd(value);
+        if (value == '\n') {
+            endTrailerLine();
+        } else if (value != '\r') {
+            require(field.add(value));
+        }
+    }
+
+    private void endTrailerLine() throws AnswerRejectedException {
+        if (field.isEmpty()) {
             endAnswer();
-        } else {
-            lineBytes = 0;
+            return;
         }
+        require(
+                field.isComplete()
+                        && !field.isNamed(CONTENT_LENGTH)
+                        && !field.isNamed(TRANSFER_ENCODING));
+        startLine();
     }
 }
