--- a/core/src/main/java/org/tamaracktrack/core/quarantine/AnswerProgress.java
+++ b/core/src/main/java/org/tamaracktrack/core/quarantine/AnswerProgress.java
@@ -6,9 +6,9 @@
     NONE,
     /** The head was received, and nothing of the body. */
     STARTED,
-    /** A piece of the body was received, and no other {@link #ESTABLISHED_MILLIS} later. */
+    /** The body has begun; no piece came {@link #ESTABLISHED_MILLIS} or more after the first. */
     WRITING,
-    /** The target went on for that long after the first piece, or the answer is complete. */
+    /** The target went on for that long after the first piece. */
     ESTABLISHED;
 
     /** Time after the first piece, in milliseconds, after which a further one shows progress. */
--- a/link/src/main/java/org/tamaracktrack/link/http/FieldLine.java
+++ b/link/src/main/java/org/tamaracktrack/link/http/FieldLine.java
@@ -59,7 +59,7 @@
         return isInsideValue();
     }
 
-    /** Returns whether the line is a field of a name, in lower case. */
+    /** Returns whether the line is a field with a name, in any case. */
     boolean isNamed(String name) {
         return nameBytes == name.length()
                 && new String(kept, 0, nameBytes, StandardCharsets.ISO_8859_1)
