--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -12,16 +12,18 @@
 
 /**
  * Prompts with one part crash each runner that begins to answer them. Three of them come at once, at
- * two daemons; more come one by one. Sound clients send prompts with the same first part, three in
- * four of them the same prompt.
+ * two daemons; more come one by one. Sound clients go on with their sessions: their prompts have the
+ * same first part and the session's own last part. Three in four have the same short body.
  */
 final class Case7 {
     private static final long STABLE_WINDOW_MILLIS = 3_000;
     private static final long TIMEOUT_MILLIS = 15_000;
-    private static final int SOUND_PER_SECOND = 10;
+    private static final int SOUND_PER_SECOND = 24;
+    private static final int SESSIONS = 53;
     private static final int EVENTS = 48;
     private static final long EVENT_MILLIS = 25;
     private static final long DEADLY_FROM_MILLIS = 8_000;
+    private static final int DEADLY_AT_ONCE = 9;
     private static final long DEADLY_EACH_MILLIS = 2_000;
     private static final long TRAFFIC_MILLIS = 34_000;
     private static final long RUNNER_BACK_MILLIS = 3_000;
@@ -165,7 +167,7 @@
             if (sound < past * SOUND_PER_SECOND / 1_000) {
                 long number = sound++;
                 callers.add(Web.start("sound", () -> sendSound(number)));
-            } else if (trouble && past >= DEADLY_FROM_MILLIS + Math.max(0, deadly - 2) * DEADLY_EACH_MILLIS) {
+            } else if (trouble && past >= DEADLY_FROM_MILLIS + Math.max(0, deadly - DEADLY_AT_ONCE + 1) * DEADLY_EACH_MILLIS) {
                 long number = deadly++;
                 lastDeadly.set(record.millis());
                 callers.add(Web.start("deadly", () -> sendDeadly(number)));
@@ -200,8 +202,8 @@
 
     private void sendSound(long number) {
         boolean same = number % 4 != 3;
-        String parts = FIRST_PART + ":350," + (same ? "5e55:1110" : "5e" + Long.toHexString(4096 + number) + ":1110");
-        String prompt = same ? "review the open orders" : "review order " + number;
+        String parts = FIRST_PART + ":350,5e" + Long.toHexString(4096 + number % SESSIONS) + ":1110";
+        String prompt = same ? "go on" : "review order " + number;
         long sent = record.millis();
         Caller.End end = send(number, "s" + number, parts, prompt);
         sounds.add(new Sound(sent, same, end.status == 200 && end.sealed, end.status));
@@ -232,7 +234,7 @@
         long begun = sent.stream().filter(Sound::begun).count();
         long same = sent.stream().filter(Sound::same).count();
         long sameBegun = sent.stream().filter(Sound::same).filter(Sound::begun).count();
-        record.note("sound requests " + when + ": " + begun + " of " + sent.size() + " begin at the first attempt; the same prompt " + sameBegun + " of " + same + ", other prompts " + (begun - sameBegun) + " of " + (sent.size() - same));
+        record.note("sound requests " + when + ": " + begun + " of " + sent.size() + " begin at the first attempt; the same body " + sameBegun + " of " + same + ", other bodies " + (begun - sameBegun) + " of " + (sent.size() - same));
         return sent.size() < 20 ? -1 : begun / (double) sent.size();
     }
 }
