--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and clients of the cases 6 to 10. Needs the JDK only.
+# Builds the stand-ins and clients of the cases 7 and 8. Needs the JDK only.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 rm -rf target/review-2
